Add the design page, the workspace and the shared units and messages

The design page states the requirements, the packages with their interfaces, the owner of each piece of state, the behaviour under failure and the choices with their alternatives. The units and API packages hold the vocabulary that every other package uses.

--- /dev/null
+++ b/crates/parsleywalk-catalog/src/lib.rs
@@ -0,0 +1,7 @@
+//! The operators' configuration text: parsing and checks.
+
+mod catalog;
+mod entry;
+
+pub use catalog::Catalog;
+pub use entry::{ObjectiveWeights, ServiceEntry, TeamEntry};
--- /dev/null
+++ b/crates/parsleywalk-consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! A leader-based replicated log as a pure state machine.
--- /dev/null
+++ b/crates/parsleywalk-peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Streams of messages between daemons.
--- /dev/null
+++ b/crates/parsleywalk-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing of requests to endpoints: admission, retries and claims.
--- /dev/null
+++ b/crates/parsleywalk-scheduler/src/lib.rs
@@ -0,0 +1,1 @@
+//! The scheduling policy: placement, fairness, guards and quarantine.
--- /dev/null
+++ b/crates/parsleywalk-storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable storage of the replicated log.
--- /dev/null
+++ b/crates/parsleywalk-testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for endpoints and workers.
--- /dev/null
+++ b/crates/parsleywalk-units/src/name.rs
@@ -0,0 +1,106 @@
+//! Textual identifiers.
+
+/// The longest permitted name in bytes.
+const NAME_LIMIT: usize = 128;
+
+fn is_name(text: &str) -> bool {
+    !text.is_empty()
+        && text.len() <= NAME_LIMIT
+        && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b':'))
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        ///
+        /// The text holds 1 to 128 ASCII letters, digits, `-`, `_`, `.` or `:`. Cloning is cheap.
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(std::sync::Arc<str>);
+
+        impl $name {
+            /// Returns the text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                formatter.pad(&self.0)
+            }
+        }
+
+        impl std::fmt::Debug for $name {
+            fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                write!(formatter, "{}({})", stringify!($name), self.0)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = crate::UnitError;
+
+            fn from_str(text: &str) -> crate::Result<Self> {
+                if is_name(text) {
+                    Ok(Self(text.into()))
+                } else {
+                    Err(crate::UnitError::invalid(
+                        stringify!($name),
+                        text,
+                        "1 to 128 ASCII letters, digits, '-', '_', '.' or ':'",
+                    ))
+                }
+            }
+        }
+
+        impl serde::Serialize for $name {
+            fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.serialize_str(&self.0)
+            }
+        }
+
+        impl<'de> serde::Deserialize<'de> for $name {
+            fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                let text = <std::borrow::Cow<'de, str>>::deserialize(deserializer)?;
+                text.parse().map_err(serde::de::Error::custom)
+            }
+        }
+    };
+}
+
+name_type! {
+    /// The name of an availability zone.
+    ZoneName
+}
+name_type! {
+    /// The name of a rack of workers.
+    RackName
+}
+name_type! {
+    /// The name of a team that owns services and jobs.
+    TeamName
+}
+name_type! {
+    /// The name of a service in the operators' configuration.
+    ServiceName
+}
+name_type! {
+    /// The identity of a worker, stable across restarts of its VM.
+    WorkerId
+}
+name_type! {
+    /// The identity of an endpoint, stable across its restarts.
+    EndpointId
+}
+name_type! {
+    /// The name under which a caller's share is accounted.
+    CallerName
+}
+name_type! {
+    /// A caller's key that makes resends of one request or job recognizable.
+    IdempotencyKey
+}
+name_type! {
+    /// The identity of one operator command, drawn by the client and repeated on resends.
+    OperationId
+}
--- /dev/null
+++ b/crates/parsleywalk/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/parsleywalkd/src/lib.rs
@@ -0,0 +1,1 @@
+//! The parsleywalk daemon.
