--- /dev/null
+++ b/crates/parsleywalk-peer/src/error.rs
@@ -0,0 +1,43 @@
+//! Errors of peer links.
+
+#![allow(missing_docs, reason = "quick_error does not take docs on fields")]
+
+use std::net::SocketAddr;
+
+use quick_error::quick_error;
+
+/// The result of a step on a peer link.
+pub type Result<T> = std::result::Result<T, PeerError>;
+
+quick_error! {
+    /// An error on a link, with the step and the peer at which it arose.
+    #[derive(Debug)]
+    pub enum PeerError {
+        /// A socket operation failed.
+        Io { step: &'static str, peer: SocketAddr, cause: std::io::Error } {
+            display("{} with peer {}: {}", step, peer, cause)
+            source(cause)
+        }
+        /// An `h2` operation failed.
+        Stream { step: &'static str, peer: SocketAddr, cause: h2::Error } {
+            display("{} with peer {}: {}", step, peer, cause)
+            source(cause)
+        }
+        /// The peer did not answer in time.
+        Timeout { step: &'static str, peer: SocketAddr } {
+            display("{} with peer {}: timed out", step, peer)
+        }
+        /// A frame could not be decoded or is larger than permitted.
+        Frame { peer: SocketAddr, reason: String } {
+            display("frame from peer {}: {}", peer, reason)
+        }
+        /// The peer does not know the token.
+        Token { peer: SocketAddr } {
+            display("hello from peer {}: wrong token", peer)
+        }
+        /// The connection was closed.
+        Closed { peer: SocketAddr } {
+            display("connection with peer {} was closed", peer)
+        }
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-peer/src/inbound.rs
@@ -0,0 +1,127 @@
+//! Connections that peers open.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use flume::Sender;
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::Request;
+use log::warn;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time;
+
+use crate::frame::FrameBuffer;
+use crate::hello::{StreamHello, tokens_match};
+use crate::{PeerError, PeerIdentity, PeerMessage, PeerSettings, ReceivedMessage, Result, frame, keepalive};
+
+/// The window of a stream and of a connection; a snapshot chunk fits into it whole.
+const WINDOW_BYTES: u32 = 1024 * 1024;
+
+/// The longest wait after a failed accept, such as one for want of file descriptors.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
+/// Accepts connections until the task is dropped.
+pub(crate) async fn accept<M: PeerMessage>(
+    settings: Arc<PeerSettings>,
+    listener: TcpListener,
+    inbox: Sender<ReceivedMessage<M>>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, peer)) => {
+                tokio::task::spawn_local(serve(Arc::clone(&settings), socket, peer, inbox.clone()));
+            }
+            Err(error) => {
+                warn!("event=peer_accept_failed error={:?}", error.to_string());
+                time::sleep(time::Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve<M: PeerMessage>(
+    settings: Arc<PeerSettings>,
+    socket: TcpStream,
+    peer: SocketAddr,
+    inbox: Sender<ReceivedMessage<M>>,
+) {
+    if let Err(error) = receive_streams(&settings, socket, peer, &inbox).await {
+        warn!("event=peer_connection_ended peer={peer} error={:?}", error.to_string());
+    }
+}
+
+async fn receive_streams<M: PeerMessage>(
+    settings: &Arc<PeerSettings>,
+    socket: TcpStream,
+    peer: SocketAddr,
+    inbox: &Sender<ReceivedMessage<M>>,
+) -> Result<()> {
+    let stream_error = |cause| PeerError::Stream { step: "accept", peer, cause };
+    socket.set_nodelay(true).map_err(|cause| PeerError::Io { step: "accept", peer, cause })?;
+    let mut builder = h2::server::Builder::new();
+    builder.initial_window_size(WINDOW_BYTES).initial_connection_window_size(2 * WINDOW_BYTES);
+    let handshake = time::timeout(settings.connect_timeout, builder.handshake::<_, Bytes>(socket)).await;
+    let mut connection =
+        handshake.map_err(|_| PeerError::Timeout { step: "handshake", peer })?.map_err(stream_error)?;
+    let pings = connection.ping_pong().ok_or(PeerError::Closed { peer })?;
+    let mut keepalive = std::pin::pin!(keepalive::run(pings, peer, settings.ping_interval, settings.ping_timeout));
+    loop {
+        let accepted = tokio::select! {
+            accepted = connection.accept() => accepted,
+            error = &mut keepalive => return Err(error),
+        };
+        let Some(accepted) = accepted else { return Ok(()) };
+        let (request, response) = accepted.map_err(stream_error)?;
+        tokio::task::spawn_local(receive_logged(Arc::clone(settings), request, response, peer, inbox.clone()));
+    }
+}
+
+async fn receive_logged<M: PeerMessage>(
+    settings: Arc<PeerSettings>,
+    request: Request<RecvStream>,
+    response: SendResponse<Bytes>,
+    peer: SocketAddr,
+    inbox: Sender<ReceivedMessage<M>>,
+) {
+    // Kept until the stream ends: dropping it would reset the stream.
+    let _response = response;
+    if let Err(error) = receive(&settings, request.into_body(), peer, &inbox).await {
+        warn!("event=peer_stream_ended peer={peer} error={:?}", error.to_string());
+    }
+}
+
+async fn receive<M: PeerMessage>(
+    settings: &PeerSettings,
+    mut body: RecvStream,
+    peer: SocketAddr,
+    inbox: &Sender<ReceivedMessage<M>>,
+) -> Result<()> {
+    let mut buffer = FrameBuffer::new(settings.frame_limit);
+    let mut identity: Option<PeerIdentity> = None;
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk.map_err(|cause| PeerError::Stream { step: "receive", peer, cause })?;
+        buffer.extend(&chunk);
+        while let Some(bytes) = buffer.next_frame().map_err(|reason| PeerError::Frame { peer, reason })? {
+            let Some(from) = &identity else {
+                identity = Some(check_hello(settings, &bytes, peer)?);
+                continue;
+            };
+            let message = frame::decode(&bytes).map_err(|reason| PeerError::Frame { peer, reason })?;
+            let received = ReceivedMessage { from: from.clone(), message };
+            if inbox.send_async(received).await.is_err() {
+                return Ok(());
+            }
+        }
+        // The window opens again only after the daemon took the messages, which is the back-pressure on the sender.
+        let release = body.flow_control().release_capacity(chunk.len());
+        release.map_err(|cause| PeerError::Stream { step: "receive", peer, cause })?;
+    }
+    Ok(())
+}
+
+fn check_hello(settings: &PeerSettings, bytes: &[u8], peer: SocketAddr) -> Result<PeerIdentity> {
+    let hello: StreamHello = frame::decode(bytes).map_err(|reason| PeerError::Frame { peer, reason })?;
+    if tokens_match(&hello.token, &settings.token) { Ok(hello.identity) } else { Err(PeerError::Token { peer }) }
+}
