--- a/crates/parsleywalk-peer/src/hello.rs
+++ b/crates/parsleywalk-peer/src/hello.rs
@@ -22,6 +22,7 @@
 }
 
 /// Compares tokens in time that depends only on their lengths.
-pub(crate) fn tokens_match(left: &str, right: &str) -> bool {
+#[must_use]
+pub fn tokens_match(left: &str, right: &str) -> bool {
     left.len() == right.len() && left.bytes().zip(right.bytes()).fold(0, |acc, (a, b)| acc | (a ^ b)) == 0
 }
--- a/crates/parsleywalk-peer/src/lib.rs
+++ b/crates/parsleywalk-peer/src/lib.rs
@@ -28,6 +28,6 @@
 mod settings;
 
 pub use error::{PeerError, Result};
-pub use hello::PeerIdentity;
+pub use hello::{PeerIdentity, tokens_match};
 pub use network::{PeerLane, PeerMessage, PeerNetwork, ReceivedMessage};
 pub use settings::{PeerAddress, PeerSettings};
--- a/crates/parsleywalk-peer/src/network.rs
+++ b/crates/parsleywalk-peer/src/network.rs
@@ -98,26 +98,26 @@
         Ok((network, inbox))
     }
 
-    /// Queues a message for a peer; it is dropped when the peer is unknown or its queue is full.
-    pub fn send(&self, to: VmNumber, lane: PeerLane, message: &M) {
+    /// Queues a message for a peer. Returns `false` when it was dropped, because the peer is unknown or its queue is
+    /// full; `true` does not say that it will arrive.
+    pub fn send(&self, to: VmNumber, lane: PeerLane, message: &M) -> bool {
         let Ok(place) = self.queues.binary_search_by_key(&to, |queue| queue.vm) else {
             self.dropped.fetch_add(1, Ordering::Relaxed);
-            return;
+            return false;
         };
         let Ok(bytes) = frame::encode(message) else {
             self.dropped.fetch_add(1, Ordering::Relaxed);
-            return;
+            return false;
         };
         let length = bytes.len() as u64;
         let queue = match lane {
             PeerLane::Control => &self.queues[place].control,
             PeerLane::Bulk => &self.queues[place].bulk,
         };
-        if queue.try_send(bytes).is_ok() {
-            self.sent_bytes.fetch_add(length, Ordering::Relaxed);
-        } else {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-        }
+        let queued = queue.try_send(bytes).is_ok();
+        let (counter, amount) = if queued { (&self.sent_bytes, length) } else { (&self.dropped, 1) };
+        counter.fetch_add(amount, Ordering::Relaxed);
+        queued
     }
 }
 
--- /dev/null
+++ b/crates/parsleywalkd/src/control/leader.rs
@@ -0,0 +1,164 @@
+//! What only the leader does: policy, leases, and the answers that wait until an operation is in force.
+
+use std::time::Duration;
+
+use parsleywalk_consensus::{LogIndex, LogTerm};
+use parsleywalk_control::{ControlCommand, ControlReply, ControlState, EvictionReason, LeaseSettings, LeaseTable, StateChange};
+use parsleywalk_scheduler::{EvictionCause, PolicyDecision, PolicySettings, SchedulerPolicy};
+use parsleywalk_units::{AttemptNumber, MonotonicTime, StateTime, TaskId, ThrottleLevel, WorkerId};
+
+use super::feed;
+use super::forwarded::ReplyTo;
+
+/// The wait between two rounds of decisions.
+const DECISION_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The most decisions of one round; a round must stay well below the leader's heartbeat interval.
+const DECISION_LIMIT: usize = 256;
+
+/// The most open proposals before the policy pauses, so that it never fills the log's queue for callers.
+pub(crate) const PROPOSAL_LIMIT: usize = 2048;
+
+/// How long an operator's answer waits for daemons that are alive and have not confirmed.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// An operator's answer that waits until the command is in force.
+#[derive(Debug)]
+pub(crate) struct PendingOperation {
+    pub(crate) index: LogIndex,
+    pub(crate) reply_to: ReplyTo,
+    pub(crate) reply: ControlReply,
+    pub(crate) deadline: MonotonicTime,
+}
+
+impl PendingOperation {
+    pub(crate) fn new(now: MonotonicTime, index: LogIndex, reply_to: ReplyTo, reply: ControlReply) -> Self {
+        Self { index, reply_to, reply, deadline: now + IN_FORCE_TIMEOUT }
+    }
+}
+
+/// The throttle of one attempt.
+#[derive(Debug, Clone, Copy)]
+struct TaskThrottle {
+    task: TaskId,
+    attempt: AttemptNumber,
+    level: ThrottleLevel,
+}
+
+/// The leader's volatile state. A new leader starts with an empty one.
+pub(crate) struct LeaderDuties {
+    pub(crate) term: LogTerm,
+    /// Set once an entry of the leader's own term is applied, so that the state holds all that was committed before.
+    pub(crate) ready: bool,
+    pub(crate) policy: SchedulerPolicy,
+    pub(crate) leases: LeaseTable,
+    pub(crate) operations: Vec<PendingOperation>,
+    pub(crate) next_decision: MonotonicTime,
+    throttles: Vec<TaskThrottle>,
+}
+
+impl LeaderDuties {
+    pub(crate) fn new(term: LogTerm, seed: u64) -> Self {
+        Self {
+            term,
+            ready: false,
+            policy: SchedulerPolicy::new(PolicySettings::default(), seed),
+            leases: LeaseTable::new(LeaseSettings::default()),
+            operations: Vec::new(),
+            next_decision: MonotonicTime::ZERO,
+            throttles: Vec::new(),
+        }
+    }
+
+    /// Takes office: the policy learns the whole state, and every worker may hold a full lease from now.
+    pub(crate) fn take_office(&mut self, now: MonotonicTime, state: &ControlState) {
+        self.ready = true;
+        for change in state.events_for_restart() {
+            self.observe(now, state, &change);
+        }
+        self.leases.take_office(now, state.workers().map(|worker| worker.id.clone()));
+    }
+
+    /// Takes note of a change of the state.
+    pub(crate) fn observe(&mut self, now: MonotonicTime, state: &ControlState, change: &StateChange) {
+        match change {
+            StateChange::TaskEnded { task, .. } => self.throttles.retain(|throttle| throttle.task != *task),
+            StateChange::WorkerLost { worker, .. } => self.leases.remove(worker),
+            // A worker that has just registered runs nothing under a lease of this leader yet; its first lease is
+            // counted from now, so that it is never taken as lost before it could have been renewed.
+            StateChange::WorkerJoined { worker, .. } => self.leases.renew(now, worker),
+            _ => {}
+        }
+        if let Some(event) = feed::policy_event(state, change) {
+            self.policy.observe(now, event);
+        }
+    }
+
+    /// Makes a round of decisions when one is due, and returns the commands to propose.
+    pub(crate) fn decide(&mut self, now: MonotonicTime, at: StateTime, state: &ControlState) -> Vec<ControlCommand> {
+        if now < self.next_decision {
+            return Vec::new();
+        }
+        self.next_decision = now + DECISION_INTERVAL;
+        let decisions = self.policy.decide(now, DECISION_LIMIT);
+        let mut commands: Vec<ControlCommand> =
+            decisions.into_iter().filter_map(|decision| self.command(at, state, decision)).collect();
+        commands.extend(self.lost_workers(now, at, state));
+        commands
+    }
+
+    /// The throttles of a worker's attempts.
+    pub(crate) fn throttles<'a>(
+        &'a self,
+        state: &'a ControlState,
+        worker: &'a WorkerId,
+    ) -> impl Iterator<Item = (TaskId, AttemptNumber, ThrottleLevel)> + 'a {
+        let on_worker = state.tasks_on(worker).filter_map(|task| {
+            let place = self.throttles.binary_search_by_key(&task.id, |throttle| throttle.task).ok()?;
+            Some(&self.throttles[place])
+        });
+        on_worker.map(|throttle| (throttle.task, throttle.attempt, throttle.level))
+    }
+
+    fn command(&mut self, at: StateTime, state: &ControlState, decision: PolicyDecision) -> Option<ControlCommand> {
+        Some(match decision {
+            PolicyDecision::Start { task, attempt, worker, size } => {
+                ControlCommand::StartTask { at, task, attempt, worker: state.worker(&worker)?.number, size }
+            }
+            PolicyDecision::Evict { task, attempt, reason } => {
+                ControlCommand::EvictTask { at, task, attempt, reason: eviction_reason(reason) }
+            }
+            PolicyDecision::Replace { task, .. } => ControlCommand::ReplaceInstance { at, task },
+            PolicyDecision::Fail { task, reason } => ControlCommand::FailTask { at, task, reason },
+            PolicyDecision::Throttle { task, attempt, level } => {
+                self.throttle(TaskThrottle { task, attempt, level });
+                return None;
+            }
+        })
+    }
+
+    fn throttle(&mut self, throttle: TaskThrottle) {
+        match self.throttles.binary_search_by_key(&throttle.task, |known| known.task) {
+            Ok(place) => self.throttles[place] = throttle,
+            Err(place) => self.throttles.insert(place, throttle),
+        }
+    }
+
+    fn lost_workers(&self, now: MonotonicTime, at: StateTime, state: &ControlState) -> Vec<ControlCommand> {
+        let ended = self.leases.ended(now).into_iter();
+        ended
+            .filter_map(|worker| {
+                let incarnation = state.worker(&worker)?.incarnation;
+                Some(ControlCommand::LoseWorker { at, worker, incarnation })
+            })
+            .collect()
+    }
+}
+
+fn eviction_reason(cause: EvictionCause) -> EvictionReason {
+    match cause {
+        EvictionCause::UrgentWork | EvictionCause::ServiceInstance => EvictionReason::Urgent,
+        EvictionCause::Interference => EvictionReason::Interference,
+        EvictionCause::ZoneOut => EvictionReason::ZoneOut,
+    }
+}
--- /dev/null
+++ b/crates/parsleywalkd/src/control/report.rs
@@ -0,0 +1,91 @@
+//! A worker's report at the leader.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use parsleywalk_api::{TaskReport, WorkerOrder, WorkerReply, WorkerReport};
+use parsleywalk_control::{ControlCommand, ControlState, LEASE, plan_report};
+use parsleywalk_scheduler::{PolicyEvent, TaskUsage};
+use parsleywalk_units::{MonotonicTime, StateTime, TimeSpan};
+
+use super::leader::LeaderDuties;
+
+/// For how long after its report was sent a worker may carry out a start order. Together with the leader lease it
+/// bounds how long after the commit of a zone out a task can still start there.
+const START_WITHIN: TimeSpan = TimeSpan::from_secs(1);
+
+/// The shortest wait between reports of one worker.
+const SHORTEST_INTERVAL_MS: u64 = 500;
+
+/// The longest wait between reports, so that urgent work reaches its worker in time.
+const LONGEST_INTERVAL_MS: u64 = 4000;
+
+/// Reports per second that a leader takes before workers are asked to report less often.
+const REPORTS_PER_SECOND: u64 = 1000;
+
+/// The answer to a report and the commands that follow from it.
+pub(crate) struct ReportOutcome {
+    pub(crate) commands: Vec<ControlCommand>,
+    pub(crate) reply: WorkerReply,
+}
+
+/// Handles a report. The orders follow from what is committed already; the commands make the next report's orders.
+pub(crate) fn handle(
+    now: MonotonicTime,
+    at: StateTime,
+    state: &ControlState,
+    duties: &mut LeaderDuties,
+    report: &WorkerReport,
+    entries: Vec<SocketAddr>,
+) -> ReportOutcome {
+    let plan = plan_report(state, at, report);
+    let registered = state.worker(&report.worker).is_some_and(|worker| worker.incarnation == report.incarnation);
+    let mut orders = plan.orders;
+    if registered {
+        // Noted before the answer is written, so that the lease counted here never ends before the worker's.
+        duties.leases.renew(now, &report.worker);
+        duties.policy.observe(now, usage_event(now, report));
+        orders.extend(
+            duties
+                .throttles(state, &report.worker)
+                .map(|(task, attempt, level)| WorkerOrder::Throttle { task, attempt, level }),
+        );
+    }
+    let reply = WorkerReply {
+        sequence: report.sequence,
+        revision: state.revision(),
+        lease: registered.then(|| span(LEASE)),
+        start_within: START_WITHIN,
+        report_every: report_interval(state.workers().len()),
+        orders,
+        entries,
+    };
+    ReportOutcome { commands: plan.commands, reply }
+}
+
+fn usage_event(now: MonotonicTime, report: &WorkerReport) -> PolicyEvent {
+    PolicyEvent::UsageReported {
+        worker: report.worker.clone(),
+        measured_at: now.saturating_sub(report.lag.as_duration()),
+        tasks: report.tasks.iter().map(task_usage).collect(),
+    }
+}
+
+fn task_usage(task: &TaskReport) -> TaskUsage {
+    TaskUsage {
+        task: task.task,
+        cores: task.cores,
+        memory: task.memory,
+        latency: task.latency_us.map(Duration::from_micros),
+        since_checkpoint: task.since_checkpoint.as_duration(),
+    }
+}
+
+fn report_interval(workers: usize) -> TimeSpan {
+    let millis = workers as u64 * 1000 / REPORTS_PER_SECOND;
+    TimeSpan::from_millis(millis.clamp(SHORTEST_INTERVAL_MS, LONGEST_INTERVAL_MS))
+}
+
+fn span(duration: Duration) -> TimeSpan {
+    TimeSpan::from_millis(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/parsleywalkd/src/edge/caller.rs
@@ -0,0 +1,156 @@
+//! The server for callers, endpoints and workers.
+//!
+//! It is built on `hyper` in place of `rouille`, which spends a thread on each open connection and has no time-out for
+//! a body: a few slow senders stop it for everybody.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{info, warn};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::{Semaphore, watch};
+
+use super::routes::{self, EdgeContext};
+use crate::{DaemonError, Result};
+
+/// Threads of the edge's runtime; they parse and hand over, and do no work of their own.
+const EDGE_THREADS: usize = 2;
+
+/// The wait after a failed accept, such as one for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Sent to a connection beyond the limit. It is true: nothing of its request was read.
+const FULL_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\n\
+Connection: close\r\nContent-Length: 73\r\n\r\n\
+{\"outcome\":\"not_run\",\"reason\":\"too many open connections at this entry\"}\n";
+
+/// The running server. It stops accepting and closes idle connections on [`CallerServer::stop`].
+pub(crate) struct CallerServer {
+    runtime: Option<Runtime>,
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    connections: Arc<Semaphore>,
+    limit: usize,
+}
+
+impl CallerServer {
+    pub(crate) fn start(address: SocketAddr, context: EdgeContext) -> Result<Self> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(EDGE_THREADS)
+            .thread_name("callers")
+            .enable_all()
+            .build()
+            .map_err(|cause| DaemonError::Thread { step: "start caller edge", cause })?;
+        let listen_error = |cause: std::io::Error| DaemonError::Listen {
+            step: "listen for callers",
+            address,
+            reason: cause.to_string(),
+        };
+        let listener = runtime.block_on(TcpListener::bind(address)).map_err(listen_error)?;
+        let address = listener.local_addr().map_err(listen_error)?;
+        let (stop, stopped) = watch::channel(false);
+        let limit = context.limits.connections;
+        let connections = Arc::new(Semaphore::new(limit));
+        runtime.spawn(accept(listener, Arc::new(context), Arc::clone(&connections), stopped));
+        Ok(Self { runtime: Some(runtime), address, stop, connections, limit })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub(crate) fn open_connections(&self) -> usize {
+        self.limit - self.connections.available_permits()
+    }
+
+    /// Refuses new connections, lets each open one finish its request, and waits for all to close.
+    pub(crate) fn stop(&self, timeout: Duration) {
+        self.stop.send_replace(true);
+        let Some(runtime) = &self.runtime else { return };
+        let all = u32::try_from(self.limit).unwrap_or(u32::MAX);
+        let closed = runtime.block_on(async {
+            tokio::time::timeout(timeout, self.connections.acquire_many(all)).await.is_ok()
+        });
+        info!("event=caller_edge_stopped all_closed={closed}");
+    }
+}
+
+impl Drop for CallerServer {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    context: Arc<EdgeContext>,
+    connections: Arc<Semaphore>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stop| *stop) => return,
+        };
+        let Ok((socket, peer)) = accepted else {
+            warn!("event=caller_accept_failed");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
+            context.metrics.refusal("connections");
+            tokio::spawn(refuse(socket));
+            continue;
+        };
+        let (context, stopped) = (Arc::clone(&context), stopped.clone());
+        tokio::spawn(async move {
+            serve(socket, peer, context, stopped).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn refuse(mut socket: TcpStream) {
+    if tokio::time::timeout(Duration::from_secs(1), socket.write_all(FULL_ANSWER)).await.is_ok() {
+        drop(socket.shutdown().await);
+    }
+}
+
+async fn serve(
+    socket: TcpStream,
+    peer: SocketAddr,
+    context: Arc<EdgeContext>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    drop(socket.set_nodelay(true));
+    let head_timeout = context.limits.head_timeout.as_duration();
+    let service = service_fn(move |request: http::Request<Incoming>| {
+        let context = Arc::clone(&context);
+        async move { Ok::<_, Infallible>(routes::answer(&context, peer, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(head_timeout)
+        .serve_connection(TokioIo::new(socket), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = stopped.wait_for(|stop| *stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("event=caller_connection_ended peer={peer} error={:?}", error.to_string());
+    }
+}
--- /dev/null
+++ b/crates/parsleywalkd/src/edge/mod.rs
@@ -0,0 +1,6 @@
+//! The HTTP servers of a daemon.
+
+pub(crate) mod caller;
+pub(crate) mod operator;
+mod reply;
+mod routes;
--- /dev/null
+++ b/crates/parsleywalkd/src/edge/operator.rs
@@ -0,0 +1,275 @@
+//! The server for operators, the balancer's health checks and metrics.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use parsleywalk_api::{
+    ConfigurationApply, ConfigurationView, OperationOutcome, OperationReply, Refusal, ReplicaCommand, ZoneCommand,
+    headers,
+};
+use parsleywalk_catalog::Catalog;
+use parsleywalk_control::{ControlCommand, ControlReply};
+use parsleywalk_peer::tokens_match;
+use parsleywalk_units::{JobKey, StateTime, TimeSpan, ZoneName};
+use rouille::{Request, Response, Server};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::control::{CallFailure, ControlHandle, LeaderCall, LeaderReply};
+use crate::metrics::DaemonMetrics;
+use crate::router::RouterHandle;
+use crate::{DaemonError, Result, dump};
+
+/// The largest body of an operator's call: a configuration text and its JSON.
+const BODY_LIMIT: u64 = 4 * 1024 * 1024;
+
+/// The longest wait for an operator's command, its coming into force included.
+const OPERATION_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The longest wait for an answer to a question.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What the edge needs of the daemon.
+#[derive(Clone)]
+pub(crate) struct OperatorContext {
+    pub(crate) control: ControlHandle,
+    pub(crate) router: RouterHandle,
+    pub(crate) metrics: DaemonMetrics,
+    pub(crate) token: Option<String>,
+    pub(crate) draining: Arc<AtomicBool>,
+}
+
+/// The running server.
+pub(crate) struct OperatorServer {
+    address: SocketAddr,
+    stop: mpsc::Sender<()>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl OperatorServer {
+    pub(crate) fn start(address: SocketAddr, context: OperatorContext) -> Result<Self> {
+        let listen_error = |cause: Box<dyn std::error::Error + Send + Sync>| DaemonError::Listen {
+            step: "listen for operators",
+            address,
+            reason: cause.to_string(),
+        };
+        // Without a pool of threads, so that a few slow callers can't keep an operator from taking a zone out.
+        let server = Server::new(address, move |request| answer(&context, request)).map_err(listen_error)?;
+        let address = server.server_addr();
+        let (thread, stop) = server.stoppable();
+        Ok(Self { address, stop, thread: Some(thread) })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for OperatorServer {
+    fn drop(&mut self) {
+        drop(self.stop.send(()));
+        if let Some(thread) = self.thread.take() {
+            drop(thread.join());
+        }
+    }
+}
+
+fn answer(context: &OperatorContext, request: &Request) -> Response {
+    let path = request.url();
+    let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    match (request.method(), parts.as_slice()) {
+        ("GET", ["healthz"]) => health(context),
+        ("GET", ["readyz"]) => readiness(context),
+        ("GET", ["metrics"]) => metrics(context),
+        // The token is checked before a body is read, so that only operators can make the server wait for one.
+        _ if !is_authorized(context, request) => {
+            refusal(401, &Refusal::not_run("the operator token is missing or wrong"))
+        }
+        ("POST", ["v1", "configuration"]) => apply_configuration(context, request),
+        ("GET", ["v1", "configuration"]) => configuration(context),
+        ("POST", ["v1", "zones", zone]) => set_zone(context, request, zone),
+        ("GET", ["v1", "status"]) => local(context, dump::status),
+        ("GET", ["v1", "dump"]) => full_dump(context),
+        ("GET", ["v1", "jobs", team, key, "explain"]) => explain(context, team, key),
+        ("POST", ["v1", "replicas"]) => change_replicas(context, request),
+        _ => refusal(404, &Refusal::not_run("no such resource at the operator edge")),
+    }
+}
+
+fn is_authorized(context: &OperatorContext, request: &Request) -> bool {
+    let Some(token) = &context.token else { return true };
+    let given = request.header(headers::AUTHORIZATION).and_then(|value| value.strip_prefix("Bearer "));
+    given.is_some_and(|given| tokens_match(given, token))
+}
+
+fn refusal(status: u16, body: &Refusal) -> Response {
+    json(status, body)
+}
+
+fn json<T: Serialize>(status: u16, body: &T) -> Response {
+    let text = serde_json::to_vec(body).unwrap_or_default();
+    Response::from_data("application/json", text).with_status_code(status)
+}
+
+fn read_json<T: DeserializeOwned>(request: &Request) -> std::result::Result<T, Response> {
+    let bad = |reason: String| refusal(400, &Refusal::not_run(reason));
+    let data = request.data().ok_or_else(|| bad("the body was already read".to_owned()))?;
+    let mut body = Vec::new();
+    data.take(BODY_LIMIT + 1).read_to_end(&mut body).map_err(|error| bad(format!("the body can't be read: {error}")))?;
+    if body.len() as u64 > BODY_LIMIT {
+        return Err(refusal(413, &Refusal::not_run(format!("the body is larger than {BODY_LIMIT} bytes"))));
+    }
+    serde_json::from_slice(&body).map_err(|error| bad(format!("malformed body: {error}")))
+}
+
+fn health(context: &OperatorContext) -> Response {
+    match context.control.query(|_| ()) {
+        Some(()) => Response::text("ok\n"),
+        None => Response::text("the control thread does not answer\n").with_status_code(503),
+    }
+}
+
+fn readiness(context: &OperatorContext) -> Response {
+    if context.draining.load(Ordering::Relaxed) {
+        return Response::text("shutting down\n").with_status_code(503);
+    }
+    match context.control.query(dump::is_ready) {
+        Some(true) => Response::text("ready\n"),
+        _ => Response::text("not caught up with the replicas\n").with_status_code(503),
+    }
+}
+
+fn metrics(context: &OperatorContext) -> Response {
+    if let Some(sizes) = context.control.query(dump::sizes) {
+        for (name, value) in sizes {
+            context.metrics.state(name, value);
+        }
+    }
+    Response::from_data("text/plain; version=0.0.4", context.metrics.render())
+}
+
+fn local<T: Serialize + Send + 'static>(
+    context: &OperatorContext,
+    query: fn(&crate::control::ControlThread) -> T,
+) -> Response {
+    match context.control.query(query) {
+        Some(body) => json(200, &body),
+        None => refusal(503, &Refusal::not_run("the control thread does not answer")),
+    }
+}
+
+fn full_dump(context: &OperatorContext) -> Response {
+    let router = context.router.status();
+    match context.control.query(dump::control) {
+        Some(control) => json(200, &serde_json::json!({ "control": control, "router": router })),
+        None => refusal(503, &Refusal::not_run("the control thread does not answer")),
+    }
+}
+
+fn configuration(context: &OperatorContext) -> Response {
+    match context.control.query(dump::configuration) {
+        Some(Some(view)) => json::<ConfigurationView>(200, &view),
+        Some(None) => refusal(404, &Refusal::not_run("no configuration is in force yet")),
+        None => refusal(503, &Refusal::not_run("the control thread does not answer")),
+    }
+}
+
+fn apply_configuration(context: &OperatorContext, request: &Request) -> Response {
+    let apply: ConfigurationApply = match read_json(request) {
+        Ok(apply) => apply,
+        Err(response) => return response,
+    };
+    let catalog = match Catalog::parse(&apply.text) {
+        Ok(catalog) => catalog,
+        Err(errors) => {
+            let details = errors.iter().map(ToString::to_string).collect();
+            let body = Refusal { details, ..Refusal::not_run("the configuration is not valid") };
+            return refusal(422, &body);
+        }
+    };
+    let at = StateTime::default();
+    operate(context, ControlCommand::ApplyConfiguration { at, operation: apply.operation, catalog, text: apply.text })
+}
+
+fn set_zone(context: &OperatorContext, request: &Request, zone: &str) -> Response {
+    let zone: ZoneName = match zone.parse() {
+        Ok(zone) => zone,
+        Err(error) => return refusal(400, &Refusal::not_run(format!("{error}"))),
+    };
+    match read_json::<ZoneCommand>(request) {
+        Ok(ZoneCommand { operation, direction }) => {
+            operate(context, ControlCommand::SetZone { at: StateTime::default(), operation, zone, direction })
+        }
+        Err(response) => response,
+    }
+}
+
+fn operate(context: &OperatorContext, command: ControlCommand) -> Response {
+    match context.control.call_blocking(LeaderCall::Operation(Box::new(command)), OPERATION_TIMEOUT) {
+        Ok(LeaderReply::Operation { reply: ControlReply::Operation(answer), in_force, not_heard }) => {
+            let status = if answer.outcome == OperationOutcome::Accepted { 200 } else { 409 };
+            let reply = OperationReply {
+                outcome: answer.outcome,
+                message: answer.message,
+                version: answer.version,
+                in_force,
+                not_heard,
+            };
+            json(status, &reply)
+        }
+        Ok(LeaderReply::Operation { reply, .. }) => {
+            let reason = reply.refusal().map_or_else(|| "unexpected answer".to_owned(), ToString::to_string);
+            refusal(409, &Refusal::not_run(reason))
+        }
+        Ok(LeaderReply::Refused(reason)) => refusal(409, &Refusal::not_run(reason)),
+        Ok(_) => refusal(500, &Refusal::unknown("unexpected answer of the leader")),
+        Err(failure) => call_failure(failure),
+    }
+}
+
+fn call_failure(failure: CallFailure) -> Response {
+    let (status, body) = match failure {
+        CallFailure::NotSent(reason) => (503, Refusal::not_run(reason)),
+        CallFailure::Unknown(reason) => (504, Refusal::unknown(reason)),
+    };
+    refusal(status, &body.with_retry_after(TimeSpan::from_secs(1))).with_additional_header("Retry-After", "1")
+}
+
+fn explain(context: &OperatorContext, team: &str, key: &str) -> Response {
+    let job: JobKey = match format!("{team}/{key}").parse() {
+        Ok(job) => job,
+        Err(error) => return refusal(400, &Refusal::not_run(format!("{error}"))),
+    };
+    match context.control.call_blocking(LeaderCall::Explain(job), QUERY_TIMEOUT) {
+        Ok(LeaderReply::Json(body)) => Response::from_data("application/json", body),
+        Ok(_) => refusal(404, &Refusal::not_run("no such job")),
+        Err(failure) => call_failure(failure),
+    }
+}
+
+fn change_replicas(context: &OperatorContext, request: &Request) -> Response {
+    let command: ReplicaCommand = match read_json(request) {
+        Ok(command) => command,
+        Err(response) => return response,
+    };
+    match context.control.call_blocking(LeaderCall::ChangeReplicas(command.change), OPERATION_TIMEOUT) {
+        Ok(LeaderReply::Done) => {
+            let reply = OperationReply {
+                outcome: OperationOutcome::Accepted,
+                message: "the set of replicas is changed".to_owned(),
+                version: None,
+                in_force: Vec::new(),
+                not_heard: Vec::new(),
+            };
+            json(200, &reply)
+        }
+        Ok(LeaderReply::Refused(reason)) => refusal(409, &Refusal::not_run(reason)),
+        Ok(_) => refusal(500, &Refusal::unknown("unexpected answer of the leader")),
+        Err(failure) => call_failure(failure),
+    }
+}
--- /dev/null
+++ b/crates/parsleywalkd/src/edge/routes.rs
@@ -0,0 +1,257 @@
+//! What each call of the caller edge does.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use parsleywalk_api::{
+    AnnounceReply, AnnounceRequest, JobSubmission, Refusal, WorkerReport, headers,
+};
+use parsleywalk_control::{ControlCommand, ControlReply, JobSpec};
+use parsleywalk_routing::RouteAnswer;
+use parsleywalk_units::{CallerName, IdempotencyKey, JobKey, ServiceName, StateTime};
+use serde::de::DeserializeOwned;
+
+use super::reply::{self, EdgeReply};
+use crate::control::{ControlHandle, LeaderCall, LeaderReply};
+use crate::metrics::DaemonMetrics;
+use crate::router::{RequestCall, RouterHandle};
+use crate::settings::EdgeLimits;
+
+/// The longest wait for the leader's answer to a job's call.
+const JOB_CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The longest wait for the leader's answer to a worker's report; the worker reports again soon.
+const REPORT_CALL_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// The most bytes of a job's arguments.
+const ARGUMENTS_LIMIT: usize = 4096;
+
+/// What the edge needs of the daemon.
+pub(crate) struct EdgeContext {
+    pub(crate) control: ControlHandle,
+    pub(crate) router: RouterHandle,
+    pub(crate) metrics: DaemonMetrics,
+    pub(crate) limits: EdgeLimits,
+    /// The caller edges of all entries of the zone.
+    pub(crate) zone_entries: Vec<SocketAddr>,
+}
+
+/// Answers one call.
+pub(crate) async fn answer(context: &EdgeContext, peer: SocketAddr, request: Request<Incoming>) -> EdgeReply {
+    let path = request.uri().path().trim_start_matches('/').to_owned();
+    let parts: Vec<&str> = path.split('/').collect();
+    match (request.method(), parts.as_slice()) {
+        (&Method::POST, ["v1", "services", service, "requests"]) => {
+            serve_request(context, peer, (*service).to_owned(), request).await
+        }
+        (&Method::POST, ["v1", "jobs"]) => submit_job(context, request).await,
+        (&Method::GET, ["v1", "jobs", team, key]) => query_job(context, team, key, LeaderCall::JobStatus).await,
+        (&Method::GET, ["v1", "jobs", team, key, "result"]) => {
+            query_job(context, team, key, LeaderCall::JobResult).await
+        }
+        (&Method::DELETE, ["v1", "jobs", team, key]) => cancel_job(context, team, key).await,
+        (&Method::POST, ["v1", "endpoints"]) => announce(context, request).await,
+        (&Method::POST, ["v1", "workers", "report"]) => report(context, request).await,
+        _ => reply::refusal(StatusCode::NOT_FOUND, &Refusal::not_run("no such resource at the caller edge")),
+    }
+}
+
+/// Reads a whole body within the time and size limits.
+async fn read_body(context: &EdgeContext, request: Request<Incoming>) -> Result<(HeaderMap, Bytes), EdgeReply> {
+    let (head, body) = request.into_parts();
+    let limits = &context.limits;
+    let collected = Limited::new(body, limits.body_bytes).collect();
+    match tokio::time::timeout(limits.body_timeout.as_duration(), collected).await {
+        Ok(Ok(collected)) => Ok((head.headers, collected.to_bytes())),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            context.metrics.refusal("body_size");
+            let reason = format!("the body is larger than {} bytes", limits.body_bytes);
+            Err(reply::refusal(StatusCode::PAYLOAD_TOO_LARGE, &Refusal::not_run(reason)))
+        }
+        Ok(Err(error)) => {
+            context.metrics.refusal("body_broken");
+            Err(reply::bad_request(format!("the body can't be read: {error}")))
+        }
+        Err(_) => {
+            context.metrics.refusal("body_timeout");
+            let reason = format!("the body did not arrive within {}", limits.body_timeout);
+            Err(reply::refusal(StatusCode::REQUEST_TIMEOUT, &Refusal::not_run(reason)))
+        }
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(context: &EdgeContext, request: Request<Incoming>) -> Result<T, EdgeReply> {
+    let (_, body) = read_body(context, request).await?;
+    serde_json::from_slice(&body).map_err(|error| {
+        context.metrics.refusal("malformed");
+        reply::bad_request(format!("malformed body: {error}"))
+    })
+}
+
+async fn serve_request(
+    context: &EdgeContext,
+    peer: SocketAddr,
+    service: String,
+    request: Request<Incoming>,
+) -> EdgeReply {
+    let arrived = Instant::now();
+    let (fields, body) = match read_body(context, request).await {
+        Ok(parts) => parts,
+        Err(refusal) => return refusal,
+    };
+    let call = match request_call(context, peer, &service, &fields, body) {
+        Ok(call) => call,
+        Err(reason) => {
+            context.metrics.refusal("malformed");
+            return reply::bad_request(reason);
+        }
+    };
+    let answer = context.router.serve(call).await;
+    let outcome = match &answer {
+        RouteAnswer::Whole(_) => "answered",
+        RouteAnswer::NotRun { .. } => "not_run",
+        RouteAnswer::Unknown { .. } => "unknown",
+    };
+    context.metrics.request(outcome, arrived.elapsed().as_secs_f64());
+    reply::route_answer(answer)
+}
+
+fn request_call(
+    context: &EdgeContext,
+    peer: SocketAddr,
+    service: &str,
+    fields: &HeaderMap,
+    body: Bytes,
+) -> Result<RequestCall, String> {
+    let service: ServiceName = service.parse().map_err(|error| format!("{error}"))?;
+    let key: Option<IdempotencyKey> = parse_field(fields, headers::IDEMPOTENCY_KEY)?;
+    let repeatable: Option<bool> = parse_field(fields, headers::REPEATABLE)?;
+    let deadline: Option<u64> = parse_field(fields, headers::DEADLINE)?;
+    let caller: Option<CallerName> = parse_field(fields, headers::CALLER)?;
+    let longest = context.limits.longest_deadline.as_duration();
+    let deadline = deadline.map(Duration::from_millis);
+    if deadline.is_some_and(|deadline| deadline.is_zero() || deadline > longest) {
+        return Err(format!("{}: permitted are 1 to {}", headers::DEADLINE, longest.as_millis()));
+    }
+    let caller = match caller {
+        Some(caller) => caller,
+        None => peer.ip().to_string().parse().map_err(|error| format!("{error}"))?,
+    };
+    let content_type: Option<String> = parse_field(fields, "Content-Type")?;
+    Ok(RequestCall { service, caller, key, repeatable, deadline, content_type, body, forwarded: false })
+}
+
+fn parse_field<T: std::str::FromStr>(fields: &HeaderMap, name: &str) -> Result<Option<T>, String>
+where
+    T::Err: std::fmt::Display,
+{
+    let Some(value) = fields.get(name) else { return Ok(None) };
+    let text = value.to_str().map_err(|_| format!("{name}: not ASCII text"))?;
+    text.parse().map(Some).map_err(|error| format!("{name}: {error}"))
+}
+
+async fn submit_job(context: &EdgeContext, request: Request<Incoming>) -> EdgeReply {
+    let submission: JobSubmission = match read_json(context, request).await {
+        Ok(submission) => submission,
+        Err(refusal) => return refusal,
+    };
+    if submission.arguments.len() > ARGUMENTS_LIMIT {
+        return reply::bad_request(format!("arguments: {} bytes, permitted are {ARGUMENTS_LIMIT}", submission.arguments.len()));
+    }
+    let job = JobSpec {
+        service: submission.service,
+        count: submission.count,
+        size: submission.size,
+        urgent: submission.urgent,
+        arguments: submission.arguments,
+    };
+    let command = ControlCommand::SubmitJob { at: StateTime::default(), key: submission.job.clone(), job };
+    run_job_command(context, submission.job, command, StatusCode::ACCEPTED).await
+}
+
+async fn cancel_job(context: &EdgeContext, team: &str, key: &str) -> EdgeReply {
+    match job_key(team, key) {
+        Ok(job) => {
+            let command = ControlCommand::CancelJob { at: StateTime::default(), key: job.clone() };
+            run_job_command(context, job, command, StatusCode::OK).await
+        }
+        Err(reason) => reply::bad_request(reason),
+    }
+}
+
+/// Proposes a job's command and answers with the job's status after it.
+async fn run_job_command(
+    context: &EdgeContext,
+    job: JobKey,
+    command: ControlCommand,
+    success: StatusCode,
+) -> EdgeReply {
+    match context.control.call(LeaderCall::Command(Box::new(command)), JOB_CALL_TIMEOUT).await {
+        Ok(LeaderReply::Applied(ControlReply::Refused(refusal))) => {
+            reply::refusal(StatusCode::CONFLICT, &Refusal::not_run(refusal.to_string()))
+        }
+        Ok(_) => match context.control.call(LeaderCall::JobStatus(job), JOB_CALL_TIMEOUT).await {
+            Ok(LeaderReply::Json(body)) => reply::json_bytes(success, body),
+            // The command is committed, so that a success without the status is still a true answer.
+            _ => reply::json(success, &serde_json::json!({})),
+        },
+        Err(failure) => reply::call_failure(&failure),
+    }
+}
+
+async fn query_job(context: &EdgeContext, team: &str, key: &str, call: fn(JobKey) -> LeaderCall) -> EdgeReply {
+    let job = match job_key(team, key) {
+        Ok(job) => job,
+        Err(reason) => return reply::bad_request(reason),
+    };
+    match context.control.call(call(job), JOB_CALL_TIMEOUT).await {
+        Ok(LeaderReply::Json(body)) => reply::json_bytes(StatusCode::OK, body),
+        Ok(LeaderReply::NotEnded) => {
+            reply::refusal(StatusCode::CONFLICT, &Refusal::unknown("the job has not ended yet"))
+        }
+        Ok(_) => reply::refusal(StatusCode::NOT_FOUND, &Refusal::not_run("no such job")),
+        Err(failure) => reply::call_failure(&failure),
+    }
+}
+
+fn job_key(team: &str, key: &str) -> Result<JobKey, String> {
+    format!("{team}/{key}").parse().map_err(|error| format!("{error}"))
+}
+
+async fn announce(context: &EdgeContext, request: Request<Incoming>) -> EdgeReply {
+    let announcement: AnnounceRequest = match read_json(context, request).await {
+        Ok(announcement) => announcement,
+        Err(refusal) => return refusal,
+    };
+    if announcement.slots == 0 || announcement.ttl.as_millis() == 0 {
+        return reply::bad_request("slots and ttl must be above 0");
+    }
+    let ttl = announcement.ttl;
+    if !context.router.announce(announcement).await {
+        let refusal = Refusal::not_run("this entry is overloaded");
+        return reply::refusal(StatusCode::SERVICE_UNAVAILABLE, &refusal);
+    }
+    reply::json(StatusCode::OK, &AnnounceReply { ttl, entries: context.zone_entries.clone() })
+}
+
+async fn report(context: &EdgeContext, request: Request<Incoming>) -> EdgeReply {
+    // Parsed here so that a malformed report is refused by the entry that the worker called.
+    let report: WorkerReport = match read_json(context, request).await {
+        Ok(report) => report,
+        Err(refusal) => return refusal,
+    };
+    let entries = context.zone_entries.clone();
+    let body = serde_json::to_vec(&report).unwrap_or_default();
+    match context.control.call(LeaderCall::Report { report: body, entries }, REPORT_CALL_TIMEOUT).await {
+        Ok(LeaderReply::Json(body)) => reply::json_bytes(StatusCode::OK, body),
+        Ok(LeaderReply::Applied(ControlReply::Refused(refusal))) => {
+            reply::refusal(StatusCode::CONFLICT, &Refusal::not_run(refusal.to_string()))
+        }
+        Ok(_) => reply::refusal(StatusCode::SERVICE_UNAVAILABLE, &Refusal::unknown("the report was not answered")),
+        Err(failure) => reply::call_failure(&failure),
+    }
+}
--- a/crates/parsleywalkd/src/main.rs
+++ b/crates/parsleywalkd/src/main.rs
@@ -1,3 +1,97 @@
-//! Placeholder.
+//! The daemon's command line.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use parsleywalkd::{Daemon, DaemonSettings, initialise, start_logging};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+/// Exit code for settings that are not valid.
+const SETTINGS_EXIT: u8 = 78;
+
+/// The parsleywalk daemon.
+///
+/// Exit codes: 0 after a graceful shutdown, 1 when the daemon can't start, 65 when the log holds what can't be decoded,
+/// 74 after a failed sync, 78 for settings that are not valid.
+#[derive(Debug, Parser)]
+#[command(name = "parsleywalkd", version)]
+struct DaemonArguments {
+    /// The settings file.
+    #[arg(long, short, global = true, value_name = "FILE")]
+    settings: Option<PathBuf>,
+    /// Checks the settings and exits.
+    #[arg(long)]
+    check_settings: bool,
+    /// Runs a single daemon with its log in this folder, which is initialised at the first start.
+    #[arg(long, value_name = "FOLDER", conflicts_with = "settings")]
+    standalone: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<DaemonCommand>,
+}
+
+#[derive(Debug, Subcommand)]
+enum DaemonCommand {
+    /// Prepares the data folder of a replica; done once on each VM that holds the log, before the first start, and again
+    /// on a VM whose disk was replaced.
+    Init,
+    /// Runs the daemon; the default.
+    Run,
+}
+
+fn main() -> ExitCode {
+    let arguments = DaemonArguments::parse();
+    let settings = match load_settings(&arguments) {
+        Ok(settings) => settings,
+        Err(reason) => {
+            eprintln!("parsleywalkd: {reason}");
+            return ExitCode::from(SETTINGS_EXIT);
+        }
+    };
+    if arguments.check_settings {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    match run(&arguments, &settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("parsleywalkd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn load_settings(arguments: &DaemonArguments) -> Result<DaemonSettings, String> {
+    if let Some(folder) = &arguments.standalone {
+        let mut settings = DaemonSettings { data_folder: Some(folder.clone()), ..DaemonSettings::default() };
+        settings.replicas = vec![settings.vm];
+        let own = &mut settings.daemons[0];
+        own.callers.set_port(7000);
+        own.operators.set_port(7001);
+        own.peers.set_port(7002);
+        return Ok(settings);
+    }
+    let path = arguments.settings.as_ref().ok_or("either --settings or --standalone is needed")?;
+    DaemonSettings::load(path).map_err(|error| error.to_string())
+}
+
+fn run(arguments: &DaemonArguments, settings: &DaemonSettings) -> parsleywalkd::Result<()> {
+    if matches!(arguments.command, Some(DaemonCommand::Init)) {
+        let replica = initialise(settings)?;
+        println!("initialised replica {replica}");
+        return Ok(());
+    }
+    start_logging(&settings.log)?;
+    if let Some(folder) = &arguments.standalone
+        && !folder.join(parsleywalkd::LOG_FILE).exists()
+    {
+        initialise(settings)?;
+    }
+    let mut signals = Signals::new([SIGTERM, SIGINT])
+        .map_err(|cause| parsleywalkd::DaemonError::Thread { step: "listen for signals", cause })?;
+    let daemon = Daemon::start(settings)?;
+    signals.forever().next();
+    daemon.shutdown();
+    Ok(())
+}
--- /dev/null
+++ b/crates/parsleywalkd/src/router/handle.rs
@@ -0,0 +1,139 @@
+//! How the rest of the daemon reaches the router.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use flume::Sender;
+use parsleywalk_api::AnnounceRequest;
+use parsleywalk_routing::{
+    EndpointAddress, EndpointAnnouncement, RouteAnswer, RouteReason, RouterStatus, ServiceRoute,
+};
+use parsleywalk_units::{CallerName, IdempotencyKey, RequestId, ServiceName};
+
+use super::requests::AnswerSink;
+use super::thread::RouterEvent;
+
+/// The wait that is suggested when the router's queue is full.
+const OVERLOAD_RETRY: Duration = Duration::from_millis(200);
+
+/// A request as the caller edge or another zone's entry hands it over.
+#[derive(Debug)]
+pub(crate) struct RequestCall {
+    pub(crate) service: ServiceName,
+    pub(crate) caller: CallerName,
+    pub(crate) key: Option<IdempotencyKey>,
+    /// The service's default holds where absent.
+    pub(crate) repeatable: Option<bool>,
+    /// The service's deadline holds where absent.
+    pub(crate) deadline: Option<Duration>,
+    pub(crate) content_type: Option<String>,
+    pub(crate) body: Bytes,
+    pub(crate) forwarded: bool,
+}
+
+/// Sends events to the router's thread. Cloning shares the queue.
+#[derive(Debug, Clone)]
+pub(crate) struct RouterHandle {
+    events: Sender<RouterEvent>,
+    next_request: Arc<AtomicU64>,
+}
+
+impl RouterHandle {
+    pub(crate) fn new(events: Sender<RouterEvent>) -> Self {
+        Self { events, next_request: Arc::new(AtomicU64::new(1)) }
+    }
+
+    /// Serves a request and returns its one answer. Dropping the future tells the router that the caller left.
+    pub(crate) async fn serve(&self, call: RequestCall) -> RouteAnswer {
+        let request = self.allocate();
+        let (sender, answer) = flume::bounded(1);
+        let sink = AnswerSink::Waiter(sender);
+        if self.events.try_send(RouterEvent::Serve { request, call, sink }).is_err() {
+            return overloaded();
+        }
+        let mut guard = AbandonGuard { events: &self.events, request, answered: false };
+        let answer = answer.recv_async().await;
+        guard.answered = true;
+        answer.unwrap_or(RouteAnswer::Unknown { reason: RouteReason::Draining })
+    }
+
+    /// Serves a request for another zone's entry; the sink gets its one answer.
+    pub(crate) fn serve_forwarded(&self, call: RequestCall, sink: AnswerSink) {
+        let request = self.allocate();
+        if let Err(flume::TrySendError::Full(RouterEvent::Serve { sink, .. })) =
+            self.events.try_send(RouterEvent::Serve { request, call, sink })
+        {
+            sink.answer(overloaded());
+        }
+    }
+
+    /// Announces an endpoint; `false` when the router's queue is full.
+    pub(crate) async fn announce(&self, announcement: AnnounceRequest) -> bool {
+        let announcement = EndpointAnnouncement {
+            endpoint: announcement.endpoint,
+            incarnation: announcement.incarnation,
+            service: announcement.service,
+            address: EndpointAddress::new(announcement.address),
+            slots: announcement.slots,
+            ttl: announcement.ttl.as_duration(),
+            leaving: announcement.leaving,
+        };
+        let (done, handled) = flume::bounded(1);
+        let event = RouterEvent::Announce { announcement, done: Some(done) };
+        // Answered once the router has it, so that a leaving endpoint knows from the answer that it gets nothing new.
+        self.events.try_send(event).is_ok() && handled.recv_async().await.is_ok()
+    }
+
+    /// Takes over what another entry of the zone heard of an endpoint.
+    pub(crate) fn share(&self, announcement: EndpointAnnouncement) {
+        drop(self.events.try_send(RouterEvent::Announce { announcement, done: None }));
+    }
+
+    /// Puts the services of a new configuration in force.
+    pub(crate) fn configure(&self, routes: Vec<ServiceRoute>) {
+        drop(self.events.send(RouterEvent::Configure { routes }));
+    }
+
+    /// Refuses new requests and finishes those in progress.
+    pub(crate) fn drain(&self) {
+        drop(self.events.send(RouterEvent::Drain));
+    }
+
+    /// Asks for the router's state.
+    pub(crate) fn status(&self) -> Option<RouterStatus> {
+        let (sender, status) = flume::bounded(1);
+        self.events.send(RouterEvent::Status { sender }).ok()?;
+        status.recv_timeout(Duration::from_secs(2)).ok()
+    }
+
+    /// The queue of events, for threads that report to the router.
+    pub(crate) fn events(&self) -> &Sender<RouterEvent> {
+        &self.events
+    }
+
+    fn allocate(&self) -> RequestId {
+        RequestId::new(self.next_request.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
+fn overloaded() -> RouteAnswer {
+    RouteAnswer::NotRun { reason: RouteReason::Overloaded, retry_after: Some(OVERLOAD_RETRY) }
+}
+
+/// Tells the router that a caller left when its request is dropped unanswered.
+struct AbandonGuard<'a> {
+    events: &'a Sender<RouterEvent>,
+    request: RequestId,
+    answered: bool,
+}
+
+impl Drop for AbandonGuard<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            // A lost notice only leaves the request to run to its end, which is permitted.
+            drop(self.events.try_send(RouterEvent::Abandon { request: self.request }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/parsleywalkd/src/router/mod.rs
@@ -0,0 +1,10 @@
+//! The thread that owns the request router, and the threads that call endpoints for it.
+
+mod dispatch;
+mod forward;
+mod handle;
+mod requests;
+mod thread;
+
+pub(crate) use handle::{RequestCall, RouterHandle};
+pub(crate) use thread::{RouterEvent, RouterLinks, start};
--- /dev/null
+++ b/crates/parsleywalkd/src/router/thread.rs
@@ -0,0 +1,352 @@
+//! The thread that owns the request router and carries out its actions.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flume::{Receiver, RecvTimeoutError, Sender};
+use log::{info, warn};
+use parsleywalk_control::{ControlCommand, ControlReply};
+use parsleywalk_peer::{PeerLane, PeerNetwork};
+use parsleywalk_routing::{
+    BodyDigest, ClaimDecision, DispatchResult, EndpointAnnouncement, RequestArrival, RequestRouter, RouteAction,
+    RouteAnswer, RouteReason, RouterSettings, RouterStatus, ServiceRoute,
+};
+use parsleywalk_units::{
+    ClaimId, ClaimOutcome, DispatchId, MonotonicTime, RequestId, RequestKey, StateTime, TimeSpan, VmNumber,
+};
+use sha2::{Digest, Sha256};
+
+use super::dispatch::{self, DispatchJob};
+use super::forward::{self, ForwardTable};
+use super::handle::RequestCall;
+use super::requests::{AnswerSink, RequestBody, RequestTable};
+use crate::clock::ProcessClock;
+use crate::control::{CallFailure, ControlHandle, LeaderCall, LeaderReply};
+use crate::message::{DaemonMessage, ForwardedAnswer, ForwardedRequest};
+use crate::settings::DaemonSettings;
+use crate::{DaemonError, Result};
+
+/// Events that may wait for the router; a caller beyond them is refused.
+pub(crate) const EVENT_LIMIT: usize = 16_384;
+
+/// The longest sleep of the thread.
+const LONGEST_SLEEP: Duration = Duration::from_millis(100);
+
+/// The longest wait for a claim; it is given up at the request's deadline if that is earlier.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long the end of a claim is offered to the leader.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The largest answer of an endpoint in bytes.
+const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
+
+/// What the router is told.
+#[derive(Debug)]
+pub(crate) enum RouterEvent {
+    Serve { request: RequestId, call: RequestCall, sink: AnswerSink },
+    Announce { announcement: EndpointAnnouncement, done: Option<Sender<()>> },
+    Finished { dispatch: DispatchId, result: DispatchResult },
+    ForwardFinished { dispatch: DispatchId, answer: ForwardedAnswer },
+    ClaimDecided { request: RequestId, decision: ClaimDecision },
+    Abandon { request: RequestId },
+    Configure { routes: Vec<ServiceRoute> },
+    Status { sender: Sender<RouterStatus> },
+    Drain,
+}
+
+/// What the router's thread needs of the daemon.
+pub(crate) struct RouterLinks {
+    pub(crate) clock: ProcessClock,
+    pub(crate) control: ControlHandle,
+    pub(crate) network: Arc<PeerNetwork<DaemonMessage>>,
+    /// Distinguishes this process's dispatches and claims from those of earlier ones.
+    pub(crate) process: u64,
+}
+
+struct RouterThread {
+    settings: DaemonSettings,
+    links: RouterLinks,
+    router: RequestRouter,
+    routes: Vec<ServiceRoute>,
+    requests: RequestTable,
+    forwards: ForwardTable,
+    jobs: Sender<DispatchJob>,
+    events: Sender<RouterEvent>,
+    zone_peers: Vec<VmNumber>,
+}
+
+/// Starts the router's thread and the dispatch threads.
+pub(crate) fn start(
+    settings: &DaemonSettings,
+    links: RouterLinks,
+    events: &Sender<RouterEvent>,
+    queue: Receiver<RouterEvent>,
+) -> Result<()> {
+    let (jobs, job_queue) = flume::bounded(settings.limits.dispatch_threads);
+    dispatch::start(settings.limits.dispatch_threads, ANSWER_LIMIT, &job_queue, events)?;
+    let own = settings.own_address();
+    let in_zone = settings.daemons.iter().filter(|daemon| daemon.zone == own.zone);
+    let forwards = ForwardTable::new(&own.zone, &settings.daemons);
+    let router_settings = RouterSettings {
+        entries: u32::try_from(in_zone.clone().count()).unwrap_or(1),
+        other_zones: forwards.zone_count(),
+        ..RouterSettings::default()
+    };
+    let thread = RouterThread {
+        router: RequestRouter::new(router_settings, links.process),
+        routes: Vec::new(),
+        requests: RequestTable::default(),
+        forwards,
+        jobs,
+        events: events.clone(),
+        zone_peers: in_zone.map(|daemon| daemon.vm).filter(|vm| *vm != settings.vm).collect(),
+        settings: settings.clone(),
+        links,
+    };
+    std::thread::Builder::new()
+        .name("router".to_owned())
+        .spawn(move || thread.run(&queue))
+        .map_err(|cause| DaemonError::Thread { step: "start router thread", cause })?;
+    Ok(())
+}
+
+impl RouterThread {
+    fn run(mut self, queue: &Receiver<RouterEvent>) {
+        loop {
+            let now = self.links.clock.now();
+            let sleep = self.router.next_deadline().since(now).min(LONGEST_SLEEP);
+            let event = match queue.recv_timeout(sleep) {
+                Ok(event) => Some(event),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let now = self.links.clock.now();
+            let mut actions = VecDeque::new();
+            if let Some(event) = event {
+                actions.extend(self.handle(now, event));
+            }
+            if self.router.next_deadline() <= now {
+                actions.extend(self.router.tick(now));
+                self.requests.expire(now);
+            }
+            for dispatch in self.forwards.overdue(now) {
+                let reason = "the other zone's entry did not answer in time".to_owned();
+                actions.extend(self.router.finish(now, dispatch, DispatchResult::Broken { reason }));
+            }
+            while let Some(action) = actions.pop_front() {
+                actions.extend(self.carry_out(now, action));
+            }
+        }
+    }
+
+    fn handle(&mut self, now: MonotonicTime, event: RouterEvent) -> Vec<RouteAction> {
+        match event {
+            RouterEvent::Serve { request, call, sink } => self.admit(now, request, call, sink),
+            RouterEvent::Announce { announcement, done } => {
+                let actions = self.router.announce(now, announcement);
+                if let Some(done) = done {
+                    drop(done.send(()));
+                }
+                actions
+            }
+            RouterEvent::Finished { dispatch, result } => self.router.finish(now, dispatch, result),
+            RouterEvent::ForwardFinished { dispatch, answer } => {
+                if !self.forwards.finish(dispatch) {
+                    return Vec::new();
+                }
+                self.router.finish(now, dispatch, forward::dispatch_result(answer))
+            }
+            RouterEvent::ClaimDecided { request, decision } => self.router.claim_decided(now, request, decision),
+            RouterEvent::Abandon { request } => {
+                self.requests.abandon(request);
+                self.router.abandon(now, request)
+            }
+            RouterEvent::Configure { routes } => {
+                self.routes.clone_from(&routes);
+                self.router.configure(now, routes)
+            }
+            RouterEvent::Status { sender } => {
+                drop(sender.send(self.router.status()));
+                Vec::new()
+            }
+            RouterEvent::Drain => {
+                info!("event=router_drain requests={}", self.router.in_progress());
+                self.router.drain(now)
+            }
+        }
+    }
+
+    fn admit(
+        &mut self,
+        now: MonotonicTime,
+        request: RequestId,
+        call: RequestCall,
+        sink: AnswerSink,
+    ) -> Vec<RouteAction> {
+        let Some(route) = self.routes.iter().find(|route| route.service == call.service) else {
+            let reason = RouteReason::UnknownService;
+            sink.answer(RouteAnswer::NotRun { reason, retry_after: None });
+            return Vec::new();
+        };
+        let repeatable = call.repeatable.unwrap_or(route.repeatable);
+        let deadline = now + call.deadline.unwrap_or(route.deadline);
+        let arrival = RequestArrival {
+            request,
+            service: call.service.clone(),
+            caller: call.caller.clone(),
+            key: call.key.clone(),
+            repeatable,
+            deadline,
+            forwarded: call.forwarded,
+            digest: BodyDigest::new(Sha256::digest(&call.body).into()),
+        };
+        let body = RequestBody {
+            service: call.service,
+            caller: call.caller,
+            key: call.key,
+            repeatable,
+            content_type: call.content_type,
+            body: call.body,
+            deadline,
+        };
+        self.requests.insert(request, body, sink);
+        self.router.admit(now, arrival)
+    }
+
+    /// Carries out an action and returns the actions that follow from it at once.
+    fn carry_out(&mut self, now: MonotonicTime, action: RouteAction) -> Vec<RouteAction> {
+        match action {
+            RouteAction::Answer { request, answer } => {
+                self.requests.answer(request, answer);
+                Vec::new()
+            }
+            RouteAction::Dispatch { request, dispatch, endpoint, timeout } => {
+                let result = self.dispatch(request, dispatch, endpoint.get(), timeout);
+                result.map_or_else(Vec::new, |result| self.router.finish(now, dispatch, result))
+            }
+            RouteAction::Forward { request, dispatch, zone_choice, timeout } => {
+                let result = self.forward(now, request, dispatch, zone_choice, timeout);
+                result.map_or_else(Vec::new, |result| self.router.finish(now, dispatch, result))
+            }
+            RouteAction::Claim { request, key, claim } => {
+                self.claim(now, request, key, claim);
+                Vec::new()
+            }
+            RouteAction::Settle { key, claim, outcome } => {
+                self.settle(key, claim, outcome);
+                Vec::new()
+            }
+            RouteAction::Share { announcement } => {
+                for vm in &self.zone_peers {
+                    let message = DaemonMessage::Announce(announcement.clone());
+                    self.links.network.send(*vm, PeerLane::Control, &message);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    /// Hands a request to a dispatch thread; returns its result where it could not be handed over.
+    fn dispatch(
+        &self,
+        request: RequestId,
+        dispatch: DispatchId,
+        endpoint: std::net::SocketAddr,
+        timeout: Duration,
+    ) -> Option<DispatchResult> {
+        let not_sent = |reason: &str| Some(DispatchResult::NotSent { reason: reason.to_owned() });
+        let Some(body) = self.requests.body(request) else {
+            return not_sent("the caller left before the request was sent");
+        };
+        let job = DispatchJob {
+            dispatch,
+            wire_id: format!("{}-{:x}-{dispatch}", self.settings.vm, self.links.process),
+            endpoint,
+            service: body.service.to_string(),
+            content_type: body.content_type.clone(),
+            body: body.body.clone(),
+            timeout,
+        };
+        if self.jobs.try_send(job).is_err() {
+            return not_sent("all dispatch threads are busy");
+        }
+        None
+    }
+
+    fn forward(
+        &mut self,
+        now: MonotonicTime,
+        request: RequestId,
+        dispatch: DispatchId,
+        zone_choice: u32,
+        timeout: Duration,
+    ) -> Option<DispatchResult> {
+        let not_sent = |reason: &str| Some(DispatchResult::NotSent { reason: reason.to_owned() });
+        let Some(vm) = self.forwards.pick(zone_choice) else { return not_sent("there is no other zone") };
+        let Some(body) = self.requests.body(request) else {
+            return not_sent("the caller left before the request was sent");
+        };
+        let forwarded = ForwardedRequest {
+            service: body.service.clone(),
+            caller: body.caller.clone(),
+            key: body.key.clone(),
+            repeatable: body.repeatable,
+            timeout: span(timeout),
+            content_type: body.content_type.clone(),
+            body: body.body.to_vec(),
+        };
+        let message = DaemonMessage::Forward { call: dispatch.get(), request: forwarded };
+        if !self.links.network.send(vm, PeerLane::Bulk, &message) {
+            return not_sent("the link to the other zone's entry is full");
+        }
+        self.forwards.wait(dispatch, now + timeout);
+        None
+    }
+
+    fn claim(&self, now: MonotonicTime, request: RequestId, key: RequestKey, claim: ClaimId) {
+        let deadline = self.requests.body(request).map_or(now, |body| body.deadline);
+        let left = deadline.since(now);
+        let command = ControlCommand::Claim {
+            at: StateTime::default(),
+            key,
+            entry: self.settings.vm,
+            claim,
+            deadline: span(left),
+        };
+        let events = self.events.clone();
+        let done = move |result: std::result::Result<LeaderReply, CallFailure>| {
+            let event = RouterEvent::ClaimDecided { request, decision: claim_decision(result) };
+            if events.send(event).is_err() {
+                warn!("event=claim_decision_lost request={request}");
+            }
+        };
+        let call = LeaderCall::Command(Box::new(command));
+        self.links.control.call_then(call, CLAIM_TIMEOUT.min(left), Box::new(done));
+    }
+
+    fn settle(&self, key: RequestKey, claim: ClaimId, outcome: ClaimOutcome) {
+        let command = ControlCommand::SettleClaim { at: StateTime::default(), key: key.clone(), claim, outcome };
+        let done = move |result: std::result::Result<LeaderReply, CallFailure>| {
+            if let Err(failure) = result {
+                warn!("event=claim_not_settled key={key} claim={claim} error={:?}", failure.to_string());
+            }
+        };
+        self.links.control.call_then(LeaderCall::Command(Box::new(command)), SETTLE_TIMEOUT, Box::new(done));
+    }
+}
+
+fn claim_decision(result: std::result::Result<LeaderReply, CallFailure>) -> ClaimDecision {
+    match result {
+        Ok(LeaderReply::Applied(ControlReply::Claimed)) => ClaimDecision::Granted,
+        Ok(LeaderReply::Applied(ControlReply::ClaimHeld { entry, state })) => {
+            ClaimDecision::HeldBy { entry, state: crate::control::held_state(state) }
+        }
+        _ => ClaimDecision::Unavailable,
+    }
+}
+
+fn span(duration: Duration) -> TimeSpan {
+    TimeSpan::from_millis(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
+}
