--- /dev/null
+++ b/crates/parsleywalk-testkit/tests/worker.rs
@@ -0,0 +1,164 @@
+//! The worker's stand-in keeps the rules of leases and reports.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{leader, settings, start_order, wait_for};
+use parsleywalk_api::{ReportedPhase, TaskReport, WorkerOrder};
+use parsleywalk_testkit::{FakeWorker, RunLog, WorkerSettings};
+use parsleywalk_units::{AttemptNumber, TaskId, ThrottleLevel, TimeSpan};
+
+const FIRST: AttemptNumber = AttemptNumber::new(1);
+
+fn last_of(script: &common::SharedScript, task: u64) -> Option<TaskReport> {
+    let script = script.lock().unwrap();
+    let report = script.reports.last()?;
+    report.tasks.iter().find(|report| report.task == TaskId::new(task)).cloned()
+}
+
+/// Guards against an end that is reported once and lost with its report, and against an end that is never dropped.
+#[test]
+fn end_is_repeated_until_settled() {
+    let (edge, script) = leader();
+    script.lock().unwrap().orders.push(start_order(1, "50ms"));
+    let log = RunLog::new();
+    let _worker = FakeWorker::start(settings(vec![edge.address]), log.clone());
+    let done = || last_of(&script, 1).is_some_and(|task| task.phase == ReportedPhase::Done);
+    wait_for("the end", done);
+    let seen = script.lock().unwrap().reports.len();
+    wait_for("more reports", || script.lock().unwrap().reports.len() > seen + 2);
+    assert!(done());
+    script.lock().unwrap().orders.push(WorkerOrder::Settled { task: TaskId::new(1), attempt: FIRST });
+    wait_for("the settled end to go", || last_of(&script, 1).is_none());
+    assert_eq!(log.records().len(), 1);
+    let reports = &script.lock().unwrap().reports;
+    assert!(reports.windows(2).all(|pair| pair[0].sequence < pair[1].sequence));
+    assert!(reports.iter().skip(1).all(|report| report.echo > 100), "each report echoes the revision acted on");
+}
+
+/// Guards against a start from an answer that was written long before it arrives.
+#[test]
+fn delayed_start_order_expires() {
+    let (edge, script) = leader();
+    {
+        let mut script = script.lock().unwrap();
+        script.orders.push(start_order(1, "50ms"));
+        script.start_within = TimeSpan::from_millis(100);
+        script.delay = Duration::from_millis(200);
+    }
+    let log = RunLog::new();
+    let _worker = FakeWorker::start(settings(vec![edge.address]), log.clone());
+    wait_for("the refusal", || last_of(&script, 1).is_some_and(|task| task.phase == ReportedPhase::NotStarted));
+    assert!(log.records().is_empty());
+}
+
+/// Guards against a task that runs on after its lease, and against a second start by a repeated order.
+#[test]
+fn task_stops_by_itself_when_its_lease_ends() {
+    let (edge, script) = leader();
+    {
+        let mut script = script.lock().unwrap();
+        script.orders = vec![start_order(1, "1h"), start_order(1, "1h")];
+        script.lease = Some(TimeSpan::from_millis(300));
+    }
+    let log = RunLog::new();
+    let worker = FakeWorker::start(settings(vec![edge.address]), log.clone());
+    wait_for("the start", || !worker.running().is_empty());
+    script.lock().unwrap().lease = None;
+    wait_for("the stop", || worker.running().is_empty());
+    let record = log.records().remove(0);
+    assert_eq!((log.records().len(), record.phase), (1, Some(ReportedPhase::Stopped)));
+    wait_for("the report", || last_of(&script, 1).is_some_and(|task| task.phase == ReportedPhase::Stopped));
+    assert!(last_of(&script, 1).unwrap().checkpoint.is_some());
+}
+
+/// Guards against work and reports during a suspension, and against a start whose order expired during one.
+#[test]
+fn frozen_worker_holds_still() {
+    let (edge, script) = leader();
+    script.lock().unwrap().orders.push(start_order(1, "1h"));
+    let log = RunLog::new();
+    let patient = WorkerSettings { report_timeout: Duration::from_secs(5), ..settings(vec![edge.address]) };
+    let worker = FakeWorker::start(patient, log.clone());
+    wait_for("the start", || !worker.running().is_empty());
+    {
+        let mut script = script.lock().unwrap();
+        script.orders.push(start_order(2, "1h"));
+        script.delay = Duration::from_millis(800);
+    }
+    wait_for("the answer under way", || script.lock().unwrap().orders.is_empty());
+    worker.freeze();
+    let seen = script.lock().unwrap().reports.len();
+    // The answer arrives after 800 ms, within the 1 s of a start order, and is handled after 1.2 s.
+    std::thread::sleep(Duration::from_millis(1200));
+    assert_eq!(script.lock().unwrap().reports.len(), seen);
+    worker.unfreeze();
+    wait_for("the refusal", || last_of(&script, 2).is_some_and(|task| task.phase == ReportedPhase::NotStarted));
+    assert_eq!(log.records().len(), 1);
+}
+
+/// Guards against a worker that forgets its checkpoint when stopped, or resumes from the start.
+#[test]
+fn stopped_task_resumes_from_its_checkpoint() {
+    let (edge, script) = leader();
+    script.lock().unwrap().orders.push(start_order(1, "400ms"));
+    let log = RunLog::new();
+    let worker = FakeWorker::start(settings(vec![edge.address]), log.clone());
+    wait_for("the start", || !worker.running().is_empty());
+    let throttle = WorkerOrder::Throttle { task: TaskId::new(1), attempt: FIRST, level: ThrottleLevel::Hard };
+    script.lock().unwrap().orders.push(throttle);
+    wait_for("the throttle", || worker.throttle(TaskId::new(1)) == Some(ThrottleLevel::Hard));
+    script.lock().unwrap().orders.push(WorkerOrder::Stop { task: TaskId::new(1), attempt: FIRST });
+    wait_for("the stop", || last_of(&script, 1).is_some_and(|task| task.phase == ReportedPhase::Stopped));
+    let saved = last_of(&script, 1).unwrap().checkpoint;
+    assert!(saved.is_some());
+    let WorkerOrder::Start { task, service, size, arguments, .. } = start_order(1, "400ms") else { unreachable!() };
+    let attempt = AttemptNumber::new(2);
+    let again = WorkerOrder::Start { task, attempt, service, size, arguments, checkpoint: saved };
+    script.lock().unwrap().orders.push(again);
+    wait_for("the end", || log.records().get(1).is_some_and(|record| record.phase == Some(ReportedPhase::Done)));
+    let records = log.records();
+    assert!(records[1].resumed_from <= records[0].work);
+    assert!(records[0].work.saturating_sub(records[1].resumed_from) < Duration::from_millis(1));
+    log.check().unwrap();
+}
+
+/// Guards against a restarted worker that still claims what its old incarnation ran.
+#[test]
+fn restart_takes_the_next_incarnation_and_runs_nothing() {
+    let (edge, script) = leader();
+    script.lock().unwrap().orders.push(start_order(1, "1h"));
+    let log = RunLog::new();
+    let mut worker = FakeWorker::start(settings(vec![edge.address]), log.clone());
+    wait_for("the start", || !worker.running().is_empty());
+    worker.restart();
+    let incarnation = worker.incarnation();
+    wait_for("a report", || script.lock().unwrap().reports.last().is_some_and(|last| last.incarnation == incarnation));
+    assert!(script.lock().unwrap().reports.last().unwrap().tasks.is_empty());
+    assert!(log.records()[0].end.is_some());
+}
+
+/// Guards against a worker that stays with an entry that is gone.
+#[test]
+fn next_entry_is_tried_after_a_failure() {
+    let (edge, script) = leader();
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let quick = WorkerSettings { retry_every: Duration::from_millis(10), ..settings(vec![gone, edge.address]) };
+    let _worker = FakeWorker::start(quick, RunLog::new());
+    wait_for("a report at the second entry", || !script.lock().unwrap().reports.is_empty());
+}
+
+/// Guards against a log that overlooks two runs at once: the check has to fail when one task runs on two workers.
+#[test]
+fn log_reports_a_task_on_two_workers() {
+    let (first_edge, first_script) = leader();
+    let (second_edge, second_script) = leader();
+    first_script.lock().unwrap().orders.push(start_order(1, "1h"));
+    second_script.lock().unwrap().orders.push(start_order(1, "1h"));
+    let log = RunLog::new();
+    let _first = FakeWorker::start(settings(vec![first_edge.address]), log.clone());
+    let _second = FakeWorker::start(settings(vec![second_edge.address]), log.clone());
+    wait_for("both runs", || log.records().len() == 2);
+    assert!(log.check().unwrap_err().to_string().contains("task 1 ran twice"));
+}
