--- a/crates/parsleywalkd/src/control/leader.rs
+++ b/crates/parsleywalkd/src/control/leader.rs
@@ -76,7 +76,7 @@
         for change in state.events_for_restart() {
             self.observe(now, state, &change);
         }
-        self.leases.take_office(now, state.workers().map(|worker| worker.id.clone()));
+        self.leases.take_office(now, state.workers().map(|worker| worker.id().clone()));
     }
 
     /// Takes note of a change of the state.
@@ -86,7 +86,10 @@
             StateChange::WorkerLost { worker, .. } => self.leases.remove(worker),
             // A worker that has just registered runs nothing under a lease of this leader yet; its first lease is
             // counted from now, so that it is never taken as lost before it could have been renewed.
-            StateChange::WorkerJoined { worker, .. } => self.leases.renew(now, worker),
+            StateChange::WorkerJoined { worker, .. } => {
+                self.leases.remove(worker);
+                self.leases.renew(now, worker);
+            }
             _ => {}
         }
         if let Some(event) = feed::policy_event(state, change) {
@@ -114,7 +117,7 @@
         worker: &'a WorkerId,
     ) -> impl Iterator<Item = (TaskId, AttemptNumber, ThrottleLevel)> + 'a {
         let on_worker = state.tasks_on(worker).filter_map(|task| {
-            let place = self.throttles.binary_search_by_key(&task.id, |throttle| throttle.task).ok()?;
+            let place = self.throttles.binary_search_by_key(&task.id(), |throttle| throttle.task).ok()?;
             Some(&self.throttles[place])
         });
         on_worker.map(|throttle| (throttle.task, throttle.attempt, throttle.level))
@@ -123,7 +126,7 @@
     fn command(&mut self, at: StateTime, state: &ControlState, decision: PolicyDecision) -> Option<ControlCommand> {
         Some(match decision {
             PolicyDecision::Start { task, attempt, worker, size } => {
-                ControlCommand::StartTask { at, task, attempt, worker: state.worker(&worker)?.number, size }
+                ControlCommand::StartTask { at, task, attempt, worker: state.worker(&worker)?.number(), size }
             }
             PolicyDecision::Evict { task, attempt, reason } => {
                 ControlCommand::EvictTask { at, task, attempt, reason: eviction_reason(reason) }
@@ -144,11 +147,11 @@
         }
     }
 
-    fn lost_workers(&self, now: MonotonicTime, at: StateTime, state: &ControlState) -> Vec<ControlCommand> {
+    fn lost_workers(&mut self, now: MonotonicTime, at: StateTime, state: &ControlState) -> Vec<ControlCommand> {
         let ended = self.leases.ended(now).into_iter();
         ended
             .filter_map(|worker| {
-                let incarnation = state.worker(&worker)?.incarnation;
+                let incarnation = state.worker(&worker)?.incarnation();
                 Some(ControlCommand::LoseWorker { at, worker, incarnation })
             })
             .collect()
--- a/crates/parsleywalkd/src/control/mod.rs
+++ b/crates/parsleywalkd/src/control/mod.rs
@@ -16,4 +16,5 @@
 pub(crate) use call::{CallFailure, LeaderCall, LeaderReply};
 pub(crate) use event::ControlEvent;
 pub(crate) use handle::ControlHandle;
+pub(crate) use storage::start as start_storage;
 pub(crate) use thread::{ControlLinks, ControlThread, EVENT_LIMIT, start};
--- a/crates/parsleywalkd/src/control/report.rs
+++ b/crates/parsleywalkd/src/control/report.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use parsleywalk_api::{TaskReport, WorkerOrder, WorkerReply, WorkerReport};
-use parsleywalk_control::{ControlCommand, ControlState, LEASE, plan_report};
+use parsleywalk_control::{ControlCommand, ControlState, LeaseSettings, plan_report};
 use parsleywalk_scheduler::{PolicyEvent, TaskUsage};
 use parsleywalk_units::{MonotonicTime, StateTime, TimeSpan};
 
@@ -39,11 +39,10 @@
     entries: Vec<SocketAddr>,
 ) -> ReportOutcome {
     let plan = plan_report(state, at, report);
-    let registered = state.worker(&report.worker).is_some_and(|worker| worker.incarnation == report.incarnation);
     let mut orders = plan.orders;
-    if registered {
-        // Noted before the answer is written, so that the lease counted here never ends before the worker's.
-        duties.leases.renew(now, &report.worker);
+    // Noted before the answer is written, so that the lease counted here never ends before the worker's.
+    let renewed = plan.renews && duties.leases.renew(now, &report.worker);
+    if renewed {
         duties.policy.observe(now, usage_event(now, report));
         orders.extend(
             duties
@@ -54,9 +53,9 @@
     let reply = WorkerReply {
         sequence: report.sequence,
         revision: state.revision(),
-        lease: registered.then(|| span(LEASE)),
+        lease: renewed.then(|| span(LeaseSettings::default().lease)),
         start_within: START_WITHIN,
-        report_every: report_interval(state.workers().len()),
+        report_every: report_interval(state.workers().count()),
         orders,
         entries,
     };
--- /dev/null
+++ b/crates/parsleywalkd/src/control/view.rs
@@ -0,0 +1,61 @@
+//! What the state looks like to callers, operators and the router.
+
+use parsleywalk_api::{JobExplanation, JobPhase, TaskExplanation};
+use parsleywalk_catalog::Catalog;
+use parsleywalk_control::ControlState;
+use parsleywalk_routing::ServiceRoute;
+use parsleywalk_units::{JobKey, TaskId};
+use serde::Serialize;
+
+use super::call::LeaderReply;
+use super::leader::LeaderDuties;
+
+/// A job's status.
+pub(crate) fn job_status(state: &ControlState, job: &JobKey) -> LeaderReply {
+    state.job_status(job).map_or(LeaderReply::NotFound, |status| json(&status))
+}
+
+/// A job's results, once it has ended.
+pub(crate) fn job_result(state: &ControlState, job: &JobKey) -> LeaderReply {
+    if let Some(result) = state.job_result(job) {
+        return json(&result);
+    }
+    if state.job(job).is_some() { LeaderReply::NotEnded } else { LeaderReply::NotFound }
+}
+
+/// Why a job stands where it does.
+pub(crate) fn explain_job(state: &ControlState, duties: Option<&LeaderDuties>, job: &JobKey) -> LeaderReply {
+    let Some(status) = state.job_status(job) else { return LeaderReply::NotFound };
+    let unfinished = status.tasks.iter().filter(|task| state.task(task.task).is_some());
+    let tasks = unfinished
+        .map(|task| TaskExplanation { task: task.task, reason: explain_task(duties, status.phase, task.task) })
+        .collect();
+    json(&JobExplanation { job: job.clone(), phase: status.phase, tasks })
+}
+
+fn explain_task(duties: Option<&LeaderDuties>, phase: JobPhase, task: TaskId) -> String {
+    if phase == JobPhase::Cancelling {
+        return "its job is cancelled; the worker has to confirm that it stopped".to_owned();
+    }
+    match duties {
+        Some(duties) => duties.policy.explain(task).to_string(),
+        None => "there is no leader that could place it".to_owned(),
+    }
+}
+
+/// The services as the router sees them. A dependency of a latency-critical service is routed as latency-critical.
+pub(crate) fn service_routes(catalog: &Catalog) -> Vec<ServiceRoute> {
+    let routes = catalog.services.iter().map(|service| ServiceRoute {
+        service: service.name.clone(),
+        class: catalog.effective_class(&service.name).unwrap_or(service.class),
+        repeatable: service.repeatable,
+        deadline: service.deadline.as_duration(),
+        depends_on: service.depends_on.clone(),
+        slots_limit: service.slots.min(service.connections),
+    });
+    routes.collect()
+}
+
+fn json<T: Serialize>(body: &T) -> LeaderReply {
+    LeaderReply::Json(serde_json::to_vec(body).unwrap_or_default())
+}
--- a/crates/parsleywalkd/src/edge/mod.rs
+++ b/crates/parsleywalkd/src/edge/mod.rs
@@ -3,4 +3,4 @@
 pub(crate) mod caller;
 pub(crate) mod operator;
 mod reply;
-mod routes;
+pub(crate) mod routes;
--- a/crates/parsleywalkd/src/edge/operator.rs
+++ b/crates/parsleywalkd/src/edge/operator.rs
@@ -93,7 +93,7 @@
         ("POST", ["v1", "configuration"]) => apply_configuration(context, request),
         ("GET", ["v1", "configuration"]) => configuration(context),
         ("POST", ["v1", "zones", zone]) => set_zone(context, request, zone),
-        ("GET", ["v1", "status"]) => local(context, dump::status),
+        ("GET", ["v1", "status"]) => status(context),
         ("GET", ["v1", "dump"]) => full_dump(context),
         ("GET", ["v1", "jobs", team, key, "explain"]) => explain(context, team, key),
         ("POST", ["v1", "replicas"]) => change_replicas(context, request),
@@ -153,14 +153,16 @@
     Response::from_data("text/plain; version=0.0.4", context.metrics.render())
 }
 
-fn local<T: Serialize + Send + 'static>(
-    context: &OperatorContext,
-    query: fn(&crate::control::ControlThread) -> T,
-) -> Response {
-    match context.control.query(query) {
-        Some(body) => json(200, &body),
-        None => refusal(503, &Refusal::not_run("the control thread does not answer")),
+fn status(context: &OperatorContext) -> Response {
+    let router = context.router.status();
+    let Some(mut status) = context.control.query(dump::status) else {
+        return refusal(503, &Refusal::not_run("the control thread does not answer"));
+    };
+    if let Some(router) = router {
+        status.endpoints = u32::try_from(router.endpoints.len()).unwrap_or(u32::MAX);
+        status.requests = u32::try_from(router.in_progress).unwrap_or(u32::MAX);
     }
+    json(200, &status)
 }
 
 fn full_dump(context: &OperatorContext) -> Response {
--- a/crates/parsleywalkd/src/router/handle.rs
+++ b/crates/parsleywalkd/src/router/handle.rs
@@ -10,10 +10,11 @@
 use parsleywalk_routing::{
     EndpointAddress, EndpointAnnouncement, RouteAnswer, RouteReason, RouterStatus, ServiceRoute,
 };
-use parsleywalk_units::{CallerName, IdempotencyKey, RequestId, ServiceName};
+use parsleywalk_units::{CallerName, DispatchId, IdempotencyKey, RequestId, ServiceName};
 
 use super::requests::AnswerSink;
 use super::thread::RouterEvent;
+use crate::message::{ForwardedAnswer, ForwardedRequest};
 
 /// The wait that is suggested when the router's queue is full.
 const OVERLOAD_RETRY: Duration = Duration::from_millis(200);
@@ -33,6 +34,22 @@
     pub(crate) forwarded: bool,
 }
 
+impl RequestCall {
+    /// A request that an entry of another zone forwarded.
+    pub(crate) fn from_forwarded(request: ForwardedRequest) -> Self {
+        Self {
+            service: request.service,
+            caller: request.caller,
+            key: request.key,
+            repeatable: Some(request.repeatable),
+            deadline: Some(request.timeout.as_duration()),
+            content_type: request.content_type,
+            body: Bytes::from(request.body),
+            forwarded: true,
+        }
+    }
+}
+
 /// Sends events to the router's thread. Cloning shares the queue.
 #[derive(Debug, Clone)]
 pub(crate) struct RouterHandle {
@@ -91,6 +108,12 @@
         drop(self.events.try_send(RouterEvent::Announce { announcement, done: None }));
     }
 
+    /// Takes the answer of another zone's entry.
+    pub(crate) fn finish_forward(&self, call: u64, answer: ForwardedAnswer) {
+        let event = RouterEvent::ForwardFinished { dispatch: DispatchId::new(call), answer };
+        drop(self.events.send(event));
+    }
+
     /// Puts the services of a new configuration in force.
     pub(crate) fn configure(&self, routes: Vec<ServiceRoute>) {
         drop(self.events.send(RouterEvent::Configure { routes }));
@@ -108,11 +131,6 @@
         status.recv_timeout(Duration::from_secs(2)).ok()
     }
 
-    /// The queue of events, for threads that report to the router.
-    pub(crate) fn events(&self) -> &Sender<RouterEvent> {
-        &self.events
-    }
-
     fn allocate(&self) -> RequestId {
         RequestId::new(self.next_request.fetch_add(1, Ordering::Relaxed))
     }
--- a/crates/parsleywalkd/src/router/mod.rs
+++ b/crates/parsleywalkd/src/router/mod.rs
@@ -7,4 +7,5 @@
 mod thread;
 
 pub(crate) use handle::{RequestCall, RouterHandle};
-pub(crate) use thread::{RouterEvent, RouterLinks, start};
+pub(crate) use requests::AnswerSink;
+pub(crate) use thread::{EVENT_LIMIT, RouterLinks, start};
--- a/crates/parsleywalkd/src/router/thread.rs
+++ b/crates/parsleywalkd/src/router/thread.rs
@@ -9,7 +9,7 @@
 use parsleywalk_control::{ControlCommand, ControlReply};
 use parsleywalk_peer::{PeerLane, PeerNetwork};
 use parsleywalk_routing::{
-    BodyDigest, ClaimDecision, DispatchResult, EndpointAnnouncement, RequestArrival, RequestRouter, RouteAction,
+    BodyDigest, ClaimDecision, DispatchResult, EndpointAnnouncement, HeldState, RequestArrival, RequestRouter, RouteAction,
     RouteAnswer, RouteReason, RouterSettings, RouterStatus, ServiceRoute,
 };
 use parsleywalk_units::{
@@ -339,14 +339,22 @@
 
 fn claim_decision(result: std::result::Result<LeaderReply, CallFailure>) -> ClaimDecision {
     match result {
-        Ok(LeaderReply::Applied(ControlReply::Claimed)) => ClaimDecision::Granted,
-        Ok(LeaderReply::Applied(ControlReply::ClaimHeld { entry, state })) => {
-            ClaimDecision::HeldBy { entry, state: crate::control::held_state(state) }
+        Ok(LeaderReply::Applied(ControlReply::ClaimGranted)) => ClaimDecision::Granted,
+        Ok(LeaderReply::Applied(ControlReply::ClaimHeld { entry, outcome, .. })) => {
+            ClaimDecision::HeldBy { entry, state: held_state(outcome) }
         }
         _ => ClaimDecision::Unavailable,
     }
 }
 
+fn held_state(outcome: Option<ClaimOutcome>) -> HeldState {
+    match outcome {
+        None => HeldState::InProgress,
+        Some(ClaimOutcome::Done) => HeldState::Done,
+        Some(ClaimOutcome::NotRun | ClaimOutcome::Unknown) => HeldState::Unknown,
+    }
+}
+
 fn span(duration: Duration) -> TimeSpan {
     TimeSpan::from_millis(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
 }
