--- /dev/null
+++ b/crates/parsleywalk-routing/src/endpoint_record.rs
@@ -0,0 +1,187 @@
+//! One endpoint as this entry sees it.
+
+use std::time::Duration;
+
+use parsleywalk_units::{EndpointId, Incarnation, MonotonicTime};
+
+use crate::{BalanceMethod, EndpointAddress, EndpointAnnouncement, RouterSettings};
+
+/// The first rest after a refusal; it doubles with each further refusal in a row.
+const REFUSAL_REST: Duration = Duration::from_millis(5);
+/// The longest rest after a refusal.
+const REFUSAL_REST_LIMIT: Duration = Duration::from_secs(1);
+
+/// Whether an endpoint gets requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EndpointHealth {
+    /// It gets requests.
+    Healthy,
+    /// It gets single probes after `until`.
+    Ejected { until: MonotonicTime, pause: Duration, silent: bool, probe_sent: Option<MonotonicTime> },
+}
+
+/// An incarnation of an endpoint: what it announced, what is in progress there, and what its answers showed.
+#[derive(Debug, Clone)]
+pub(crate) struct EndpointRecord {
+    pub(crate) serial: u64,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) service: usize,
+    pub(crate) address: EndpointAddress,
+    pub(crate) slots: u32,
+    pub(crate) expires: MonotonicTime,
+    pub(crate) leaving: bool,
+    pub(crate) outstanding: u32,
+    pub(crate) health: EndpointHealth,
+    pub(crate) failures: u32,
+    refusals: u32,
+    rest_until: MonotonicTime,
+    /// Absent when the endpoint gets its full share.
+    ramp_start: Option<MonotonicTime>,
+    foreign: Option<(u32, MonotonicTime)>,
+    quiet_since: MonotonicTime,
+}
+
+impl EndpointRecord {
+    pub(crate) fn new(now: MonotonicTime, serial: u64, service: usize, announcement: &EndpointAnnouncement) -> Self {
+        Self {
+            serial,
+            endpoint: announcement.endpoint.clone(),
+            incarnation: announcement.incarnation,
+            service,
+            address: announcement.address,
+            slots: announcement.slots,
+            expires: now,
+            leaving: announcement.leaving,
+            outstanding: 0,
+            health: EndpointHealth::Healthy,
+            failures: 0,
+            refusals: 0,
+            rest_until: MonotonicTime::ZERO,
+            ramp_start: Some(now),
+            foreign: None,
+            quiet_since: now,
+        }
+    }
+
+    /// Takes over a renewal. An endpoint whose announcement had expired starts slowly again.
+    pub(crate) fn renew(&mut self, now: MonotonicTime, expires: MonotonicTime, announcement: &EndpointAnnouncement) {
+        if self.expires <= now {
+            self.ramp_start = Some(now);
+        }
+        self.address = announcement.address;
+        self.slots = announcement.slots;
+        self.expires = self.expires.max(expires);
+        self.leaving |= announcement.leaving;
+    }
+
+    pub(crate) fn skip_slow_start(&mut self) {
+        self.ramp_start = None;
+    }
+
+    pub(crate) fn begin(&mut self, now: MonotonicTime) {
+        if self.outstanding == 0 {
+            self.quiet_since = now;
+        }
+        self.outstanding += 1;
+        if let EndpointHealth::Ejected { probe_sent, .. } = &mut self.health {
+            *probe_sent = Some(now);
+        }
+    }
+
+    /// Records that the endpoint answered, and what its answer says of its load.
+    pub(crate) fn record_heard(&mut self, now: MonotonicTime, load: Option<u32>) {
+        self.quiet_since = now;
+        if let Some(load) = load {
+            self.foreign = Some((load.saturating_sub(self.outstanding), now));
+        }
+    }
+
+    pub(crate) fn record_success(&mut self, now: MonotonicTime, started: MonotonicTime) {
+        self.failures = 0;
+        self.refusals = 0;
+        if let EndpointHealth::Ejected { silent, probe_sent, .. } = self.health
+            && (silent || probe_sent.is_some_and(|sent| started >= sent))
+        {
+            self.health = EndpointHealth::Healthy;
+            self.ramp_start = Some(now);
+        }
+    }
+
+    /// Records a refusal: the endpoint is full, and it is left alone for a while.
+    pub(crate) fn record_refusal(&mut self, now: MonotonicTime, retry_after: Option<Duration>) {
+        self.quiet_since = now;
+        self.foreign = Some((self.slots.saturating_sub(self.outstanding), now));
+        let rest = REFUSAL_REST * 2_u32.saturating_pow(self.refusals.min(8));
+        self.refusals = self.refusals.saturating_add(1);
+        self.rest_until = now + rest.max(retry_after.unwrap_or_default()).min(REFUSAL_REST_LIMIT);
+        if let EndpointHealth::Ejected { until, probe_sent, .. } = &mut self.health {
+            *probe_sent = None;
+            *until = self.rest_until;
+        }
+    }
+
+    pub(crate) fn eject(&mut self, now: MonotonicTime, silent: bool, settings: &RouterSettings) {
+        let pause = match self.health {
+            EndpointHealth::Healthy => settings.ejection_pause,
+            EndpointHealth::Ejected { pause, .. } => (pause * 2).min(settings.ejection_pause_limit),
+        };
+        self.health = EndpointHealth::Ejected { until: now + pause, pause, silent, probe_sent: None };
+    }
+}
+
+impl EndpointRecord {
+    /// Whether the endpoint may get anything at all.
+    pub(crate) fn is_present(&self, now: MonotonicTime) -> bool {
+        !self.leaving && self.expires > now && self.slots > 0
+    }
+
+    pub(crate) fn is_healthy(&self) -> bool {
+        self.health == EndpointHealth::Healthy
+    }
+
+    /// Whether it is ejected and a probe is due.
+    pub(crate) fn wants_probe(&self, now: MonotonicTime) -> bool {
+        matches!(self.health, EndpointHealth::Ejected { until, probe_sent: None, .. } if until <= now)
+            && self.outstanding < self.slots
+    }
+
+    /// Whether requests in progress have gone without any answer from the endpoint for too long.
+    pub(crate) fn is_silent(&self, now: MonotonicTime, limit: Duration) -> bool {
+        let since = match self.health {
+            EndpointHealth::Healthy => Some(self.quiet_since),
+            EndpointHealth::Ejected { probe_sent, .. } => probe_sent,
+        };
+        self.outstanding > 0 && since.is_some_and(|since| now.since(since) > limit)
+    }
+
+    pub(crate) fn is_resting(&self, now: MonotonicTime) -> bool {
+        self.rest_until > now
+    }
+
+    /// The most requests that this entry may have in progress there.
+    pub(crate) fn limit(&self, now: MonotonicTime, slots_limit: u32, settings: &RouterSettings) -> u32 {
+        let slots = self.slots.min(slots_limit);
+        let limit = match settings.balance {
+            BalanceMethod::LeastOutstanding | BalanceMethod::PowerOfTwo => slots,
+            BalanceMethod::SlotShares => {
+                let share = (slots / settings.zone_entries.max(1)).max(1);
+                let idle = self.foreign_load(now, settings).map_or(0, |foreign| slots.saturating_sub(foreign));
+                share.max(idle)
+            }
+        };
+        let Some(ramp_start) = self.ramp_start else { return limit };
+        let elapsed = now.since(ramp_start);
+        if elapsed >= settings.slow_start {
+            return limit;
+        }
+        let permille = elapsed.as_micros() * 1000 / settings.slow_start.as_micros().max(1);
+        let ramped = u128::from(limit) * permille / 1000;
+        u32::try_from(ramped).unwrap_or(limit).clamp(1, limit.max(1))
+    }
+
+    /// Requests of other entries in progress there, when a recent answer tells.
+    pub(crate) fn foreign_load(&self, now: MonotonicTime, settings: &RouterSettings) -> Option<u32> {
+        self.foreign.filter(|(_, at)| now.since(*at) <= settings.load_validity).map(|(load, _)| load)
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-routing/src/endpoint_table.rs
@@ -0,0 +1,341 @@
+//! The endpoints of the zone.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use parsleywalk_units::{EndpointId, MonotonicTime};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use crate::endpoint_record::{EndpointHealth, EndpointRecord};
+use crate::{BalanceMethod, DispatchResult, EndpointAddress, EndpointAnnouncement, RouterSettings};
+
+/// The smallest status that counts as a failure of the endpoint.
+const FAILURE_STATUS: u16 = 500;
+
+/// Names a record of the table; stays valid, and unused for another, after the record is gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct EndpointHandle {
+    slot: usize,
+    serial: u64,
+}
+
+/// What an announcement changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnnounceEffect {
+    /// Nothing: it is old, or the table is full.
+    Ignored,
+    /// The endpoint is present.
+    Present,
+    /// The endpoint is known to leave as of now.
+    Leaving,
+}
+
+/// The endpoints that announced themselves, over all services.
+///
+/// Announcements of older incarnations are ignored, and an incarnation that said that it leaves stays leaving. Records
+/// of endpoints that left or expired are kept for a while for this reason.
+#[derive(Debug, Default)]
+pub(crate) struct EndpointTable {
+    records: Vec<Option<EndpointRecord>>,
+    free: Vec<usize>,
+    by_endpoint: HashMap<EndpointId, usize>,
+    by_service: Vec<Vec<usize>>,
+    /// When the first endpoint of each service was announced.
+    first_seen: Vec<Option<MonotonicTime>>,
+    next_serial: u64,
+}
+
+impl EndpointTable {
+    pub(crate) fn announce(
+        &mut self,
+        now: MonotonicTime,
+        service: usize,
+        announcement: &EndpointAnnouncement,
+        settings: &RouterSettings,
+    ) -> AnnounceEffect {
+        let (shortest, longest) = settings.ttl_range;
+        let expires = now + announcement.ttl.clamp(shortest, longest);
+        if let Some(&slot) = self.by_endpoint.get(&announcement.endpoint)
+            && let Some(record) = &mut self.records[slot]
+        {
+            if announcement.incarnation < record.incarnation {
+                return AnnounceEffect::Ignored;
+            }
+            if announcement.incarnation == record.incarnation {
+                let was_leaving = record.leaving;
+                if record.service != service || (was_leaving && !announcement.leaving) {
+                    return AnnounceEffect::Ignored;
+                }
+                record.renew(now, expires, announcement);
+                return effect(was_leaving, record.leaving);
+            }
+            self.remove(slot);
+        }
+        if self.by_endpoint.len() >= settings.endpoint_limit && !self.drop_oldest_departed(now) {
+            return AnnounceEffect::Ignored;
+        }
+        let mut record = EndpointRecord::new(now, self.next_serial, service, announcement);
+        self.next_serial += 1;
+        record.expires = expires;
+        // An entry that has just started finds all endpoints at once; they are not new and need no slow start.
+        if now.since(self.first_seen(now, service)) < settings.slow_start * 2 {
+            record.skip_slow_start();
+        }
+        let leaving = record.leaving;
+        self.insert(record);
+        effect(false, leaving)
+    }
+
+    /// Counts a dispatch towards an endpoint.
+    pub(crate) fn begin(&mut self, now: MonotonicTime, handle: EndpointHandle) {
+        if let Some(record) = self.get_mut(handle) {
+            record.begin(now);
+        }
+    }
+
+    /// Records the end of a dispatch, unless the endpoint was replaced by a newer incarnation.
+    pub(crate) fn finish(
+        &mut self,
+        now: MonotonicTime,
+        handle: EndpointHandle,
+        started: MonotonicTime,
+        result: &DispatchResult,
+        settings: &RouterSettings,
+    ) {
+        let Some(record) = self.get_mut(handle) else { return };
+        record.outstanding = record.outstanding.saturating_sub(1);
+        let failed = match result {
+            DispatchResult::Answered(answer) => {
+                record.record_heard(now, answer.load);
+                answer.status >= FAILURE_STATUS
+            }
+            DispatchResult::Refused { retry_after } => {
+                record.record_refusal(now, *retry_after);
+                return;
+            }
+            DispatchResult::NotSent { .. } | DispatchResult::Broken { .. } => true,
+        };
+        if !failed {
+            record.record_success(now, started);
+            return;
+        }
+        record.failures = record.failures.saturating_add(1);
+        match record.health {
+            EndpointHealth::Healthy if record.failures >= settings.ejection_failures => {
+                self.eject(now, handle, false, settings);
+            }
+            // The probe failed; results of dispatches from before the ejection do not count again.
+            EndpointHealth::Ejected { probe_sent: Some(sent), .. } if started >= sent => {
+                self.eject(now, handle, false, settings);
+            }
+            _ => {}
+        }
+    }
+
+    /// Ejects silent endpoints and forgets those that left long ago.
+    pub(crate) fn sweep(&mut self, now: MonotonicTime, silence: impl Fn(usize) -> Duration, settings: &RouterSettings) {
+        for slot in 0..self.records.len() {
+            let Some(record) = &self.records[slot] else { continue };
+            let departed = record.expires + settings.departed_retention;
+            if record.outstanding == 0 && now > departed {
+                self.remove(slot);
+            } else if record.is_silent(now, silence(record.service)) {
+                let handle = EndpointHandle { slot, serial: record.serial };
+                self.eject(now, handle, true, settings);
+            }
+        }
+    }
+
+    /// Ejects an endpoint, unless that would leave less than half of its service's endpoints.
+    fn eject(&mut self, now: MonotonicTime, handle: EndpointHandle, silent: bool, settings: &RouterSettings) {
+        let Some(record) = self.get(handle) else { return };
+        let (healthy, ejected) = self.present_counts(now, record.service);
+        let last_half = record.is_healthy() && 2 * (ejected + 1) > healthy + ejected;
+        if !settings.ejection || last_half {
+            return;
+        }
+        if let Some(record) = self.get_mut(handle) {
+            record.eject(now, silent, settings);
+        }
+    }
+
+    /// Returns when the first endpoint of a service was announced, which is now if there was none.
+    fn first_seen(&mut self, now: MonotonicTime, service: usize) -> MonotonicTime {
+        if self.first_seen.len() <= service {
+            self.first_seen.resize(service + 1, None);
+        }
+        *self.first_seen[service].get_or_insert(now)
+    }
+
+    fn insert(&mut self, record: EndpointRecord) {
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.records.push(None);
+            self.records.len() - 1
+        });
+        if self.by_service.len() <= record.service {
+            self.by_service.resize_with(record.service + 1, Vec::new);
+        }
+        self.by_endpoint.insert(record.endpoint.clone(), slot);
+        self.by_service[record.service].push(slot);
+        self.records[slot] = Some(record);
+    }
+
+    fn remove(&mut self, slot: usize) {
+        if let Some(record) = self.records[slot].take() {
+            self.by_endpoint.remove(&record.endpoint);
+            self.by_service[record.service].retain(|other| *other != slot);
+            self.free.push(slot);
+        }
+    }
+
+    fn drop_oldest_departed(&mut self, now: MonotonicTime) -> bool {
+        let departed = (0..self.records.len())
+            .filter_map(|slot| self.records[slot].as_ref().map(|record| (slot, record)))
+            .filter(|(_, record)| !record.is_present(now) && record.outstanding == 0)
+            .min_by_key(|(_, record)| record.expires)
+            .map(|(slot, _)| slot);
+        departed.map(|slot| self.remove(slot)).is_some()
+    }
+
+    fn get_mut(&mut self, handle: EndpointHandle) -> Option<&mut EndpointRecord> {
+        self.records.get_mut(handle.slot)?.as_mut().filter(|record| record.serial == handle.serial)
+    }
+}
+
+impl EndpointTable {
+    /// Chooses an endpoint with room for one more request, preferring those not in `tried`.
+    ///
+    /// A due probe goes first when the request may be repeated, and is otherwise a last resort.
+    pub(crate) fn choose(
+        &self,
+        now: MonotonicTime,
+        request: &ChoiceRequest<'_>,
+        random: &mut Pcg64Mcg,
+        settings: &RouterSettings,
+    ) -> Option<EndpointHandle> {
+        let fresh = |record: &EndpointRecord| !request.tried.iter().any(|handle| handle.serial == record.serial);
+        let probe = || self.present(now, request.service).find(|(_, record)| record.wants_probe(now) && fresh(record));
+        if request.repeatable
+            && let Some((slot, record)) = probe()
+        {
+            return Some(EndpointHandle { slot, serial: record.serial });
+        }
+        let candidates = |only_fresh: bool| -> Vec<Candidate<'_>> {
+            self.present(now, request.service)
+                .filter(|(_, record)| record.is_healthy() && !record.is_resting(now) && (!only_fresh || fresh(record)))
+                .map(|(slot, record)| Candidate {
+                    slot,
+                    record,
+                    limit: record.limit(now, request.slots_limit, settings),
+                })
+                .filter(|candidate| candidate.record.outstanding < candidate.limit)
+                .collect()
+        };
+        let mut found = candidates(true);
+        if found.is_empty() && !request.tried.is_empty() {
+            found = candidates(false);
+        }
+        if let Some(chosen) = pick(now, &found, random, settings) {
+            return Some(EndpointHandle { slot: chosen.slot, serial: chosen.record.serial });
+        }
+        if self.present_counts(now, request.service).0 == 0 {
+            return probe().map(|(slot, record)| EndpointHandle { slot, serial: record.serial });
+        }
+        None
+    }
+
+    pub(crate) fn address(&self, handle: EndpointHandle) -> Option<EndpointAddress> {
+        self.get(handle).map(|record| record.address)
+    }
+
+    /// Returns the present endpoints of a service: the healthy ones and the ejected ones.
+    pub(crate) fn present_counts(&self, now: MonotonicTime, service: usize) -> (usize, usize) {
+        let healthy = self.present(now, service).filter(|(_, record)| record.is_healthy()).count();
+        (healthy, self.present(now, service).count() - healthy)
+    }
+
+    /// Returns how many requests this entry may have in progress at the service's healthy endpoints.
+    pub(crate) fn capacity(
+        &self,
+        now: MonotonicTime,
+        service: usize,
+        slots_limit: u32,
+        settings: &RouterSettings,
+    ) -> u32 {
+        self.present(now, service)
+            .filter(|(_, record)| record.is_healthy())
+            .map(|(_, record)| record.limit(now, slots_limit, settings))
+            .sum()
+    }
+
+    pub(crate) fn records_of(&self, service: usize) -> impl Iterator<Item = &EndpointRecord> {
+        let slots = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        slots.iter().filter_map(|&slot| self.records[slot].as_ref())
+    }
+
+    fn present(&self, now: MonotonicTime, service: usize) -> impl Iterator<Item = (usize, &EndpointRecord)> {
+        let slots = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        slots
+            .iter()
+            .filter_map(|&slot| self.records[slot].as_ref().map(|record| (slot, record)))
+            .filter(move |(_, record)| record.is_present(now))
+    }
+
+    fn get(&self, handle: EndpointHandle) -> Option<&EndpointRecord> {
+        self.records.get(handle.slot)?.as_ref().filter(|record| record.serial == handle.serial)
+    }
+}
+
+/// What an endpoint is chosen for.
+#[derive(Debug)]
+pub(crate) struct ChoiceRequest<'a> {
+    pub(crate) service: usize,
+    pub(crate) slots_limit: u32,
+    pub(crate) repeatable: bool,
+    pub(crate) tried: &'a [EndpointHandle],
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Candidate<'a> {
+    slot: usize,
+    record: &'a EndpointRecord,
+    limit: u32,
+}
+
+fn pick<'a>(
+    now: MonotonicTime,
+    candidates: &[Candidate<'a>],
+    random: &mut Pcg64Mcg,
+    settings: &RouterSettings,
+) -> Option<Candidate<'a>> {
+    if candidates.is_empty() {
+        return None;
+    }
+    let start = random.random_range(0..candidates.len());
+    if settings.balance == BalanceMethod::PowerOfTwo {
+        let (first, second) = (candidates[start], candidates[random.random_range(0..candidates.len())]);
+        let load = |candidate: &Candidate<'_>| estimated_load(now, candidate, settings);
+        return Some(if load(&second) < load(&first) { second } else { first });
+    }
+    // The random start breaks ties, so that entries do not all choose the same endpoint.
+    let rotated = candidates[start..].iter().chain(&candidates[..start]);
+    rotated.min_by(|left, right| use_of(left).total_cmp(&use_of(right))).copied()
+}
+
+/// The share of its limit that an endpoint would use with one more request.
+fn use_of(candidate: &Candidate<'_>) -> f64 {
+    f64::from(candidate.record.outstanding + 1) / f64::from(candidate.limit)
+}
+
+/// The share of its slots that an endpoint would use with one more request, over all entries.
+fn estimated_load(now: MonotonicTime, candidate: &Candidate<'_>, settings: &RouterSettings) -> f64 {
+    let own = candidate.record.outstanding;
+    let foreign = candidate.record.foreign_load(now, settings);
+    let load = foreign.unwrap_or(own.saturating_mul(settings.zone_entries.saturating_sub(1))) + own + 1;
+    f64::from(load) / f64::from(candidate.limit)
+}
+
+fn effect(was_leaving: bool, leaving: bool) -> AnnounceEffect {
+    if leaving && !was_leaving { AnnounceEffect::Leaving } else { AnnounceEffect::Present }
+}
--- /dev/null
+++ b/crates/parsleywalk-routing/src/request_router.rs
@@ -0,0 +1,301 @@
+//! The router: its state, its commands and its queries.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use parsleywalk_units::{DispatchId, MonotonicTime, RequestId, ServiceName};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::endpoint_table::{AnnounceEffect, EndpointHandle, EndpointTable};
+use crate::flight::{Flight, FlightState};
+use crate::service_state::ServiceState;
+use crate::timer_queue::{TimerKind, TimerQueue};
+use crate::zone_choice::ZoneChoice;
+use crate::{
+    AnswerCache, ClaimRegister, EndpointAnnouncement, EndpointStatus, RouteAction, RouteReason, RouterCounters,
+    RouterSettings, RouterStatus, ServiceRoute, ServiceStatus,
+};
+
+/// How often endpoints are checked for silence.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
+/// How often waiting requests are tried again without another event, as endpoints end their rest or ramp up.
+const QUEUE_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Where an attempt went.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum DispatchTarget {
+    Endpoint(EndpointHandle),
+    Zone(u32),
+}
+
+/// An attempt without a result.
+#[derive(Debug)]
+pub(crate) struct DispatchRecord {
+    pub(crate) flight: RequestId,
+    pub(crate) service: usize,
+    pub(crate) target: DispatchTarget,
+    pub(crate) started: MonotonicTime,
+    pub(crate) lost_at: MonotonicTime,
+}
+
+/// Routes the requests of one entry: admission, claims, dispatch, retries and answers.
+///
+/// It does no I/O: each command takes the current time and returns the actions to carry out, in order. Every admitted
+/// request gets exactly one [`RouteAction::Answer`], unless its caller left.
+#[derive(Debug)]
+pub struct RequestRouter {
+    pub(crate) settings: RouterSettings,
+    pub(crate) random: Pcg64Mcg,
+    pub(crate) services: Vec<ServiceState>,
+    by_name: HashMap<ServiceName, usize>,
+    pub(crate) endpoints: EndpointTable,
+    pub(crate) claims: ClaimRegister,
+    pub(crate) answers: AnswerCache,
+    pub(crate) flights: HashMap<RequestId, Flight>,
+    /// The flight of each waiting request.
+    pub(crate) waiting: HashMap<RequestId, RequestId>,
+    pub(crate) dispatches: HashMap<DispatchId, DispatchRecord>,
+    pub(crate) timers: TimerQueue,
+    pub(crate) zones: ZoneChoice,
+    pub(crate) next_dispatch: DispatchId,
+    pub(crate) draining: bool,
+    pub(crate) forwards: usize,
+    pub(crate) claiming: usize,
+    pub(crate) queued: usize,
+    pub(crate) counters: RouterCounters,
+    next_sweep: MonotonicTime,
+    last_tick: MonotonicTime,
+}
+
+impl RequestRouter {
+    /// Creates a router without services and endpoints.
+    ///
+    /// Claim identities are drawn from `seed`, so each start of each entry needs a different one.
+    #[must_use]
+    pub fn new(settings: RouterSettings, seed: u64) -> Self {
+        Self {
+            claims: ClaimRegister::new(settings.claim_limit),
+            answers: AnswerCache::new(settings.cache_bytes, settings.cache_entries, settings.cache_age),
+            settings,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            services: Vec::new(),
+            by_name: HashMap::new(),
+            endpoints: EndpointTable::default(),
+            flights: HashMap::new(),
+            waiting: HashMap::new(),
+            dispatches: HashMap::new(),
+            timers: TimerQueue::default(),
+            zones: ZoneChoice::default(),
+            next_dispatch: DispatchId::new(1),
+            draining: false,
+            forwards: 0,
+            claiming: 0,
+            queued: 0,
+            counters: RouterCounters::default(),
+            next_sweep: MonotonicTime::ZERO,
+            last_tick: MonotonicTime::ZERO,
+        }
+    }
+
+    /// Takes over the services of an accepted configuration. Waiting requests of a removed service are refused.
+    pub fn configure(&mut self, now: MonotonicTime, services: Vec<ServiceRoute>) -> Vec<RouteAction> {
+        let mut actions = Vec::new();
+        for state in &mut self.services {
+            state.route = None;
+            state.capacity = None;
+        }
+        for route in services {
+            if let Some(service) = self.service_index(&route.service) {
+                self.services[service].route = Some(route);
+            }
+        }
+        self.resolve_dependencies();
+        for service in 0..self.services.len() {
+            while self.services[service].route.is_none()
+                && let Some(flight) = self.pop_queued(service)
+            {
+                self.end_failed(now, flight, &RouteReason::UnknownService, None, &mut actions);
+            }
+        }
+        self.pump_all(now, &mut actions);
+        actions
+    }
+
+    /// Sets how many entries of this zone share the endpoints' slots, this one included.
+    pub fn set_zone_entries(&mut self, now: MonotonicTime, entries: u32) -> Vec<RouteAction> {
+        let mut actions = Vec::new();
+        self.settings.zone_entries = entries.max(1);
+        self.pump_all(now, &mut actions);
+        actions
+    }
+
+    /// Takes over an endpoint's announcement.
+    ///
+    /// The first news that an endpoint is leaving is returned as [`RouteAction::Share`], also when it came from another
+    /// entry, so that it reaches all entries even if the endpoint reached only one.
+    pub fn announce(&mut self, now: MonotonicTime, announcement: EndpointAnnouncement) -> Vec<RouteAction> {
+        let mut actions = Vec::new();
+        let Some(service) = self.service_index(&announcement.service) else { return actions };
+        let effect = self.endpoints.announce(now, service, &announcement, &self.settings);
+        self.services[service].capacity = None;
+        match effect {
+            AnnounceEffect::Ignored => return actions,
+            AnnounceEffect::Present => self.services[service].seen_endpoint = true,
+            AnnounceEffect::Leaving => actions.push(RouteAction::Share { announcement }),
+        }
+        self.pump(now, service, &mut actions);
+        actions
+    }
+
+    /// Refuses new requests from now on and finishes those in progress.
+    ///
+    /// The shutdown is complete once [`in_progress`](Self::in_progress) is zero.
+    pub fn drain(&mut self, now: MonotonicTime) -> Vec<RouteAction> {
+        let mut actions = Vec::new();
+        self.draining = true;
+        self.pump_all(now, &mut actions);
+        actions
+    }
+
+    /// Acts on what is due.
+    pub fn tick(&mut self, now: MonotonicTime) -> Vec<RouteAction> {
+        let mut actions = Vec::new();
+        while let Some(timer) = self.timers.pop_due(now) {
+            match timer {
+                TimerKind::Deadline(request) => self.expire_waiter(now, request, &mut actions),
+                TimerKind::Claim(request) => self.expire_claim(now, request, &mut actions),
+                TimerKind::Hedge(flight) => self.hedge(now, flight, &mut actions),
+                TimerKind::Lost(dispatch) => self.lose_dispatch(now, dispatch, &mut actions),
+            }
+        }
+        if now >= self.next_sweep {
+            self.sweep(now);
+        }
+        self.last_tick = now;
+        self.pump_all(now, &mut actions);
+        actions
+    }
+
+    fn sweep(&mut self, now: MonotonicTime) {
+        self.next_sweep = now + SWEEP_INTERVAL;
+        let (services, settings) = (&self.services, &self.settings);
+        let silence =
+            |service: usize| services[service].latency().mul_f64(settings.silence_factor).max(settings.silence_minimum);
+        self.endpoints.sweep(now, silence, settings);
+        self.answers.expire(now);
+        for state in &mut self.services {
+            state.capacity = None;
+        }
+    }
+
+    fn resolve_dependencies(&mut self) {
+        let direct: Vec<Vec<usize>> = self
+            .services
+            .iter()
+            .map(|state| {
+                let names = state.route.iter().flat_map(|route| &route.depends_on);
+                names.filter_map(|name| self.by_name.get(name).copied()).collect()
+            })
+            .collect();
+        for (service, state) in self.services.iter_mut().enumerate() {
+            let mut reached = direct[service].clone();
+            let mut next = 0;
+            while next < reached.len() {
+                let further = direct[reached[next]].iter().filter(|other| !reached.contains(other)).copied();
+                let further: Vec<usize> = further.collect();
+                reached.extend(further);
+                next += 1;
+            }
+            reached.retain(|other| *other != service);
+            state.dependencies = reached;
+        }
+    }
+
+    /// Returns the index of a service, adding it if there is room.
+    fn service_index(&mut self, name: &ServiceName) -> Option<usize> {
+        if let Some(&service) = self.by_name.get(name) {
+            return Some(service);
+        }
+        if self.services.len() >= self.settings.service_limit {
+            return None;
+        }
+        self.services.push(ServiceState::new(name.clone(), self.settings.fair_queueing));
+        self.by_name.insert(name.clone(), self.services.len() - 1);
+        Some(self.services.len() - 1)
+    }
+}
+
+impl RequestRouter {
+    /// Returns when [`tick`](Self::tick) is to be called next at the latest.
+    #[must_use]
+    pub fn next_deadline(&self) -> MonotonicTime {
+        let queue = if self.queued > 0 { self.last_tick + QUEUE_INTERVAL } else { MonotonicTime::NEVER };
+        self.timers.next().min(self.next_sweep).min(queue)
+    }
+
+    /// Returns the number of requests in progress, joined resends not counted.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Returns the state for dumps. Whether announcements have expired is judged at the time of the last tick.
+    #[must_use]
+    pub fn status(&self) -> RouterStatus {
+        let mut services: Vec<ServiceStatus> =
+            (0..self.services.len()).map(|service| self.service_status(service)).collect();
+        services.sort_by(|left, right| left.service.cmp(&right.service));
+        RouterStatus {
+            draining: self.draining,
+            in_progress: self.flights.len(),
+            queued: self.queued,
+            claiming: self.claiming,
+            dispatches: self.dispatches.len(),
+            forwards: self.forwards,
+            kept_answers: self.answers.len(),
+            kept_bytes: self.answers.bytes(),
+            counters: self.counters,
+            services,
+        }
+    }
+
+    /// Returns the index of a configured service.
+    pub(crate) fn configured(&self, name: &ServiceName) -> Option<usize> {
+        self.by_name.get(name).copied().filter(|service| self.services[*service].route.is_some())
+    }
+
+    fn service_status(&self, service: usize) -> ServiceStatus {
+        let state = &self.services[service];
+        let (recent_requests, recent_retries) = state.budget.totals();
+        let endpoints = self.endpoints.records_of(service).map(|record| EndpointStatus {
+            endpoint: record.endpoint.clone(),
+            incarnation: record.incarnation,
+            address: record.address,
+            slots: record.slots,
+            outstanding: record.outstanding,
+            leaving: record.leaving,
+            expired: record.expires <= self.last_tick,
+            ejected: !record.is_healthy(),
+            failures: record.failures,
+        });
+        let mut endpoints: Vec<EndpointStatus> = endpoints.collect();
+        endpoints.sort_by(|left, right| left.endpoint.cmp(&right.endpoint));
+        ServiceStatus {
+            service: state.name.clone(),
+            configured: state.route.is_some(),
+            queued: state.queue.len(),
+            callers: state.queue.callers(),
+            outstanding: state.outstanding,
+            latency: state.latency(),
+            failing: state.health.is_failing(),
+            recent_requests,
+            recent_retries,
+            endpoints,
+        }
+    }
+
+    pub(crate) fn is_in_state(&self, flight: RequestId, state: FlightState) -> bool {
+        self.flights.get(&flight).is_some_and(|flight| flight.state == state)
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-routing/src/retry_budget.rs
@@ -0,0 +1,67 @@
+//! The retry budget of a service.
+
+use parsleywalk_units::MonotonicTime;
+
+const BUCKETS: usize = 10;
+const BUCKET_MICROS: u64 = 1_000_000;
+
+/// Limits retries to a share of the requests of the last 10 s plus a minimum.
+#[derive(Debug, Clone, Default)]
+pub struct RetryBudget {
+    buckets: [(u32, u32); BUCKETS],
+    newest: u64,
+    requests: u32,
+    retries: u32,
+}
+
+impl RetryBudget {
+    /// Records a first attempt.
+    pub fn record_request(&mut self, now: MonotonicTime) {
+        self.advance(now);
+        self.buckets[slot(self.newest)].0 += 1;
+        self.requests += 1;
+    }
+
+    /// Takes one retry out of the budget and returns whether there was one.
+    pub fn try_retry(&mut self, now: MonotonicTime, ratio: f64, minimum: u32) -> bool {
+        self.advance(now);
+        if f64::from(self.retries) + 1.0 > f64::from(self.requests) * ratio + f64::from(minimum) {
+            return false;
+        }
+        self.record_retry(now);
+        true
+    }
+
+    /// Records a retry without asking the budget.
+    pub fn record_retry(&mut self, now: MonotonicTime) {
+        self.advance(now);
+        self.buckets[slot(self.newest)].1 += 1;
+        self.retries += 1;
+    }
+
+    fn advance(&mut self, now: MonotonicTime) {
+        let bucket = now.as_micros() / BUCKET_MICROS;
+        while self.newest < bucket {
+            if bucket - self.newest > BUCKETS as u64 {
+                *self = Self { newest: bucket, ..Self::default() };
+                return;
+            }
+            self.newest += 1;
+            let (requests, retries) = std::mem::take(&mut self.buckets[slot(self.newest)]);
+            self.requests -= requests;
+            self.retries -= retries;
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Returns the requests and retries of the last 10 s, as of the last command.
+    #[must_use]
+    pub fn totals(&self) -> (u32, u32) {
+        (self.requests, self.retries)
+    }
+}
+
+fn slot(bucket: u64) -> usize {
+    usize::try_from(bucket % BUCKETS as u64).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/parsleywalk-routing/src/zone_choice.rs
@@ -0,0 +1,53 @@
+//! The choice of another zone for requests that this one cannot serve.
+
+use std::time::Duration;
+
+use parsleywalk_units::MonotonicTime;
+
+/// How long a zone that refused a request is left alone when it does not say.
+const REFUSED_PAUSE: Duration = Duration::from_millis(200);
+/// How long a zone is left alone after a forward to it broke or could not be sent.
+const BROKEN_PAUSE: Duration = Duration::from_secs(1);
+
+/// Chooses other zones in turn, leaving out those that refused or failed a short while ago.
+#[derive(Debug, Default)]
+pub(crate) struct ZoneChoice {
+    paused_until: Vec<MonotonicTime>,
+    next: u32,
+}
+
+impl ZoneChoice {
+    /// Returns a zone outside `tried`, if there is one that is not paused.
+    pub(crate) fn choose(&mut self, now: MonotonicTime, zones: u32, tried: &[u32]) -> Option<u32> {
+        self.paused_until.resize(usize::try_from(zones).unwrap_or(0), MonotonicTime::ZERO);
+        let found = (0..zones)
+            .map(|offset| (self.next + offset) % zones)
+            .find(|zone| !tried.contains(zone) && self.until(*zone) <= now)?;
+        self.next = (found + 1) % zones;
+        Some(found)
+    }
+
+    pub(crate) fn record_refused(&mut self, now: MonotonicTime, zone: u32, retry_after: Option<Duration>) {
+        self.pause(zone, now + retry_after.unwrap_or(REFUSED_PAUSE).min(BROKEN_PAUSE));
+    }
+
+    pub(crate) fn record_broken(&mut self, now: MonotonicTime, zone: u32) {
+        self.pause(zone, now + BROKEN_PAUSE);
+    }
+
+    fn pause(&mut self, zone: u32, until: MonotonicTime) {
+        if let Some(paused) = usize::try_from(zone).ok().and_then(|zone| self.paused_until.get_mut(zone)) {
+            *paused = until.max(*paused);
+        }
+    }
+
+    /// Returns whether a zone could be chosen.
+    pub(crate) fn is_available(&self, now: MonotonicTime, zones: u32, tried: &[u32]) -> bool {
+        (0..zones).any(|zone| !tried.contains(&zone) && self.until(zone) <= now)
+    }
+
+    fn until(&self, zone: u32) -> MonotonicTime {
+        let paused = usize::try_from(zone).ok().and_then(|zone| self.paused_until.get(zone));
+        paused.copied().unwrap_or(MonotonicTime::ZERO)
+    }
+}
