--- a/crates/parsleywalkd/src/router/thread.rs
+++ b/crates/parsleywalkd/src/router/thread.rs
@@ -90,7 +90,8 @@
     let in_zone = settings.daemons.iter().filter(|daemon| daemon.zone == own.zone);
     let forwards = ForwardTable::new(&own.zone, &settings.daemons);
     let router_settings = RouterSettings {
-        entries: u32::try_from(in_zone.clone().count()).unwrap_or(1),
+        zone_entries: u32::try_from(in_zone.clone().count()).unwrap_or(1),
+        dispatch_limit: settings.limits.dispatch_threads,
         other_zones: forwards.zone_count(),
         ..RouterSettings::default()
     };
--- a/crates/parsleywalkd/src/settings.rs
+++ b/crates/parsleywalkd/src/settings.rs
@@ -139,7 +139,24 @@
         let invalid = |faults| DaemonError::Settings { path: path.to_owned(), faults };
         let settings: Self = serde_saphyr::from_str(&text).map_err(|cause| invalid(vec![cause.to_string()]))?;
         let faults = settings.faults();
-        if faults.is_empty() { Ok(settings) } else { Err(invalid(faults)) }
+        if !faults.is_empty() {
+            return Err(invalid(faults));
+        }
+        Ok(settings.relative_to(path.parent().unwrap_or(Path::new(""))))
+    }
+
+    /// Resolves relative paths against the folder of the settings file, so that a daemon can be started from anywhere.
+    fn relative_to(mut self, folder: &Path) -> Self {
+        let paths = [
+            &mut self.data_folder,
+            &mut self.peer_token_file,
+            &mut self.operator_token_file,
+            &mut self.log.file,
+        ];
+        for path in paths.into_iter().flatten() {
+            *path = folder.join(&path);
+        }
+        self
     }
 
     /// Lists what does not fit together; empty for valid settings.
--- /dev/null
+++ b/crates/parsleywalkd/tests/common/mod.rs
@@ -0,0 +1,254 @@
+//! Real daemons as processes on loopback addresses of their own.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use parsleywalk_api::{
+    ConfigurationApply, JobStatus, JobSubmission, OperationReply, Refusal, SystemStatus, ZoneCommand,
+};
+use parsleywalk_units::{OperationId, ZoneDirection};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tempfile::TempDir;
+
+/// The longest wait for any condition. It is far above what a loaded machine needs.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// The operators' text that most tests use.
+pub const CATALOG: &str = "
+version: 1
+objective: { batch_throughput: 0.5, service_latency: 0.5 }
+teams:
+  - { name: planning, weight: 1 }
+services:
+  - { name: quotes, class: latency-critical, team: planning, size: { cores: 1, memory: 1GB }, instances: 2, slots: 8, deadline: 5s }
+  - { name: ledgers, class: batch, team: planning, size: { cores: 2, memory: 2GB }, run_time: 2s }
+";
+
+/// One daemon's process.
+#[derive(Debug)]
+pub struct Process {
+    pub vm: u16,
+    pub zone: String,
+    settings: PathBuf,
+    child: Option<Child>,
+    ip: String,
+}
+
+/// The daemons of one deployment, and their folder.
+#[derive(Debug)]
+pub struct Deployment {
+    pub folder: TempDir,
+    pub processes: Vec<Process>,
+}
+
+impl Deployment {
+    /// Writes settings, initialises the replicas and starts every daemon. `test` must differ between the tests of one
+    /// process, since each gets addresses of its own.
+    pub fn start(test: u8, zones: &[&str], replicas: &[u16]) -> Self {
+        let deployment = Self::prepare(test, zones, replicas);
+        deployment.started()
+    }
+
+    fn started(mut self) -> Self {
+        for process in &mut self.processes {
+            process.start();
+        }
+        self
+    }
+
+    /// Writes settings and initialises the replicas.
+    pub fn prepare(test: u8, zones: &[&str], replicas: &[u16]) -> Self {
+        let folder = TempDir::new().expect("a temporary folder");
+        fs::write(folder.path().join("peer.token"), "peer").expect("a token file");
+        let pid = std::process::id();
+        let prefix = format!("127.{}.{}", 16 + (pid >> 8) % 200, pid & 0xff);
+        let ip = |vm: u16| format!("{prefix}.{}", u16::from(test) * 8 + vm);
+        let daemons: Vec<String> = (1..)
+            .zip(zones)
+            .map(|(vm, zone)| {
+                let ip = ip(vm);
+                format!("  - {{ vm: {vm}, zone: {zone}, callers: \"{ip}:7000\", operators: \"{ip}:7001\", peers: \"{ip}:7002\" }}\n")
+            })
+            .collect();
+        let processes = (1..).zip(zones).map(|(vm, zone)| {
+            let disk = if replicas.contains(&vm) { format!("data_folder: data{vm}\n") } else { String::new() };
+            let text = format!(
+                "vm: {vm}\n{disk}replicas: {replicas:?}\npeer_token_file: peer.token\ndaemons:\n{}log: {{ level: info, file: vm{vm}.log }}\n",
+                daemons.concat()
+            );
+            let settings = folder.path().join(format!("vm{vm}.yaml"));
+            fs::write(&settings, text).expect("a settings file");
+            Process { vm, zone: (*zone).to_owned(), settings, child: None, ip: ip(vm) }
+        });
+        let deployment = Self { processes: processes.collect(), folder };
+        for process in deployment.processes.iter().filter(|process| replicas.contains(&process.vm)) {
+            process.initialise();
+        }
+        deployment
+    }
+
+    pub fn process(&mut self, vm: u16) -> &mut Process {
+        &mut self.processes[usize::from(vm) - 1]
+    }
+
+    pub fn callers(&self, vm: u16) -> SocketAddr {
+        self.processes[usize::from(vm) - 1].address(7000)
+    }
+
+    pub fn operators(&self, vm: u16) -> SocketAddr {
+        self.processes[usize::from(vm) - 1].address(7001)
+    }
+
+    pub fn all_callers(&self) -> Vec<SocketAddr> {
+        self.processes.iter().map(|process| process.address(7000)).collect()
+    }
+
+    /// Waits until every running daemon takes callers.
+    pub fn wait_ready(&self) {
+        for process in self.processes.iter().filter(|process| process.child.is_some()) {
+            let url = format!("http://{}/readyz", process.address(7001));
+            wait_until("readiness", || attohttpc::get(&url).send().is_ok_and(|response| response.is_success()));
+        }
+    }
+
+    /// Applies a configuration through a daemon and waits until every daemon has it.
+    pub fn apply(&self, vm: u16, operation: &str, text: &str) -> OperationReply {
+        let body = ConfigurationApply { operation: id(operation), text: text.to_owned() };
+        let reply = post::<_, OperationReply>(self.operators(vm), "/v1/configuration", &body);
+        reply.unwrap_or_else(|refusal| panic!("configuration refused: {refusal:?}"))
+    }
+
+    pub fn zone(&self, vm: u16, operation: &str, zone: &str, direction: ZoneDirection) -> OperationReply {
+        let body = ZoneCommand { operation: id(operation), direction };
+        let reply = post::<_, OperationReply>(self.operators(vm), &format!("/v1/zones/{zone}"), &body);
+        reply.unwrap_or_else(|refusal| panic!("zone command refused: {refusal:?}"))
+    }
+
+    pub fn status(&self, vm: u16) -> Option<SystemStatus> {
+        get(self.operators(vm), "/v1/status").ok()
+    }
+
+    /// The VM that leads, as the daemon on `vm` sees it.
+    pub fn leader(&self, vm: u16) -> Option<u16> {
+        self.status(vm)?.leader.map(parsleywalk_units::VmNumber::get)
+    }
+
+    pub fn submit(&self, vm: u16, job: &str, count: u32) -> Result<JobStatus, Refusal> {
+        let submission = JobSubmission {
+            job: job.parse().expect("a job key"),
+            service: "ledgers".parse().expect("a service name"),
+            count,
+            size: None,
+            urgent: false,
+            arguments: String::new(),
+        };
+        post(self.callers(vm), "/v1/jobs", &submission)
+    }
+
+    pub fn job(&self, vm: u16, job: &str) -> Option<JobStatus> {
+        get(self.callers(vm), &format!("/v1/jobs/{job}")).ok()
+    }
+
+    /// What the daemon on `vm` has logged.
+    pub fn log(&self, vm: u16) -> String {
+        fs::read_to_string(self.folder.path().join(format!("vm{vm}.log"))).unwrap_or_default()
+    }
+}
+
+impl Process {
+    fn command(&self) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_parsleywalkd"));
+        command.arg("--settings").arg(&self.settings).stdin(Stdio::null()).stdout(Stdio::null());
+        command
+    }
+
+    pub fn initialise(&self) {
+        let status = self.command().arg("init").status().expect("the daemon's binary");
+        assert!(status.success(), "init of vm {} failed", self.vm);
+    }
+
+    pub fn start(&mut self) {
+        self.child = Some(self.command().spawn().expect("the daemon's binary"));
+    }
+
+    /// Kills the process as a crash would.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+
+    /// Sends a signal by name, such as `STOP`, `CONT` or `TERM`.
+    pub fn signal(&self, signal: &str) {
+        let child = self.child.as_ref().expect("a running process");
+        let status = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+        assert!(status.expect("the kill command").success());
+    }
+
+    /// Waits for the process to end by itself and returns its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        let mut child = self.child.take()?;
+        child.wait().expect("a child process").code()
+    }
+
+    /// Loses the disk: the data folder is emptied.
+    pub fn lose_disk(&self) {
+        let folder = self.settings.with_file_name(format!("data{}", self.vm));
+        fs::remove_dir_all(folder).expect("a data folder");
+    }
+
+    pub fn address(&self, port: u16) -> SocketAddr {
+        format!("{}:{port}", self.ip).parse().expect("an address")
+    }
+
+    pub fn settings(&self) -> &Path {
+        &self.settings
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+pub fn id(text: &str) -> OperationId {
+    text.parse().expect("an operation id")
+}
+
+/// Waits until a condition holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "timed out waiting for {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+pub fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, Refusal> {
+    read(attohttpc::get(format!("http://{address}{path}")).timeout(Duration::from_secs(20)).send())
+}
+
+pub fn post<B: Serialize, T: DeserializeOwned>(address: SocketAddr, path: &str, body: &B) -> Result<T, Refusal> {
+    let request = attohttpc::post(format!("http://{address}{path}")).timeout(Duration::from_secs(20));
+    let body = serde_json::to_vec(body).expect("a JSON body");
+    read(request.header("Content-Type", "application/json").bytes(body).send())
+}
+
+fn read<T: DeserializeOwned>(response: attohttpc::Result<attohttpc::Response>) -> Result<T, Refusal> {
+    let response = response.map_err(|error| Refusal::unknown(error.to_string()))?;
+    let success = response.is_success();
+    let body = response.bytes().map_err(|error| Refusal::unknown(error.to_string()))?;
+    if success {
+        return Ok(serde_json::from_slice(&body).expect("the answer's type"));
+    }
+    Err(serde_json::from_slice(&body).unwrap_or_else(|_| Refusal::unknown(String::from_utf8_lossy(&body))))
+}
