--- /dev/null
+++ b/crates/parsleywalk-control/src/invariant.rs
@@ -0,0 +1,112 @@
+//! The invariants of the state.
+
+use parsleywalk_api::TaskPhase;
+use parsleywalk_units::TaskClass;
+
+use crate::derived::DerivedState;
+use crate::error::Result;
+use crate::{ControlError, ControlState, TaskOwner, TaskRecord};
+
+fn ensure(holds: bool, invariant: &'static str, detail: impl FnOnce() -> String) -> Result<()> {
+    if holds { Ok(()) } else { Err(ControlError::Broken { invariant, detail: detail() }) }
+}
+
+/// Queries.
+impl ControlState {
+    /// Checks every invariant by a scan over the whole state.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first invariant that does not hold.
+    pub fn check_invariants(&self) -> Result<()> {
+        for record in self.tasks.values() {
+            self.check_task(record)?;
+        }
+        let Some(derived) = DerivedState::of(self) else {
+            return ensure(false, "totals can be computed", String::new);
+        };
+        self.check_workers(&derived)?;
+        self.check_totals(&derived)?;
+        self.check_instances()?;
+        for (number, job) in self.jobs.iter() {
+            let live = job.task_ids().filter(|task| self.tasks.contains_key(task)).count();
+            ensure(live == job.live as usize, "a job knows its live tasks", || format!("{} has {live}", job.key))?;
+            ensure((job.live == 0) == job.ended_at.is_some(), "a job ends with its last task", || number.to_string())?;
+        }
+        ensure(self.jobs.is_consistent(), "jobs and their indexes agree", String::new)?;
+        ensure(self.claims.is_consistent(), "claims and their index agree", String::new)?;
+        ensure(self.operations.is_consistent(), "operations and their order agree", String::new)
+    }
+
+    fn check_task(&self, record: &TaskRecord) -> Result<()> {
+        let detail = || format!("{record:?}");
+        let worker = record.worker.and_then(|number| self.workers.get(&number));
+        ensure(record.holds_capacity() == worker.is_some(), "a placed task has a registered worker", detail)?;
+        ensure(record.phase != TaskPhase::Queued || record.worker.is_none(), "a queued task has no worker", detail)?;
+        ensure(record.declared.fits_within(&record.size), "a task is committed its declared size", detail)?;
+        ensure(record.entered <= self.revision, "a phase is entered at a past revision", detail)?;
+        ensure(record.id.get() <= self.next_task, "task ids are assigned in order", detail)?;
+        ensure(
+            (record.phase == TaskPhase::Stopping) == record.stop.is_some(),
+            "exactly the stopping tasks have a reason to stop",
+            detail,
+        )?;
+        if let Some(worker) = worker {
+            let in_service = self.zone(&worker.zone).in_service;
+            ensure(record.phase != TaskPhase::Starting || in_service, "nothing starts in a zone that is out", detail)?;
+        }
+        match record.owner {
+            TaskOwner::Job(number) => {
+                let job = self.jobs.get(number);
+                ensure(job.is_some_and(|job| job.ended_at.is_none()), "a task's job has not ended", detail)?;
+                let is_going = !matches!(record.phase, TaskPhase::Stopping);
+                let cancelled = job.is_some_and(|job| job.cancelled);
+                ensure(!(cancelled && is_going), "a cancel reaches every task of the job", detail)
+            }
+            TaskOwner::Service => Ok(()),
+        }
+    }
+
+    fn check_workers(&self, derived: &DerivedState) -> Result<()> {
+        ensure(self.numbers.len() == self.workers.len(), "a worker has one registration", String::new)?;
+        for (number, worker) in &self.workers {
+            let detail = || format!("{worker:?}");
+            let (used, tasks) = derived.workers.get(number).cloned().unwrap_or_default();
+            ensure(used.fits_within(&worker.capacity), "no worker is committed beyond its capacity", detail)?;
+            ensure(used == worker.used && tasks == worker.tasks, "a worker knows what it holds", detail)?;
+            ensure(self.numbers.get(&worker.id) == Some(number), "a worker id leads to its registration", detail)?;
+        }
+        Ok(())
+    }
+
+    fn check_totals(&self, derived: &DerivedState) -> Result<()> {
+        for (zone, state) in &self.zones {
+            let counted = derived.zones.get(zone).copied().unwrap_or_default();
+            ensure(counted == (state.workers, state.tasks), "a zone knows its totals", || format!("{zone} {state:?}"))?;
+        }
+        for (team, held) in &self.held {
+            let counted = derived.held.get(team).copied().unwrap_or_default();
+            ensure(counted == *held, "a team's held resources are known", || format!("{team} {held}, not {counted}"))?;
+        }
+        let are_known = derived.held.keys().all(|team| self.held.contains_key(team));
+        ensure(are_known, "every holding team is known", String::new)?;
+        ensure(derived.counts == self.counts, "the totals by phase are known", || format!("{:?}", self.counts))?;
+        ensure(derived.instances == self.instances, "the instances are known", || format!("{:?}", self.instances))
+    }
+
+    fn check_instances(&self) -> Result<()> {
+        let services = self.configuration.iter().flat_map(|configuration| &configuration.catalog.services);
+        for entry in services {
+            let wanted = if entry.class == TaskClass::LatencyCritical { entry.instances as usize } else { 0 };
+            let active = self.instances.set(&entry.name).map_or(0, |set| set.active.len());
+            ensure(active == wanted, "a service has its number of instances", || format!("{} {active}", entry.name))?;
+        }
+        for service in self.instances.services() {
+            let is_known = self.service(service).is_some();
+            let set = self.instances.set(service).cloned().unwrap_or_default();
+            ensure(is_known || set.active.is_empty(), "a removed service has no instance", || service.to_string())?;
+            ensure(set.orphans().is_empty(), "an instance that waits has a successor", || format!("{set:?}"))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-control/src/plan.rs
@@ -0,0 +1,185 @@
+//! What the leader does with a worker's report.
+
+use std::cmp::Ordering;
+
+use parsleywalk_api::{ReportedPhase, TaskPhase, TaskReport, WorkerOrder, WorkerReport};
+use parsleywalk_units::StateTime;
+
+use crate::record::proves_absence;
+use crate::{AttemptChange, AttemptEnd, ControlCommand, ControlState, TaskOwner, TaskRecord, WorkerRecord};
+
+/// The commands to propose and the orders for the answer.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ReportPlan {
+    /// The commands to propose.
+    pub commands: Vec<ControlCommand>,
+    /// The orders, from what is already committed.
+    pub orders: Vec<WorkerOrder>,
+    /// Whether the answer may renew leases: the report is of the registered incarnation and this state is not behind it.
+    pub renews: bool,
+}
+
+/// Plans the answer to a worker's report.
+///
+/// The orders may be sent only under the leader lease, together with the revision of `state`. A report without a durable
+/// change gives no command. The plan is empty when this state is behind the one that the worker has heard from, or when a
+/// newer incarnation or report is known.
+///
+/// ```
+/// use parsleywalk_api::WorkerReport;
+/// use parsleywalk_control::{ControlCommand, ControlState, plan_report};
+/// use parsleywalk_units::StateTime;
+///
+/// let text = r#"{"worker": "w1", "incarnation": 1, "zone": "a", "rack": "r1", "sequence": 1, "tasks": [],
+///     "capacity": {"cores": "32", "memory": "125GB", "accelerators": 0}}"#;
+/// let report: WorkerReport = serde_json::from_str(text)?;
+/// let plan = plan_report(&ControlState::new(), StateTime::from_millis(5), &report);
+/// assert!(matches!(plan.commands[..], [ControlCommand::RegisterWorker { .. }]));
+/// assert!(plan.orders.is_empty() && !plan.renews);
+/// # Ok::<(), serde_json::Error>(())
+/// ```
+#[must_use]
+pub fn plan_report(state: &ControlState, at: StateTime, report: &WorkerReport) -> ReportPlan {
+    if report.echo > state.revision() {
+        return ReportPlan::default();
+    }
+    let Some(worker) = state.worker(&report.worker) else {
+        return registration(at, report);
+    };
+    match report.incarnation.cmp(&worker.incarnation()) {
+        Ordering::Less => ReportPlan::default(),
+        Ordering::Greater => registration(at, report),
+        Ordering::Equal if worker.sequence().is_some_and(|recorded| report.sequence < recorded) => {
+            ReportPlan::default()
+        }
+        Ordering::Equal => ReportPlanner::new(state, worker, report).plan(at),
+    }
+}
+
+fn registration(at: StateTime, report: &WorkerReport) -> ReportPlan {
+    let command = ControlCommand::RegisterWorker {
+        at,
+        worker: report.worker.clone(),
+        incarnation: report.incarnation,
+        zone: report.zone.clone(),
+        rack: report.rack.clone(),
+        capacity: report.capacity,
+    };
+    ReportPlan { commands: vec![command], ..ReportPlan::default() }
+}
+
+struct ReportPlanner<'a> {
+    state: &'a ControlState,
+    worker: &'a WorkerRecord,
+    report: &'a WorkerReport,
+    changes: Vec<AttemptChange>,
+    orders: Vec<WorkerOrder>,
+}
+
+impl<'a> ReportPlanner<'a> {
+    const fn new(state: &'a ControlState, worker: &'a WorkerRecord, report: &'a WorkerReport) -> Self {
+        Self { state, worker, report, changes: Vec::new(), orders: Vec::new() }
+    }
+
+    fn plan(mut self, at: StateTime) -> ReportPlan {
+        for item in &self.report.tasks {
+            self.plan_listed(item);
+        }
+        // Starts come last, since the stops before them make room.
+        let listed = self.listed();
+        for task in self.worker.tasks() {
+            if let Some(record) = self.state.task(*task)
+                && listed.binary_search(&(record.id(), record.attempt())).is_err()
+            {
+                self.plan_unlisted(record);
+            }
+        }
+        let mut commands = Vec::new();
+        if !self.changes.is_empty() {
+            commands.push(ControlCommand::RecordReport {
+                at,
+                worker: self.worker.number(),
+                sequence: self.report.sequence,
+                changes: self.changes,
+            });
+        }
+        ReportPlan { commands, orders: self.orders, renews: true }
+    }
+
+    fn listed(&self) -> Vec<(parsleywalk_units::TaskId, parsleywalk_units::AttemptNumber)> {
+        let mut listed: Vec<_> = self.report.tasks.iter().map(|item| (item.task, item.attempt)).collect();
+        listed.sort_unstable();
+        listed
+    }
+
+    fn plan_listed(&mut self, item: &TaskReport) {
+        let (task, attempt) = (item.task, item.attempt);
+        let held = self.state.task(task).filter(|record| {
+            record.attempt() == attempt && record.worker() == Some(self.worker.number()) && record.holds_capacity()
+        });
+        let end = match item.phase {
+            ReportedPhase::Running => None,
+            ReportedPhase::Done => Some(AttemptEnd::Done),
+            ReportedPhase::Failed => Some(AttemptEnd::Failed),
+            ReportedPhase::Stopped => Some(AttemptEnd::Stopped),
+            ReportedPhase::NotStarted => Some(AttemptEnd::NotStarted),
+        };
+        match (held, end) {
+            (Some(record), None) => self.plan_running(record, item),
+            (Some(_), Some(end)) => self.changes.push(AttemptChange::Ended {
+                task,
+                attempt,
+                end,
+                checkpoint: item.checkpoint.clone(),
+                since: item.since_checkpoint,
+                text: item.text.clone(),
+            }),
+            // The state has moved past this attempt, so its end is committed or was not needed.
+            (None, None) => self.orders.push(WorkerOrder::Stop { task, attempt }),
+            (None, Some(_)) => self.orders.push(WorkerOrder::Settled { task, attempt }),
+        }
+    }
+
+    fn plan_running(&mut self, record: &TaskRecord, item: &TaskReport) {
+        let (task, attempt) = (item.task, item.attempt);
+        match record.phase() {
+            TaskPhase::Starting => self.changes.push(AttemptChange::Running { task, attempt }),
+            TaskPhase::Stopping => self.orders.push(WorkerOrder::Stop { task, attempt }),
+            _ => {}
+        }
+        if let Some(reference) = &item.checkpoint
+            && record.checkpoint() != Some(reference)
+        {
+            self.changes.push(AttemptChange::Checkpoint {
+                task,
+                attempt,
+                reference: reference.clone(),
+                since: item.since_checkpoint,
+            });
+        }
+    }
+
+    fn plan_unlisted(&mut self, record: &TaskRecord) {
+        let (task, attempt) = (record.id(), record.attempt());
+        if record.phase() == TaskPhase::Starting {
+            self.orders.push(self.start_order(record));
+        } else if proves_absence(record, self.report.echo) {
+            self.changes.push(AttemptChange::Absent { task, attempt, echo: self.report.echo });
+        }
+    }
+
+    fn start_order(&self, record: &TaskRecord) -> WorkerOrder {
+        let arguments = match record.owner() {
+            TaskOwner::Job(number) => self.state.job_by_number(number).map_or("", |job| job.arguments()).to_owned(),
+            TaskOwner::Service => String::new(),
+        };
+        WorkerOrder::Start {
+            task: record.id(),
+            attempt: record.attempt(),
+            service: record.service().clone(),
+            size: record.size(),
+            arguments,
+            checkpoint: record.checkpoint().map(str::to_owned),
+        }
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-control/src/quota.rs
@@ -0,0 +1,52 @@
+//! Quotas of teams.
+
+use parsleywalk_units::{ResourceSize, TaskId, TeamName};
+
+use crate::{CommandRefusal, ControlState, TaskOwner, TaskRecord};
+
+/// Commands.
+impl ControlState {
+    pub(crate) fn check_quota(&self, record: &TaskRecord, size: ResourceSize) -> Result<(), CommandRefusal> {
+        let Some(team) = self.charged_team(record) else { return Ok(()) };
+        let held = self.held(team);
+        let after = held.checked_add(&size);
+        let quota = self.team(team).and_then(|entry| entry.quota);
+        // An unlimited team is still held to what the counters can represent.
+        let fits = after.is_some_and(|after| quota.is_none_or(|quota| after.fits_within(&quota)));
+        if fits {
+            return Ok(());
+        }
+        let quota = quota.unwrap_or(held);
+        Err(CommandRefusal::QuotaExceeded { team: team.clone(), size, held, quota })
+    }
+
+    pub(crate) fn hold_quota(&mut self, task: TaskId, size: ResourceSize) {
+        let Some(team) = self.charged_team(&self.tasks[&task]).cloned() else { return };
+        let held = self.held.entry(team).or_default();
+        *held = held.checked_add(&size).expect("the size was checked against the quota");
+    }
+
+    pub(crate) fn release_quota(&mut self, task: TaskId, size: ResourceSize) {
+        let Some(team) = self.charged_team(&self.tasks[&task]).cloned() else { return };
+        let held = self.held.entry(team).or_default();
+        assert!(size.fits_within(held), "a team releases {size} of {held}");
+        *held = held.saturating_sub(&size);
+    }
+}
+
+/// Queries.
+impl ControlState {
+    /// Returns what the batch tasks of a team hold.
+    #[must_use]
+    pub fn held(&self, team: &TeamName) -> ResourceSize {
+        self.held.get(team).copied().unwrap_or_default()
+    }
+
+    /// Returns the team whose quota a task counts against; instances count against none.
+    pub(crate) fn charged_team(&self, record: &TaskRecord) -> Option<&TeamName> {
+        match record.owner {
+            TaskOwner::Job(number) => self.jobs.get(number).map(|job| &job.key.team),
+            TaskOwner::Service => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-control/src/record.rs
@@ -0,0 +1,125 @@
+//! Recording workers' reports.
+
+use parsleywalk_api::TaskPhase;
+use parsleywalk_units::TaskId;
+
+use crate::state::{Effects, Outcome};
+use crate::task::shorten;
+use crate::{
+    AttemptChange, AttemptEnd, AttemptOutcome, CommandRefusal, ControlReply, ControlState, StateChange, TaskOwner,
+    TaskRecord, WorkerNumber,
+};
+
+/// The longest result of a task, in bytes; what is beyond is cut off.
+const RESULT_LIMIT: usize = 4096;
+
+/// Commands.
+impl ControlState {
+    pub(crate) fn record_report(
+        &mut self,
+        worker: WorkerNumber,
+        sequence: u64,
+        changes: &[AttemptChange],
+        effects: &mut Effects,
+    ) -> Outcome {
+        let Some(record) = self.workers.get_mut(&worker) else {
+            return Err(CommandRefusal::UnknownRegistration { worker });
+        };
+        if let Some(recorded) = record.sequence.filter(|recorded| sequence <= *recorded) {
+            return Err(CommandRefusal::StaleReport { worker, sequence, recorded });
+        }
+        record.sequence = Some(sequence);
+        let mut applied = 0;
+        for change in changes {
+            applied += u32::from(self.record_change(worker, change, effects));
+        }
+        Ok(ControlReply::Recorded { applied })
+    }
+
+    /// Records one change; `false` when it is about another attempt or changes nothing.
+    fn record_change(&mut self, worker: WorkerNumber, change: &AttemptChange, effects: &mut Effects) -> bool {
+        let task = change.task();
+        let Some(record) = self.tasks.get_mut(&task) else { return false };
+        if record.attempt != change.attempt() || record.worker != Some(worker) || !record.holds_capacity() {
+            return false;
+        }
+        match change {
+            AttemptChange::Running { .. } => return self.confirm_start(task, effects),
+            AttemptChange::Checkpoint { reference, since, .. } => {
+                if record.checkpoint() == Some(reference) {
+                    return false;
+                }
+                record.record_checkpoint(self.now, reference, *since);
+            }
+            AttemptChange::Ended { end, checkpoint, since, text, .. } => {
+                if let Some(reference) = checkpoint
+                    && record.checkpoint() != Some(reference)
+                {
+                    record.record_checkpoint(self.now, reference, *since);
+                }
+                self.record_attempt_end(task, *end, text, effects);
+            }
+            AttemptChange::Absent { echo, .. } => {
+                if !proves_absence(record, *echo) {
+                    return false;
+                }
+                let is_stopping = record.phase == TaskPhase::Stopping;
+                let outcome = if is_stopping { AttemptOutcome::Evicted } else { AttemptOutcome::Lost };
+                self.end_attempt(task, outcome, "", effects);
+            }
+        }
+        true
+    }
+
+    fn record_attempt_end(&mut self, task: TaskId, end: AttemptEnd, text: &str, effects: &mut Effects) {
+        let outcome = match end {
+            AttemptEnd::Done => AttemptOutcome::Done,
+            AttemptEnd::Failed => AttemptOutcome::Failed,
+            AttemptEnd::Stopped => AttemptOutcome::Evicted,
+            AttemptEnd::NotStarted => AttemptOutcome::NotStarted,
+        };
+        if end == AttemptEnd::Failed
+            && let Some(record) = self.tasks.get_mut(&task)
+        {
+            record.record_failure(text);
+        }
+        if end != AttemptEnd::NotStarted {
+            self.mark_started(task);
+        }
+        let text = if end == AttemptEnd::NotStarted { "" } else { shorten(text, RESULT_LIMIT) };
+        self.end_attempt(task, outcome, text, effects);
+    }
+
+    fn confirm_start(&mut self, task: TaskId, effects: &mut Effects) -> bool {
+        let now = self.now;
+        let record = self.tasks.get_mut(&task).expect("the caller holds a live task");
+        if record.phase != TaskPhase::Starting {
+            return false;
+        }
+        record.running_since = now;
+        let (attempt, owner, service) = (record.attempt, record.owner, record.service.clone());
+        self.set_phase(task, TaskPhase::Running);
+        effects.changes.push(StateChange::TaskRunning { task, attempt });
+        match owner {
+            TaskOwner::Job(_) => self.mark_started(task),
+            TaskOwner::Service => self.retire_predecessors(task, &service, effects),
+        }
+        true
+    }
+
+    fn mark_started(&mut self, task: TaskId) {
+        if let Some(TaskOwner::Job(number)) = self.tasks.get(&task).map(|record| record.owner)
+            && let Some(job) = self.jobs.get_mut(number)
+        {
+            job.started = true;
+        }
+    }
+}
+
+/// Tells whether a report that does not list an attempt proves that its worker does not run it.
+///
+/// The worker must have handled an answer that was written after the task entered its present phase: it then drops every
+/// earlier answer, and a later one starts the attempt only while it is `starting`.
+pub(crate) fn proves_absence(record: &TaskRecord, echo: u64) -> bool {
+    matches!(record.phase, TaskPhase::Running | TaskPhase::Stopping) && echo >= record.entered
+}
--- /dev/null
+++ b/crates/parsleywalk-control/src/transition.rs
@@ -0,0 +1,214 @@
+//! The phases of tasks.
+
+use parsleywalk_api::TaskPhase;
+use parsleywalk_units::{AttemptNumber, ResourceSize, StateTime, TaskId};
+
+use crate::state::{Effects, Outcome};
+use crate::{
+    AttemptOutcome, CommandRefusal, ControlReply, ControlState, EvictionReason, StateChange, StopReason, TaskEnd,
+    TaskOwner, TaskRecord, WorkerNumber,
+};
+
+/// Commands.
+impl ControlState {
+    pub(crate) fn start_task(
+        &mut self,
+        task: TaskId,
+        attempt: AttemptNumber,
+        worker: WorkerNumber,
+        size: ResourceSize,
+        effects: &mut Effects,
+    ) -> Outcome {
+        self.check_start(task, attempt, worker, size)?;
+        let record = self.tasks.get_mut(&task).expect("the task was just checked");
+        record.attempt = attempt;
+        record.worker = Some(worker);
+        record.size = size;
+        if let Some(history) = &mut record.history {
+            history.resumed = history.saved;
+        }
+        let holder = self.workers.get_mut(&worker).expect("the worker was just checked");
+        holder.hold(task, &size);
+        let id = holder.id.clone();
+        self.hold_quota(task, size);
+        self.set_phase(task, TaskPhase::Starting);
+        effects.changes.push(StateChange::TaskPlaced { task, attempt, worker: id, size });
+        Ok(ControlReply::Accepted)
+    }
+
+    fn check_start(
+        &self,
+        task: TaskId,
+        attempt: AttemptNumber,
+        worker: WorkerNumber,
+        size: ResourceSize,
+    ) -> Result<(), CommandRefusal> {
+        let Some(record) = self.tasks.get(&task) else {
+            return Err(CommandRefusal::UnknownTask { task });
+        };
+        if record.phase != TaskPhase::Queued {
+            return Err(CommandRefusal::WrongPhase { task, phase: record.phase });
+        }
+        let expected = record.attempt.next();
+        if attempt != expected {
+            return Err(CommandRefusal::WrongAttempt { task, attempt, expected });
+        }
+        let Some(holder) = self.workers.get(&worker) else {
+            return Err(CommandRefusal::UnknownRegistration { worker });
+        };
+        if !self.zone(&holder.zone).in_service {
+            return Err(CommandRefusal::ZoneOut { zone: holder.zone.clone() });
+        }
+        if !record.declared.fits_within(&size) {
+            return Err(CommandRefusal::SizeBelowDeclared { task, size, declared: record.declared });
+        }
+        if !size.fits_within(&holder.free()) {
+            return Err(CommandRefusal::CapacityExceeded { worker: holder.id.clone(), size, free: holder.free() });
+        }
+        self.check_quota(record, size)
+    }
+
+    pub(crate) fn evict_task(
+        &mut self,
+        task: TaskId,
+        attempt: AttemptNumber,
+        reason: EvictionReason,
+        effects: &mut Effects,
+    ) -> Outcome {
+        let Some(record) = self.tasks.get(&task) else {
+            return Err(CommandRefusal::UnknownTask { task });
+        };
+        if record.attempt != attempt {
+            return Err(CommandRefusal::WrongAttempt { task, attempt, expected: record.attempt });
+        }
+        if !matches!(record.phase, TaskPhase::Starting | TaskPhase::Running) {
+            return Err(CommandRefusal::WrongPhase { task, phase: record.phase });
+        }
+        self.stop_task(task, StopReason::Evicted(reason), effects);
+        Ok(ControlReply::Accepted)
+    }
+
+    pub(crate) fn fail_task(&mut self, task: TaskId, reason: &str, effects: &mut Effects) -> Outcome {
+        let Some(record) = self.tasks.get_mut(&task) else {
+            return Err(CommandRefusal::UnknownTask { task });
+        };
+        if record.owner == TaskOwner::Service {
+            return Err(CommandRefusal::WrongKind { task });
+        }
+        if record.phase != TaskPhase::Queued {
+            return Err(CommandRefusal::WrongPhase { task, phase: record.phase });
+        }
+        let mut reasons: Vec<String> =
+            record.history.iter().flat_map(|it| &it.reasons).map(ToString::to_string).collect();
+        reasons.push(reason.to_owned());
+        let attempt = record.attempt.next();
+        effects.changes.push(StateChange::TaskEnded {
+            task,
+            attempt,
+            outcome: AttemptOutcome::Failed,
+            phase: TaskPhase::Failed,
+        });
+        self.finish_task(task, TaskPhase::Failed, &reasons.join("; "), effects);
+        Ok(ControlReply::Accepted)
+    }
+
+    /// Orders a task to stop; one that waits ends at once.
+    pub(crate) fn stop_task(&mut self, task: TaskId, reason: StopReason, effects: &mut Effects) {
+        let record = self.tasks.get_mut(&task).expect("the caller holds a live task");
+        let attempt = record.attempt;
+        match record.phase {
+            TaskPhase::Queued => {
+                effects.changes.push(StateChange::TaskEnded {
+                    task,
+                    attempt: attempt.next(),
+                    outcome: AttemptOutcome::Cancelled,
+                    phase: TaskPhase::Cancelled,
+                });
+                self.forget_instance(task, effects);
+                self.finish_task(task, TaskPhase::Cancelled, "", effects);
+            }
+            TaskPhase::Starting | TaskPhase::Running => {
+                record.stop = Some(reason);
+                self.set_phase(task, TaskPhase::Stopping);
+                effects.changes.push(StateChange::TaskStopping { task, attempt });
+                self.forget_instance(task, effects);
+            }
+            // The later reason decides what follows the stop: a cancelled task does not resume.
+            _ => record.stop = Some(reason),
+        }
+    }
+
+    /// Ends the present attempt, which is known not to run any more, and queues the next one where it is needed.
+    pub(crate) fn end_attempt(&mut self, task: TaskId, outcome: AttemptOutcome, text: &str, effects: &mut Effects) {
+        let record = &self.tasks[&task];
+        let attempt = record.attempt;
+        let ended = self.phase_after(record, outcome);
+        self.release(task);
+        let outcome = match (ended, outcome) {
+            (TaskPhase::Cancelled, AttemptOutcome::Evicted | AttemptOutcome::NotStarted) => AttemptOutcome::Cancelled,
+            _ => outcome,
+        };
+        effects.changes.push(StateChange::TaskEnded { task, attempt, outcome, phase: ended });
+        if ended == TaskPhase::Queued {
+            self.requeue(task, effects);
+        } else {
+            self.forget_instance(task, effects);
+            self.finish_task(task, ended, text, effects);
+        }
+    }
+
+    /// Decides where a task stands after an attempt has ended.
+    fn phase_after(&self, record: &TaskRecord, outcome: AttemptOutcome) -> TaskPhase {
+        match record.owner {
+            TaskOwner::Job(_) if outcome == AttemptOutcome::Done => TaskPhase::Done,
+            TaskOwner::Job(number) if self.jobs.get(number).is_some_and(|job| job.cancelled) => TaskPhase::Cancelled,
+            TaskOwner::Job(_) => TaskPhase::Queued,
+            TaskOwner::Service => {
+                let counts = self.instances.set(&record.service).is_some_and(|set| set.active.contains(&record.id));
+                match outcome {
+                    // The replacement of a lost instance is another task.
+                    AttemptOutcome::Lost => TaskPhase::Failed,
+                    _ if counts => TaskPhase::Queued,
+                    _ => TaskPhase::Cancelled,
+                }
+            }
+        }
+    }
+
+    fn requeue(&mut self, task: TaskId, effects: &mut Effects) {
+        let record = &self.tasks[&task];
+        let declared = match record.owner {
+            TaskOwner::Service => self.service(&record.service).map_or(record.declared, |entry| entry.size),
+            TaskOwner::Job(_) => record.declared,
+        };
+        self.set_phase(task, TaskPhase::Queued);
+        let record = self.tasks.get_mut(&task).expect("the caller holds a live task");
+        record.worker = None;
+        record.stop = None;
+        record.running_since = StateTime::default();
+        record.declared = declared;
+        record.size = declared;
+        self.push_queued(task, effects);
+    }
+
+    /// Removes a task that has ended for good.
+    fn finish_task(&mut self, task: TaskId, phase: TaskPhase, text: &str, effects: &mut Effects) {
+        let record = self.tasks.remove(&task).expect("the caller holds a live task");
+        let zone = record.worker.and_then(|number| self.workers.get(&number)).map(|worker| worker.zone.clone());
+        self.recount(record.phase, phase, zone.as_ref());
+        if let TaskOwner::Job(number) = record.owner {
+            let end = TaskEnd { task, attempt: record.attempt, phase, text: text.into() };
+            self.record_end(number, end, effects);
+        }
+    }
+
+    /// Frees what an attempt holds.
+    fn release(&mut self, task: TaskId) {
+        let record = &self.tasks[&task];
+        let (size, number) = (record.size, record.worker);
+        if let Some(worker) = number.and_then(|number| self.workers.get_mut(&number)) {
+            worker.release(task, &size);
+        }
+        self.release_quota(task, size);
+    }
+}
