--- a/crates/parsleywalk-control/src/command.rs
+++ b/crates/parsleywalk-control/src/command.rs
@@ -202,6 +202,25 @@
         }
     }
 
+    /// Sets when the command was proposed; the leader does so for commands that arrive from elsewhere.
+    pub const fn set_at(&mut self, time: StateTime) {
+        match self {
+            Self::ApplyConfiguration { at, .. }
+            | Self::SetZone { at, .. }
+            | Self::RegisterWorker { at, .. }
+            | Self::LoseWorker { at, .. }
+            | Self::SubmitJob { at, .. }
+            | Self::CancelJob { at, .. }
+            | Self::StartTask { at, .. }
+            | Self::RecordReport { at, .. }
+            | Self::EvictTask { at, .. }
+            | Self::ReplaceInstance { at, .. }
+            | Self::FailTask { at, .. }
+            | Self::Claim { at, .. }
+            | Self::SettleClaim { at, .. } => *at = time,
+        }
+    }
+
     /// Encodes the command for the log.
     ///
     /// # Panics
