--- /dev/null
+++ b/crates/parsleywalk-scheduler/src/fair.rs
@@ -0,0 +1,111 @@
+//! Weighted dominant-resource fairness and quotas of teams.
+
+use parsleywalk_units::{AcceleratorCount, MemoryBytes, MilliCores, ResourceSize};
+
+#[derive(Debug, Clone)]
+struct TeamAccount {
+    weight: f64,
+    quota: Option<ResourceSize>,
+    held: ResourceSize,
+    share: f64,
+}
+
+impl Default for TeamAccount {
+    fn default() -> Self {
+        Self { weight: 1.0, quota: None, held: ResourceSize::default(), share: 0.0 }
+    }
+}
+
+/// What each team's batch tasks hold, pending starts included.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct FairShare {
+    accounts: Vec<TeamAccount>,
+    total: ResourceSize,
+}
+
+impl FairShare {
+    fn account(&mut self, team: u32) -> &mut TeamAccount {
+        let place = team as usize;
+        if self.accounts.len() <= place {
+            self.accounts.resize(place + 1, TeamAccount::default());
+        }
+        &mut self.accounts[place]
+    }
+
+    /// Forgets all weights and quotas, before those of a new configuration are set.
+    pub(crate) fn reset(&mut self) {
+        for account in &mut self.accounts {
+            account.weight = 1.0;
+            account.quota = None;
+        }
+    }
+
+    pub(crate) fn set(&mut self, team: u32, weight: u32, quota: Option<ResourceSize>) {
+        let account = self.account(team);
+        account.weight = f64::from(weight.max(1));
+        account.quota = quota;
+        self.refresh(team);
+    }
+
+    pub(crate) fn set_total(&mut self, total: ResourceSize) {
+        self.total = total;
+        for team in 0..self.accounts.len() {
+            self.refresh(u32::try_from(team).unwrap_or(u32::MAX));
+        }
+    }
+
+    pub(crate) fn charge(&mut self, team: u32, size: &ResourceSize) {
+        let account = self.account(team);
+        account.held = account.held.checked_add(size).unwrap_or(account.held);
+        self.refresh(team);
+    }
+
+    pub(crate) fn refund(&mut self, team: u32, size: &ResourceSize) {
+        let account = self.account(team);
+        account.held = account.held.saturating_sub(size);
+        self.refresh(team);
+    }
+
+    fn refresh(&mut self, team: u32) {
+        let total = self.total;
+        let account = self.account(team);
+        account.share = dominant_share(&account.held, &total) / account.weight;
+    }
+
+    /// The weighted dominant share: the largest fraction of any resource, over the weight.
+    pub(crate) fn share(&self, team: u32) -> f64 {
+        self.accounts.get(team as usize).map_or(0.0, |account| account.share)
+    }
+
+    pub(crate) fn held(&self, team: u32) -> ResourceSize {
+        self.accounts.get(team as usize).map_or_else(ResourceSize::default, |account| account.held)
+    }
+
+    pub(crate) fn quota(&self, team: u32) -> Option<ResourceSize> {
+        self.accounts.get(team as usize).and_then(|account| account.quota)
+    }
+
+    /// Tells whether the team may hold `size` more.
+    pub(crate) fn permits(&self, team: u32, size: &ResourceSize) -> bool {
+        self.quota(team)
+            .is_none_or(|quota| self.held(team).checked_add(size).is_some_and(|sum| sum.fits_within(&quota)))
+    }
+}
+
+/// The largest fraction of any resource of `total` that `part` holds.
+#[expect(clippy::cast_precision_loss, reason = "a ratio needs no more precision")]
+pub(crate) fn dominant_share(part: &ResourceSize, total: &ResourceSize) -> f64 {
+    let ratio = |part: u64, total: u64| if total == 0 { 0.0 } else { part as f64 / total as f64 };
+    ratio(u64::from(part.cores.get()), u64::from(total.cores.get()))
+        .max(ratio(part.memory.get(), total.memory.get()))
+        .max(ratio(u64::from(part.accelerators.get()), u64::from(total.accelerators.get())))
+}
+
+/// The smaller of both, resource by resource.
+pub(crate) fn min_each(one: &ResourceSize, other: &ResourceSize) -> ResourceSize {
+    ResourceSize {
+        cores: MilliCores::new(one.cores.get().min(other.cores.get())),
+        memory: MemoryBytes::new(one.memory.get().min(other.memory.get())),
+        accelerators: AcceleratorCount::new(one.accelerators.get().min(other.accelerators.get())),
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-scheduler/src/policy.rs
@@ -0,0 +1,239 @@
+//! The policy as a whole.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use parsleywalk_units::{
+    AttemptNumber, MonotonicTime, RackName, ResourceSize, ServiceName, TaskId, TeamName, WorkerId, ZoneName,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::event::ObjectiveWeights;
+use crate::fair::FairShare;
+use crate::guard::GuardLadder;
+use crate::index::PlacementIndex;
+use crate::interference::InterferenceModel;
+use crate::names::NameTable;
+use crate::quarantine::QuarantineList;
+use crate::queue::{QueuePriority, TaskQueue};
+use crate::ramp::ZoneRamp;
+use crate::spread::{RackReserve, SpreadCount};
+use crate::task::{TaskPhase, TaskTable};
+use crate::usage::UsageEstimate;
+use crate::worker::WorkerRecord;
+use crate::{PolicyDecision, PolicyEvent, PolicySettings};
+
+/// Kinds of tasks that one call of `decide` tries without finding a place, for each priority. This bounds the cost of a
+/// call when many kinds wait; the others are tried by the next call.
+const MISS_LIMIT: usize = 64;
+
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ZoneRecord {
+    pub(crate) out: bool,
+    pub(crate) ramp: ZoneRamp,
+    pub(crate) workers: usize,
+}
+
+/// Names and their numbers.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PolicyNames {
+    pub(crate) services: NameTable<ServiceName>,
+    pub(crate) teams: NameTable<TeamName>,
+    pub(crate) zones: NameTable<ZoneName>,
+    pub(crate) racks: NameTable<RackName>,
+    pub(crate) workers: NameTable<WorkerId>,
+}
+
+/// Decides where tasks start and which ones are slowed, moved or ended.
+///
+/// The policy does no I/O: it is told of changes with [`observe`](Self::observe) and proposes decisions from
+/// [`decide`](Self::decide). It only proposes; what has been accepted comes back as an event.
+#[derive(Debug, Clone)]
+pub struct SchedulerPolicy {
+    pub(crate) settings: PolicySettings,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) weights: ObjectiveWeights,
+    pub(crate) names: PolicyNames,
+    pub(crate) run_times: Vec<Option<std::time::Duration>>,
+    pub(crate) zones: Vec<ZoneRecord>,
+    pub(crate) workers: Vec<WorkerRecord>,
+    /// Workers in service in each rack, and the number of racks that have any.
+    pub(crate) rack_workers: Vec<u32>,
+    pub(crate) open_racks: usize,
+    /// The capacities of workers in service, with their number.
+    pub(crate) shapes: BTreeMap<ResourceSize, u32>,
+    pub(crate) total: ResourceSize,
+    pub(crate) tasks: TaskTable,
+    pub(crate) queue: TaskQueue,
+    pub(crate) index: PlacementIndex,
+    pub(crate) fair: FairShare,
+    pub(crate) usage: UsageEstimate,
+    pub(crate) spread: SpreadCount,
+    pub(crate) reserve: RackReserve,
+    pub(crate) model: InterferenceModel,
+    pub(crate) guards: GuardLadder,
+    pub(crate) quarantine: QuarantineList,
+    /// Proposed starts by deadline; the wait is constant, so this is sorted.
+    pub(crate) pending: VecDeque<(MonotonicTime, TaskId, AttemptNumber)>,
+    /// Tasks in zones that are out: when to propose the move next, instances first.
+    pub(crate) moves: BTreeSet<(MonotonicTime, bool, TaskId)>,
+    /// Queued tasks to be ended as failed: when to propose it next.
+    pub(crate) failing: BTreeSet<(MonotonicTime, TaskId)>,
+    /// The worker that is held for each task that has one.
+    pub(crate) holds: HashMap<TaskId, u32>,
+    pub(crate) evictions: u64,
+    pub(crate) found: Vec<u32>,
+}
+
+impl SchedulerPolicy {
+    /// Creates a policy that knows nothing yet; equal seeds and events give equal decisions.
+    #[must_use]
+    pub fn new(settings: PolicySettings, seed: u64) -> Self {
+        Self {
+            model: InterferenceModel::new(settings.interference_half_life),
+            settings,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            weights: ObjectiveWeights::default(),
+            names: PolicyNames::default(),
+            run_times: Vec::new(),
+            zones: Vec::new(),
+            workers: Vec::new(),
+            rack_workers: Vec::new(),
+            open_racks: 0,
+            shapes: BTreeMap::new(),
+            total: ResourceSize::default(),
+            tasks: TaskTable::new(),
+            queue: TaskQueue::default(),
+            index: PlacementIndex::default(),
+            fair: FairShare::default(),
+            usage: UsageEstimate::default(),
+            spread: SpreadCount::default(),
+            reserve: RackReserve::default(),
+            guards: GuardLadder::default(),
+            quarantine: QuarantineList::default(),
+            pending: VecDeque::new(),
+            moves: BTreeSet::new(),
+            failing: BTreeSet::new(),
+            holds: HashMap::new(),
+            evictions: 0,
+            found: Vec::new(),
+        }
+    }
+
+    /// Takes note of a change. Events about unknown tasks, or about another attempt than the present one, are ignored.
+    pub fn observe(&mut self, now: MonotonicTime, event: PolicyEvent) {
+        match event {
+            PolicyEvent::ConfigurationChanged { services, teams, weights } => {
+                self.configure(&services, &teams, weights);
+            }
+            PolicyEvent::ZoneChanged { zone, in_service } => self.change_zone(now, &zone, in_service),
+            PolicyEvent::WorkerJoined { worker, zone, rack, capacity } => {
+                self.join_worker(&worker, &zone, &rack, capacity);
+            }
+            PolicyEvent::WorkerLost { worker } => self.lose_worker(&worker),
+            PolicyEvent::TaskQueued { .. } => self.queue_task(now, event),
+            PolicyEvent::TaskPlaced { task, attempt, worker, size } => {
+                self.place_task(now, task, attempt, &worker, size);
+            }
+            PolicyEvent::TaskRunning { task, attempt } => self.run_task(now, task, attempt),
+            PolicyEvent::TaskEnded { task, attempt, outcome } => self.end_task(now, task, attempt, outcome),
+            PolicyEvent::UsageReported { worker, measured_at, tasks } => {
+                self.take_report(now, &worker, measured_at, &tasks);
+            }
+        }
+    }
+
+    /// Proposes at most `limit` decisions: first the ends of tasks that fail everywhere, then moves out of zones,
+    /// guards, and starts. A proposed start counts as held capacity until it is placed or its wait ends.
+    pub fn decide(&mut self, now: MonotonicTime, limit: usize) -> Vec<PolicyDecision> {
+        let mut decisions = Vec::new();
+        self.expire_pending(now);
+        self.queue.wake(now);
+        let ramp = self.settings.ramp;
+        for zone in &mut self.zones {
+            zone.ramp.refill(now, ramp, zone.workers);
+        }
+        self.decide_failures(now, limit, &mut decisions);
+        self.decide_moves(now, limit, &mut decisions);
+        self.decide_guards(now, limit, &mut decisions);
+        for priority in QueuePriority::ALL {
+            self.decide_starts(now, limit, priority, &mut decisions);
+        }
+        decisions
+    }
+
+    /// Queues tasks again whose proposed start was not placed in time.
+    fn expire_pending(&mut self, now: MonotonicTime) {
+        while let Some(&(deadline, task, attempt)) = self.pending.front() {
+            if deadline > now {
+                return;
+            }
+            self.pending.pop_front();
+            let expired = self
+                .tasks
+                .get(&task)
+                .is_some_and(|record| record.attempt == attempt && record.phase == TaskPhase::Proposed { deadline });
+            if expired {
+                self.release_capacity(task);
+                self.enqueue(task);
+            }
+        }
+    }
+
+    fn decide_failures(&mut self, now: MonotonicTime, limit: usize, decisions: &mut Vec<PolicyDecision>) {
+        while decisions.len() < limit
+            && let Some(&(due, task)) = self.failing.first()
+            && due <= now
+        {
+            self.failing.pop_first();
+            let Some(workers) = self.quarantine.verdict(task, 1) else { continue };
+            if !self.tasks.contains_key(&task) {
+                continue;
+            }
+            let mut reason = format!("failed on {} healthy workers:", workers.len());
+            for worker in workers.iter().take(8) {
+                reason.push(' ');
+                reason.push_str(self.workers[*worker as usize].id.as_str());
+            }
+            decisions.push(PolicyDecision::Fail { task, reason });
+            self.failing.insert((now + self.settings.pending, task));
+        }
+    }
+
+    fn decide_starts(
+        &mut self,
+        now: MonotonicTime,
+        limit: usize,
+        priority: QueuePriority,
+        decisions: &mut Vec<PolicyDecision>,
+    ) {
+        let mut misses = 0;
+        while decisions.len() < limit && misses < MISS_LIMIT {
+            let fair = self.settings.fairness.then_some(&self.fair);
+            let Some((group, task)) = self.queue.pick(priority, fair) else { return };
+            match self.find_place(now, task, priority) {
+                Ok((worker, size)) => decisions.push(self.propose_start(now, task, worker, size)),
+                Err(reason) => {
+                    let reason = self.find_room(now, task, priority, reason, decisions);
+                    self.queue.rest(group, now, self.settings.retry, reason);
+                    misses += 1;
+                }
+            }
+        }
+    }
+
+    fn propose_start(&mut self, now: MonotonicTime, task: TaskId, worker: u32, size: ResourceSize) -> PolicyDecision {
+        let deadline = now + self.settings.pending;
+        let mut attempt = AttemptNumber::default();
+        if let Some(record) = self.tasks.get(&task) {
+            attempt = record.attempt;
+            self.queue.placed(record.group);
+            self.queue.remove(record.group, task);
+        }
+        self.hold_capacity(task, worker, size, TaskPhase::Proposed { deadline });
+        self.pending.push_back((deadline, task, attempt));
+        let zone = self.workers[worker as usize].zone;
+        self.zones[zone as usize].ramp.take();
+        PolicyDecision::Start { task, attempt, worker: self.workers[worker as usize].id.clone(), size }
+    }
+}
