Drop planned moves of earlier attempts

Cause: an entry of an ended attempt stayed planned, and the next attempt in a zone that was out planned a second one, so one call proposed the same replacement twice. Found by the oracle test at 20,000 cases.

--- a/crates/parsleywalk-scheduler/src/lifecycle.rs
+++ b/crates/parsleywalk-scheduler/src/lifecycle.rs
@@ -42,7 +42,7 @@
             run_time,
             saved,
             queued_at: now,
-            moving: false,
+            move_due: None,
             evicting: None,
             cores: MilliCores::default(),
             memory: MemoryBytes::default(),
--- a/crates/parsleywalk-scheduler/src/moving.rs
+++ b/crates/parsleywalk-scheduler/src/moving.rs
@@ -13,8 +13,8 @@
 impl SchedulerPolicy {
     /// Notes that a task holds capacity in a zone that is out.
     pub(crate) fn plan_move(&mut self, now: MonotonicTime, task: TaskId) {
-        if let Some(record) = self.tasks.get_mut(&task).filter(|record| !record.moving) {
-            record.moving = true;
+        if let Some(record) = self.tasks.get_mut(&task).filter(|record| record.move_due.is_none()) {
+            record.move_due = Some(now);
             self.moves.insert((now, record.is_batch(), task));
         }
     }
@@ -25,10 +25,11 @@
             && due <= now
         {
             self.moves.pop_first();
-            let Some(record) = self.tasks.get_mut(&task) else { continue };
-            record.moving =
-                record.holds_capacity() && self.zones[self.workers[record.worker as usize].zone as usize].out;
-            if !record.moving {
+            let Some(record) = self.tasks.get_mut(&task).filter(|record| record.move_due == Some(due)) else {
+                continue;
+            };
+            record.move_due = None;
+            if !record.holds_capacity() || !self.zones[self.workers[record.worker as usize].zone as usize].out {
                 continue;
             }
             let mut again = self.settings.pending;
@@ -40,7 +41,10 @@
                     again = REPLACE_AGAIN;
                 }
             }
-            self.moves.insert((now + again, batch, task));
+            if let Some(record) = self.tasks.get_mut(&task) {
+                record.move_due = Some(now + again);
+                self.moves.insert((now + again, batch, task));
+            }
         }
     }
 }
--- a/crates/parsleywalk-scheduler/src/task.rs
+++ b/crates/parsleywalk-scheduler/src/task.rs
@@ -37,8 +37,8 @@
     pub(crate) run_time: Option<Duration>,
     pub(crate) saved: Duration,
     pub(crate) queued_at: MonotonicTime,
-    /// Whether `moves` has an entry for it; a zone may go out, in and out again before that is due.
-    pub(crate) moving: bool,
+    /// The time of its entry in `moves`; other entries are left from an earlier attempt or an earlier zone change.
+    pub(crate) move_due: Option<MonotonicTime>,
     /// Until when a proposed eviction is taken as pending.
     pub(crate) evicting: Option<MonotonicTime>,
     /// Usage of the last report.
