--- a/crates/parsleywalkd/examples/quickstart.rs
+++ b/crates/parsleywalkd/examples/quickstart.rs
@@ -58,7 +58,8 @@
     println!("configuration: {}", applied.message);
 
     let log = RunLog::new();
-    let workers = [start_worker(&daemon, "worker-1", "north", &log)?, start_worker(&daemon, "worker-2", "south", &log)?];
+    let workers =
+        [start_worker(&daemon, "worker-1", "north", &log)?, start_worker(&daemon, "worker-2", "south", &log)?];
     serve_requests(&daemon, &callers)?;
     run_job(&callers, &operators, &log)?;
 
@@ -105,7 +106,7 @@
             return Err("a request that is not repeatable ran more than once".into());
         }
     }
-    endpoint.leave();
+    println!("endpoint planner-1: {} entry knows that it leaves", endpoint.leave());
     Ok(())
 }
 
@@ -181,7 +182,12 @@
 
 fn post<B: Serialize, T: DeserializeOwned>(address: &str, path: &str, body: &B) -> Outcome<T> {
     let body = serde_json::to_vec(body)?;
-    read(attohttpc::post(format!("http://{address}{path}")).header("Content-Type", "application/json").bytes(body).send()?)
+    read(
+        attohttpc::post(format!("http://{address}{path}"))
+            .header("Content-Type", "application/json")
+            .bytes(body)
+            .send()?,
+    )
 }
 
 fn read<T: DeserializeOwned>(response: attohttpc::Response) -> Outcome<T> {
--- a/crates/parsleywalkd/src/control/call.rs
+++ b/crates/parsleywalkd/src/control/call.rs
@@ -1,6 +1,10 @@
 //! Calls that only the leader can answer.
 
-#![allow(missing_docs, reason = "quick_error does not take docs on fields")]
+#![allow(
+    missing_docs,
+    unreachable_pub,
+    reason = "quick_error takes neither docs on fields nor a restricted visibility"
+)]
 
 use std::net::SocketAddr;
 
@@ -55,7 +59,7 @@
 quick_error! {
     /// Why a call has no answer from a leader.
     #[derive(Debug, Clone, PartialEq, Eq)]
-    pub(crate) enum CallFailure {
+    pub enum CallFailure {
         /// Nothing was proposed and nothing will be.
         NotSent(reason: String) {
             display("{}", reason)
--- a/crates/parsleywalkd/src/dump.rs
+++ b/crates/parsleywalkd/src/control/dump.rs
@@ -4,7 +4,7 @@
 use parsleywalk_units::VmNumber;
 use serde_json::{Value, json};
 
-use crate::control::ControlThread;
+use super::thread::ControlThread;
 
 /// Whether the daemon takes callers.
 pub(crate) fn is_ready(thread: &ControlThread) -> bool {
--- a/crates/parsleywalkd/src/control/feed.rs
+++ b/crates/parsleywalkd/src/control/feed.rs
@@ -50,11 +50,8 @@
         class: service.class,
         run_time: service.run_time.map(|span| span.as_duration()),
     });
-    let teams = catalog.teams.iter().map(|team| TeamQuota {
-        team: team.name.clone(),
-        weight: team.weight,
-        quota: team.quota,
-    });
+    let teams =
+        catalog.teams.iter().map(|team| TeamQuota { team: team.name.clone(), weight: team.weight, quota: team.quota });
     PolicyEvent::ConfigurationChanged {
         services: services.collect(),
         teams: teams.collect(),
--- a/crates/parsleywalkd/src/control/leader.rs
+++ b/crates/parsleywalkd/src/control/leader.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use parsleywalk_consensus::{LogIndex, LogTerm};
-use parsleywalk_control::{ControlCommand, ControlReply, ControlState, EvictionReason, LeaseSettings, LeaseTable, StateChange};
+use parsleywalk_control::{
+    ControlCommand, ControlReply, ControlState, EvictionReason, LeaseSettings, LeaseTable, StateChange,
+};
 use parsleywalk_scheduler::{EvictionCause, PolicyDecision, PolicySettings, SchedulerPolicy};
 use parsleywalk_units::{AttemptNumber, MonotonicTime, StateTime, TaskId, ThrottleLevel, WorkerId};
 
--- a/crates/parsleywalkd/src/control/mod.rs
+++ b/crates/parsleywalkd/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The thread that owns the replicated log, the control state and the scheduling policy.
 
 mod call;
+pub(crate) mod dump;
 mod event;
 mod feed;
 mod forwarded;
@@ -17,4 +18,4 @@
 pub(crate) use event::ControlEvent;
 pub(crate) use handle::ControlHandle;
 pub(crate) use storage::start as start_storage;
-pub(crate) use thread::{ControlLinks, ControlThread, EVENT_LIMIT, start};
+pub(crate) use thread::{ControlLinks, EVENT_LIMIT, start};
--- a/crates/parsleywalkd/src/control/report.rs
+++ b/crates/parsleywalkd/src/control/report.rs
@@ -44,11 +44,11 @@
     let renewed = plan.renews && duties.leases.renew(now, &report.worker);
     if renewed {
         duties.policy.observe(now, usage_event(now, report));
-        orders.extend(
-            duties
-                .throttles(state, &report.worker)
-                .map(|(task, attempt, level)| WorkerOrder::Throttle { task, attempt, level }),
-        );
+        orders.extend(duties.throttles(state, &report.worker).map(|(task, attempt, level)| WorkerOrder::Throttle {
+            task,
+            attempt,
+            level,
+        }));
     }
     let reply = WorkerReply {
         sequence: report.sequence,
--- a/crates/parsleywalkd/src/control/thread.rs
+++ b/crates/parsleywalkd/src/control/thread.rs
@@ -10,9 +10,9 @@
     ConsensusAction, ConsensusEvent, ConsensusMessage, ConsensusNode, EntryPayload, LogEntry, LogIndex, LogWrite,
     MembershipChange, ProposalId, ProposalRefusal, ReplicaId, ReplicaRole, WriteTicket,
 };
-use parsleywalk_control::{Applied, ControlCommand, ControlReply, ControlState, StateChange};
+use parsleywalk_control::{Applied, ControlCommand, ControlState, StateChange};
 use parsleywalk_peer::{PeerLane, PeerNetwork, ReceivedMessage};
-use parsleywalk_units::{MonotonicTime, StateTime, VmNumber};
+use parsleywalk_units::MonotonicTime;
 
 use super::call::{LeaderCall, LeaderReply};
 use super::event::ControlEvent;
@@ -113,7 +113,8 @@
 
     fn next_deadline(&self) -> MonotonicTime {
         let decision = self.duties.as_ref().filter(|duties| duties.ready).map(|duties| duties.next_decision);
-        let times = [Some(self.node.next_deadline()), Some(self.calls.next_deadline()), Some(self.next_progress), decision];
+        let times =
+            [Some(self.node.next_deadline()), Some(self.calls.next_deadline()), Some(self.next_progress), decision];
         times.into_iter().flatten().min().unwrap_or(MonotonicTime::ZERO)
     }
 
@@ -204,7 +205,8 @@
     }
 
     fn send(&self, to: ReplicaId, message: ConsensusMessage) {
-        let lane = if message.is_bulk() { PeerLane::Bulk } else { PeerLane::Control };
+        let lane =
+            if matches!(message, ConsensusMessage::SnapshotChunk { .. }) { PeerLane::Bulk } else { PeerLane::Control };
         let from = self.node.id();
         self.links.network.send(to.vm, lane, &DaemonMessage::Consensus { from, to, message });
     }
@@ -421,13 +423,7 @@
         }
     }
 
-    fn serve_report(
-        &mut self,
-        now: MonotonicTime,
-        reply_to: ReplyTo,
-        body: &[u8],
-        entries: Vec<std::net::SocketAddr>,
-    ) {
+    fn serve_report(&mut self, now: MonotonicTime, reply_to: ReplyTo, body: &[u8], entries: Vec<std::net::SocketAddr>) {
         let Some(duties) = &mut self.duties else { return };
         let Ok(parsed) = serde_json::from_slice(body) else {
             self.reply(now, reply_to, LeaderReply::Refused("malformed report".to_owned()));
@@ -464,15 +460,7 @@
         self.node.is_caught_up()
     }
 
-    pub(super) fn own_vm(&self) -> VmNumber {
-        self.settings.vm
-    }
-
     pub(super) fn now(&self) -> MonotonicTime {
         self.links.clock.now()
     }
-
-    pub(super) fn stamp_of_state(&self) -> StateTime {
-        self.state.now()
-    }
 }
--- a/crates/parsleywalkd/src/daemon.rs
+++ b/crates/parsleywalkd/src/daemon.rs
@@ -65,8 +65,11 @@
         let faults = vec!["data_folder: needed to initialise a replica".to_owned()];
         return Err(DaemonError::Settings { path: std::path::PathBuf::new(), faults });
     };
-    std::fs::create_dir_all(folder)
-        .map_err(|cause| DaemonError::File { step: "create data folder", path: folder.clone(), cause })?;
+    std::fs::create_dir_all(folder).map_err(|cause| DaemonError::File {
+        step: "create data folder",
+        path: folder.clone(),
+        cause,
+    })?;
     LogStore::init(folder, settings.vm, &settings.replicas)
         .map_err(|cause| DaemonError::Storage { step: "initialise log store", cause })
 }
@@ -103,8 +106,7 @@
         let router = RouterHandle::new(router_events.clone());
         // Opened first: a damaged store must stop the start before the daemon can be heard by anyone.
         let (node, store) = open_log(settings, clock, process, &control)?;
-        let (network, inbox) =
-            PeerNetwork::start(peer_settings).map_err(|cause| DaemonError::Peer { cause })?;
+        let (network, inbox) = PeerNetwork::start(peer_settings).map_err(|cause| DaemonError::Peer { cause })?;
         let network = Arc::new(network);
         let control_links = ControlLinks {
             clock,
@@ -115,8 +117,7 @@
             seed: process,
         };
         let control_thread = control::start(settings, control_links, node, control_queue)?;
-        let router_links =
-            RouterLinks { clock, control: control.clone(), network: Arc::clone(&network), process };
+        let router_links = RouterLinks { clock, control: control.clone(), network: Arc::clone(&network), process };
         router::start(settings, router_links, &router_events, router_queue)?;
         start_inbox(inbox, control.clone(), router.clone(), Arc::clone(&network))?;
         let draining = Arc::new(AtomicBool::new(false));
@@ -136,8 +137,14 @@
             zone_entries: zone_entries(settings),
         };
         let callers = CallerServer::start(own.callers, edge_context)?;
-        info!("event=started vm={} zone={} callers={} operators={} peers={}", settings.vm, own.zone, callers.address(),
-            operators.address(), network.address());
+        info!(
+            "event=started vm={} zone={} callers={} operators={} peers={}",
+            settings.vm,
+            own.zone,
+            callers.address(),
+            operators.address(),
+            network.address()
+        );
         Ok(Self {
             settings: settings.clone(),
             control,
--- a/crates/parsleywalkd/src/edge/caller.rs
+++ b/crates/parsleywalkd/src/edge/caller.rs
@@ -76,9 +76,8 @@
         self.stop.send_replace(true);
         let Some(runtime) = &self.runtime else { return };
         let all = u32::try_from(self.limit).unwrap_or(u32::MAX);
-        let closed = runtime.block_on(async {
-            tokio::time::timeout(timeout, self.connections.acquire_many(all)).await.is_ok()
-        });
+        let closed =
+            runtime.block_on(async { tokio::time::timeout(timeout, self.connections.acquire_many(all)).await.is_ok() });
         info!("event=caller_edge_stopped all_closed={closed}");
     }
 }
@@ -100,7 +99,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stop| *stop) => return,
+            () = stop_signal(&mut stopped) => return,
         };
         let Ok((socket, peer)) = accepted else {
             warn!("event=caller_accept_failed");
@@ -120,18 +119,18 @@
     }
 }
 
+/// Completes once the server stops.
+async fn stop_signal(stopped: &mut watch::Receiver<bool>) {
+    drop(stopped.wait_for(|stop| *stop).await);
+}
+
 async fn refuse(mut socket: TcpStream) {
     if tokio::time::timeout(Duration::from_secs(1), socket.write_all(FULL_ANSWER)).await.is_ok() {
         drop(socket.shutdown().await);
     }
 }
 
-async fn serve(
-    socket: TcpStream,
-    peer: SocketAddr,
-    context: Arc<EdgeContext>,
-    mut stopped: watch::Receiver<bool>,
-) {
+async fn serve(socket: TcpStream, peer: SocketAddr, context: Arc<EdgeContext>, mut stopped: watch::Receiver<bool>) {
     drop(socket.set_nodelay(true));
     let head_timeout = context.limits.head_timeout.as_duration();
     let service = service_fn(move |request: http::Request<Incoming>| {
@@ -145,7 +144,7 @@
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = stopped.wait_for(|stop| *stop) => {
+        () = stop_signal(&mut stopped) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/parsleywalkd/src/edge/operator.rs
+++ b/crates/parsleywalkd/src/edge/operator.rs
@@ -20,10 +20,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::control::{CallFailure, ControlHandle, LeaderCall, LeaderReply};
+use crate::control::{CallFailure, ControlHandle, LeaderCall, LeaderReply, dump};
 use crate::metrics::DaemonMetrics;
 use crate::router::RouterHandle;
-use crate::{DaemonError, Result, dump};
+use crate::{DaemonError, Result};
 
 /// The largest body of an operator's call: a configuration text and its JSON.
 const BODY_LIMIT: u64 = 4 * 1024 * 1024;
@@ -72,7 +72,8 @@
 
 impl Drop for OperatorServer {
     fn drop(&mut self) {
-        drop(self.stop.send(()));
+        // An error of either says that the server has ended already.
+        self.stop.send(()).ok();
         if let Some(thread) = self.thread.take() {
             drop(thread.join());
         }
@@ -120,7 +121,9 @@
     let bad = |reason: String| refusal(400, &Refusal::not_run(reason));
     let data = request.data().ok_or_else(|| bad("the body was already read".to_owned()))?;
     let mut body = Vec::new();
-    data.take(BODY_LIMIT + 1).read_to_end(&mut body).map_err(|error| bad(format!("the body can't be read: {error}")))?;
+    data.take(BODY_LIMIT + 1)
+        .read_to_end(&mut body)
+        .map_err(|error| bad(format!("the body can't be read: {error}")))?;
     if body.len() as u64 > BODY_LIMIT {
         return Err(refusal(413, &Refusal::not_run(format!("the body is larger than {BODY_LIMIT} bytes"))));
     }
@@ -159,7 +162,8 @@
         return refusal(503, &Refusal::not_run("the control thread does not answer"));
     };
     if let Some(router) = router {
-        status.endpoints = u32::try_from(router.endpoints.len()).unwrap_or(u32::MAX);
+        let endpoints: usize = router.services.iter().map(|service| service.endpoints.len()).sum();
+        status.endpoints = u32::try_from(endpoints).unwrap_or(u32::MAX);
         status.requests = u32::try_from(router.in_progress).unwrap_or(u32::MAX);
     }
     json(200, &status)
@@ -189,7 +193,7 @@
     let catalog = match Catalog::parse(&apply.text) {
         Ok(catalog) => catalog,
         Err(errors) => {
-            let details = errors.iter().map(ToString::to_string).collect();
+            let details = errors.errors().iter().map(ToString::to_string).collect();
             let body = Refusal { details, ..Refusal::not_run("the configuration is not valid") };
             return refusal(422, &body);
         }
--- a/crates/parsleywalkd/src/edge/reply.rs
+++ b/crates/parsleywalkd/src/edge/reply.rs
@@ -53,9 +53,7 @@
             let wait = retry_after.map_or(DEFAULT_RETRY, span);
             refusal(StatusCode::SERVICE_UNAVAILABLE, &Refusal::not_run(reason.to_string()).with_retry_after(wait))
         }
-        RouteAnswer::Unknown { reason } => {
-            refusal(StatusCode::GATEWAY_TIMEOUT, &Refusal::unknown(reason.to_string()))
-        }
+        RouteAnswer::Unknown { reason } => refusal(StatusCode::GATEWAY_TIMEOUT, &Refusal::unknown(reason.to_string())),
     }
 }
 
--- a/crates/parsleywalkd/src/edge/routes.rs
+++ b/crates/parsleywalkd/src/edge/routes.rs
@@ -7,9 +7,7 @@
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use parsleywalk_api::{
-    AnnounceReply, AnnounceRequest, JobSubmission, Refusal, WorkerReport, headers,
-};
+use parsleywalk_api::{AnnounceReply, AnnounceRequest, JobSubmission, Refusal, WorkerReport, headers};
 use parsleywalk_control::{ControlCommand, ControlReply, JobSpec};
 use parsleywalk_routing::RouteAnswer;
 use parsleywalk_units::{CallerName, IdempotencyKey, JobKey, ServiceName, StateTime};
@@ -160,7 +158,10 @@
         Err(refusal) => return refusal,
     };
     if submission.arguments.len() > ARGUMENTS_LIMIT {
-        return reply::bad_request(format!("arguments: {} bytes, permitted are {ARGUMENTS_LIMIT}", submission.arguments.len()));
+        return reply::bad_request(format!(
+            "arguments: {} bytes, permitted are {ARGUMENTS_LIMIT}",
+            submission.arguments.len()
+        ));
     }
     let job = JobSpec {
         service: submission.service,
--- a/crates/parsleywalkd/src/lib.rs
+++ b/crates/parsleywalkd/src/lib.rs
@@ -15,7 +15,6 @@
 mod clock;
 mod control;
 mod daemon;
-mod dump;
 mod edge;
 mod error;
 mod logging;
--- a/crates/parsleywalkd/src/logging.rs
+++ b/crates/parsleywalkd/src/logging.rs
@@ -12,8 +12,8 @@
 /// Returns an error when the log file can't be opened or a logger is already set.
 pub fn start_logging(settings: &LogSettings) -> Result<()> {
     let level = settings.level.parse().unwrap_or(log::LevelFilter::Info);
-    let dispatch = fern::Dispatch::new().level(level).level_for("h2", log::LevelFilter::Warn).format(
-        |out, message, record| {
+    let dispatch =
+        fern::Dispatch::new().level(level).level_for("h2", log::LevelFilter::Warn).format(|out, message, record| {
             let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
             out.finish(format_args!(
                 "time={}.{:03} level={} module={} {message}",
@@ -22,16 +22,16 @@
                 record.level().as_str().to_lowercase(),
                 record.target(),
             ));
-        },
-    );
+        });
     let dispatch = match &settings.file {
-        Some(path) => dispatch.chain(
-            fern::log_file(path).map_err(|cause| DaemonError::File { step: "open log", path: path.clone(), cause })?,
-        ),
+        Some(path) => dispatch.chain(fern::log_file(path).map_err(|cause| DaemonError::File {
+            step: "open log",
+            path: path.clone(),
+            cause,
+        })?),
         None => dispatch.chain(std::io::stderr()),
     };
-    dispatch.apply().map_err(|cause| DaemonError::Thread {
-        step: "start logging",
-        cause: std::io::Error::other(cause.to_string()),
-    })
+    dispatch
+        .apply()
+        .map_err(|cause| DaemonError::Thread { step: "start logging", cause: std::io::Error::other(cause.to_string()) })
 }
--- a/crates/parsleywalkd/src/main.rs
+++ b/crates/parsleywalkd/src/main.rs
@@ -1,6 +1,6 @@
 //! The daemon's command line.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
@@ -76,6 +76,11 @@
     DaemonSettings::load(path).map_err(|error| error.to_string())
 }
 
+/// Whether nothing was ever written to the folder. A folder with a damaged log is not empty.
+fn is_empty(folder: &Path) -> bool {
+    std::fs::read_dir(folder).map_or(true, |mut files| files.next().is_none())
+}
+
 fn run(arguments: &DaemonArguments, settings: &DaemonSettings) -> parsleywalkd::Result<()> {
     if matches!(arguments.command, Some(DaemonCommand::Init)) {
         let replica = initialise(settings)?;
@@ -84,7 +89,7 @@
     }
     start_logging(&settings.log)?;
     if let Some(folder) = &arguments.standalone
-        && !folder.join(parsleywalkd::LOG_FILE).exists()
+        && is_empty(folder)
     {
         initialise(settings)?;
     }
--- a/crates/parsleywalkd/src/metrics.rs
+++ b/crates/parsleywalkd/src/metrics.rs
@@ -28,7 +28,6 @@
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
-            .without_scope_info()
             .without_target_info()
             .build()
             .expect("a new registry has no conflicting collectors");
@@ -36,7 +35,10 @@
         let meter = provider.meter("parsleywalk");
         Self {
             registry,
-            requests: meter.u64_counter("parsleywalk_requests").with_description("Requests answered, by outcome").build(),
+            requests: meter
+                .u64_counter("parsleywalk_requests")
+                .with_description("Requests answered, by outcome")
+                .build(),
             durations: meter
                 .f64_histogram("parsleywalk_request_duration")
                 .with_description("Time from a request's arrival to its answer")
@@ -44,7 +46,10 @@
                 .with_boundaries(DURATION_BOUNDS.to_vec())
                 .build(),
             refusals: meter.u64_counter("parsleywalk_refusals").with_description("Calls refused at the edge").build(),
-            reports: meter.u64_counter("parsleywalk_worker_reports").with_description("Worker reports answered").build(),
+            reports: meter
+                .u64_counter("parsleywalk_worker_reports")
+                .with_description("Worker reports answered")
+                .build(),
             commands: meter
                 .u64_counter("parsleywalk_commands")
                 .with_description("Commands applied to the replicated state, by outcome")
--- a/crates/parsleywalkd/src/router/thread.rs
+++ b/crates/parsleywalkd/src/router/thread.rs
@@ -9,8 +9,8 @@
 use parsleywalk_control::{ControlCommand, ControlReply};
 use parsleywalk_peer::{PeerLane, PeerNetwork};
 use parsleywalk_routing::{
-    BodyDigest, ClaimDecision, DispatchResult, EndpointAnnouncement, HeldState, RequestArrival, RequestRouter, RouteAction,
-    RouteAnswer, RouteReason, RouterSettings, RouterStatus, ServiceRoute,
+    BodyDigest, ClaimDecision, DispatchResult, EndpointAnnouncement, HeldState, RequestArrival, RequestRouter,
+    RouteAction, RouteAnswer, RouteReason, RouterSettings, RouterStatus, ServiceRoute,
 };
 use parsleywalk_units::{
     ClaimId, ClaimOutcome, DispatchId, MonotonicTime, RequestId, RequestKey, StateTime, TimeSpan, VmNumber,
@@ -148,7 +148,7 @@
             RouterEvent::Announce { announcement, done } => {
                 let actions = self.router.announce(now, announcement);
                 if let Some(done) = done {
-                    drop(done.send(()));
+                    done.send(()).ok();
                 }
                 actions
             }
--- a/crates/parsleywalkd/src/settings.rs
+++ b/crates/parsleywalkd/src/settings.rs
@@ -147,12 +147,8 @@
 
     /// Resolves relative paths against the folder of the settings file, so that a daemon can be started from anywhere.
     fn relative_to(mut self, folder: &Path) -> Self {
-        let paths = [
-            &mut self.data_folder,
-            &mut self.peer_token_file,
-            &mut self.operator_token_file,
-            &mut self.log.file,
-        ];
+        let paths =
+            [&mut self.data_folder, &mut self.peer_token_file, &mut self.operator_token_file, &mut self.log.file];
         for path in paths.into_iter().flatten() {
             *path = folder.join(&path);
         }
--- a/crates/parsleywalkd/tests/common/mod.rs
+++ b/crates/parsleywalkd/tests/common/mod.rs
@@ -18,10 +18,10 @@
 use tempfile::TempDir;
 
 /// The longest wait for any condition. It is far above what a loaded machine needs.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
 
 /// The operators' text that most tests use.
-pub const CATALOG: &str = "
+pub(crate) const CATALOG: &str = "
 version: 1
 objective: { batch_throughput: 0.5, service_latency: 0.5 }
 teams:
@@ -33,9 +33,9 @@
 
 /// One daemon's process.
 #[derive(Debug)]
-pub struct Process {
-    pub vm: u16,
-    pub zone: String,
+pub(crate) struct Process {
+    pub(crate) vm: u16,
+    pub(crate) zone: String,
     settings: PathBuf,
     child: Option<Child>,
     ip: String,
@@ -43,15 +43,15 @@
 
 /// The daemons of one deployment, and their folder.
 #[derive(Debug)]
-pub struct Deployment {
-    pub folder: TempDir,
-    pub processes: Vec<Process>,
+pub(crate) struct Deployment {
+    pub(crate) folder: TempDir,
+    pub(crate) processes: Vec<Process>,
 }
 
 impl Deployment {
     /// Writes settings, initialises the replicas and starts every daemon. `test` must differ between the tests of one
     /// process, since each gets addresses of its own.
-    pub fn start(test: u8, zones: &[&str], replicas: &[u16]) -> Self {
+    pub(crate) fn start(test: u8, zones: &[&str], replicas: &[u16]) -> Self {
         let deployment = Self::prepare(test, zones, replicas);
         deployment.started()
     }
@@ -64,7 +64,7 @@
     }
 
     /// Writes settings and initialises the replicas.
-    pub fn prepare(test: u8, zones: &[&str], replicas: &[u16]) -> Self {
+    pub(crate) fn prepare(test: u8, zones: &[&str], replicas: &[u16]) -> Self {
         let folder = TempDir::new().expect("a temporary folder");
         fs::write(folder.path().join("peer.token"), "peer").expect("a token file");
         let pid = std::process::id();
@@ -94,24 +94,24 @@
         deployment
     }
 
-    pub fn process(&mut self, vm: u16) -> &mut Process {
+    pub(crate) fn process(&mut self, vm: u16) -> &mut Process {
         &mut self.processes[usize::from(vm) - 1]
     }
 
-    pub fn callers(&self, vm: u16) -> SocketAddr {
+    pub(crate) fn callers(&self, vm: u16) -> SocketAddr {
         self.processes[usize::from(vm) - 1].address(7000)
     }
 
-    pub fn operators(&self, vm: u16) -> SocketAddr {
+    pub(crate) fn operators(&self, vm: u16) -> SocketAddr {
         self.processes[usize::from(vm) - 1].address(7001)
     }
 
-    pub fn all_callers(&self) -> Vec<SocketAddr> {
+    pub(crate) fn all_callers(&self) -> Vec<SocketAddr> {
         self.processes.iter().map(|process| process.address(7000)).collect()
     }
 
     /// Waits until every running daemon takes callers.
-    pub fn wait_ready(&self) {
+    pub(crate) fn wait_ready(&self) {
         for process in self.processes.iter().filter(|process| process.child.is_some()) {
             let url = format!("http://{}/readyz", process.address(7001));
             wait_until("readiness", || attohttpc::get(&url).send().is_ok_and(|response| response.is_success()));
@@ -119,28 +119,28 @@
     }
 
     /// Applies a configuration through a daemon and waits until every daemon has it.
-    pub fn apply(&self, vm: u16, operation: &str, text: &str) -> OperationReply {
+    pub(crate) fn apply(&self, vm: u16, operation: &str, text: &str) -> OperationReply {
         let body = ConfigurationApply { operation: id(operation), text: text.to_owned() };
         let reply = post::<_, OperationReply>(self.operators(vm), "/v1/configuration", &body);
         reply.unwrap_or_else(|refusal| panic!("configuration refused: {refusal:?}"))
     }
 
-    pub fn zone(&self, vm: u16, operation: &str, zone: &str, direction: ZoneDirection) -> OperationReply {
+    pub(crate) fn zone(&self, vm: u16, operation: &str, zone: &str, direction: ZoneDirection) -> OperationReply {
         let body = ZoneCommand { operation: id(operation), direction };
         let reply = post::<_, OperationReply>(self.operators(vm), &format!("/v1/zones/{zone}"), &body);
         reply.unwrap_or_else(|refusal| panic!("zone command refused: {refusal:?}"))
     }
 
-    pub fn status(&self, vm: u16) -> Option<SystemStatus> {
+    pub(crate) fn status(&self, vm: u16) -> Option<SystemStatus> {
         get(self.operators(vm), "/v1/status").ok()
     }
 
     /// The VM that leads, as the daemon on `vm` sees it.
-    pub fn leader(&self, vm: u16) -> Option<u16> {
+    pub(crate) fn leader(&self, vm: u16) -> Option<u16> {
         self.status(vm)?.leader.map(parsleywalk_units::VmNumber::get)
     }
 
-    pub fn submit(&self, vm: u16, job: &str, count: u32) -> Result<JobStatus, Refusal> {
+    pub(crate) fn submit(&self, vm: u16, job: &str, count: u32) -> Result<JobStatus, Refusal> {
         let submission = JobSubmission {
             job: job.parse().expect("a job key"),
             service: "ledgers".parse().expect("a service name"),
@@ -152,12 +152,12 @@
         post(self.callers(vm), "/v1/jobs", &submission)
     }
 
-    pub fn job(&self, vm: u16, job: &str) -> Option<JobStatus> {
+    pub(crate) fn job(&self, vm: u16, job: &str) -> Option<JobStatus> {
         get(self.callers(vm), &format!("/v1/jobs/{job}")).ok()
     }
 
     /// What the daemon on `vm` has logged.
-    pub fn log(&self, vm: u16) -> String {
+    pub(crate) fn log(&self, vm: u16) -> String {
         fs::read_to_string(self.folder.path().join(format!("vm{vm}.log"))).unwrap_or_default()
     }
 }
@@ -169,17 +169,17 @@
         command
     }
 
-    pub fn initialise(&self) {
+    pub(crate) fn initialise(&self) {
         let status = self.command().arg("init").status().expect("the daemon's binary");
         assert!(status.success(), "init of vm {} failed", self.vm);
     }
 
-    pub fn start(&mut self) {
+    pub(crate) fn start(&mut self) {
         self.child = Some(self.command().spawn().expect("the daemon's binary"));
     }
 
     /// Kills the process as a crash would.
-    pub fn kill(&mut self) {
+    pub(crate) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             drop(child.kill());
             drop(child.wait());
@@ -187,29 +187,29 @@
     }
 
     /// Sends a signal by name, such as `STOP`, `CONT` or `TERM`.
-    pub fn signal(&self, signal: &str) {
+    pub(crate) fn signal(&self, signal: &str) {
         let child = self.child.as_ref().expect("a running process");
         let status = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
         assert!(status.expect("the kill command").success());
     }
 
     /// Waits for the process to end by itself and returns its exit code.
-    pub fn wait(&mut self) -> Option<i32> {
+    pub(crate) fn wait(&mut self) -> Option<i32> {
         let mut child = self.child.take()?;
         child.wait().expect("a child process").code()
     }
 
     /// Loses the disk: the data folder is emptied.
-    pub fn lose_disk(&self) {
+    pub(crate) fn lose_disk(&self) {
         let folder = self.settings.with_file_name(format!("data{}", self.vm));
         fs::remove_dir_all(folder).expect("a data folder");
     }
 
-    pub fn address(&self, port: u16) -> SocketAddr {
+    pub(crate) fn address(&self, port: u16) -> SocketAddr {
         format!("{}:{port}", self.ip).parse().expect("an address")
     }
 
-    pub fn settings(&self) -> &Path {
+    pub(crate) fn settings(&self) -> &Path {
         &self.settings
     }
 }
@@ -220,12 +220,12 @@
     }
 }
 
-pub fn id(text: &str) -> OperationId {
+pub(crate) fn id(text: &str) -> OperationId {
     text.parse().expect("an operation id")
 }
 
 /// Waits until a condition holds.
-pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+pub(crate) fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let end = Instant::now() + PATIENCE;
     while !condition() {
         assert!(Instant::now() < end, "timed out waiting for {what}");
@@ -233,11 +233,11 @@
     }
 }
 
-pub fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, Refusal> {
+pub(crate) fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, Refusal> {
     read(attohttpc::get(format!("http://{address}{path}")).timeout(Duration::from_secs(20)).send())
 }
 
-pub fn post<B: Serialize, T: DeserializeOwned>(address: SocketAddr, path: &str, body: &B) -> Result<T, Refusal> {
+pub(crate) fn post<B: Serialize, T: DeserializeOwned>(address: SocketAddr, path: &str, body: &B) -> Result<T, Refusal> {
     let request = attohttpc::post(format!("http://{address}{path}")).timeout(Duration::from_secs(20));
     let body = serde_json::to_vec(body).expect("a JSON body");
     read(request.header("Content-Type", "application/json").bytes(body).send())
--- a/crates/parsleywalkd/tests/thin_path.rs
+++ b/crates/parsleywalkd/tests/thin_path.rs
@@ -39,9 +39,7 @@
     })
     .unwrap();
     let url = format!("http://{}/v1/services/quotes/requests", deployment.callers(1));
-    wait_until("the endpoint's announcement", || {
-        deployment.status(1).is_some_and(|status| status.endpoints == 1)
-    });
+    wait_until("the endpoint's announcement", || deployment.status(1).is_some_and(|status| status.endpoints == 1));
     let response = attohttpc::post(&url).header(headers::IDEMPOTENCY_KEY, "quote-1").text("a rib").send().unwrap();
     assert_eq!(response.status().as_u16(), 200);
     assert_eq!(response.text().unwrap(), "a rib");
