--- /dev/null
+++ b/crates/parsleywalk-consensus/src/history.rs
@@ -0,0 +1,99 @@
+//! The memberships in the log.
+
+use crate::{LogIndex, ReplicaId, ReplicaSet};
+
+/// The memberships from the one in force at the log's base on, each with the index of its entry.
+#[derive(Debug)]
+pub(crate) struct MembershipHistory {
+    sets: Vec<(LogIndex, ReplicaSet)>,
+    /// The first index from which a single set decides; the newest set decides alone once it is committed.
+    commit: LogIndex,
+}
+
+impl MembershipHistory {
+    pub(crate) fn new(index: LogIndex, set: ReplicaSet) -> Self {
+        Self { sets: vec![(index, set)], commit: index }
+    }
+
+    pub(crate) fn push(&mut self, index: LogIndex, set: ReplicaSet) {
+        assert!(index > self.newest_index(), "memberships must be in log order");
+        self.sets.push((index, set));
+    }
+
+    pub(crate) fn truncate_from(&mut self, index: LogIndex) {
+        let keep = self.sets.partition_point(|(at, _)| *at < index).max(1);
+        self.sets.truncate(keep);
+    }
+
+    /// Forgets the sets before the one in force at the index.
+    pub(crate) fn trim_to(&mut self, index: LogIndex) {
+        let drop = self.sets.partition_point(|(at, _)| *at <= index).saturating_sub(1);
+        self.sets.drain(..drop);
+    }
+
+    pub(crate) fn set_commit(&mut self, commit: LogIndex) {
+        self.commit = commit;
+    }
+
+    pub(crate) fn newest_index(&self) -> LogIndex {
+        self.sets.last().map_or(LogIndex::ZERO, |(index, _)| *index)
+    }
+
+    pub(crate) fn newest(&self) -> &ReplicaSet {
+        &self.sets[self.sets.len() - 1].1
+    }
+
+    /// Returns the set before the newest one while both must agree.
+    pub(crate) fn outgoing(&self) -> Option<&ReplicaSet> {
+        let pending = self.newest_index() > self.commit;
+        if pending { self.sets.len().checked_sub(2).map(|at| &self.sets[at].1) } else { None }
+    }
+
+    pub(crate) fn is_pending(&self) -> bool {
+        self.newest_index() > self.commit
+    }
+
+    /// Returns the newest set if it is committed and no entry in the log is known to tell so.
+    ///
+    /// An equal set that follows in the log is such an entry: a leader appends it only after the first is committed.
+    pub(crate) fn unconfirmed(&self) -> Option<&ReplicaSet> {
+        let confirmed = match self.sets.as_slice() {
+            [.., (_, before), (_, set)] => before.voters().is_empty() || before == set,
+            _ => false,
+        };
+        (!self.is_pending() && !confirmed).then(|| self.newest())
+    }
+
+    /// Returns the set in force at the index.
+    pub(crate) fn at(&self, index: LogIndex) -> &ReplicaSet {
+        let position = self.sets.partition_point(|(at, _)| *at <= index).saturating_sub(1);
+        &self.sets[position].1
+    }
+
+    /// Returns every replica whose vote or acknowledgement may count.
+    pub(crate) fn voters(&self) -> Vec<ReplicaId> {
+        let mut voters = self.newest().voters().to_vec();
+        if let Some(set) = self.outgoing() {
+            voters.extend_from_slice(set.voters());
+            voters.sort_unstable();
+            voters.dedup();
+        }
+        voters
+    }
+
+    pub(crate) fn is_voter(&self, replica: ReplicaId) -> bool {
+        self.newest().contains(replica) || self.outgoing().is_some_and(|set| set.contains(replica))
+    }
+
+    /// Tells whether a majority of the newest set, and of the outgoing one while there is one, satisfies the predicate.
+    pub(crate) fn has_quorum(&self, predicate: impl Fn(ReplicaId) -> bool) -> bool {
+        self.newest().has_quorum(&predicate) && self.outgoing().is_none_or(|set| set.has_quorum(&predicate))
+    }
+
+    /// Returns the largest value that such majorities have reached, or `None` without voters.
+    pub(crate) fn quorum_value<T: Ord + Copy>(&self, value: impl Fn(ReplicaId) -> T) -> Option<T> {
+        let newest = self.newest().quorum_value(&value)?;
+        let outgoing = self.outgoing().and_then(|set| set.quorum_value(&value));
+        Some(outgoing.map_or(newest, |outgoing| newest.min(outgoing)))
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-consensus/src/node/follower.rs
@@ -0,0 +1,104 @@
+//! Following a leader.
+
+use super::ConsensusNode;
+use crate::{ConsensusMessage, EntryPayload, LogEntry, LogIndex, LogTerm, LogWrite, ReplicaId, ReplicaRole};
+
+impl ConsensusNode {
+    /// Follows the sender of a leader's message, or answers a deposed one; tells whether to go on.
+    pub(super) fn accept_leader(&mut self, from: ReplicaId, term: LogTerm) -> bool {
+        if term < self.term {
+            let message = ConsensusMessage::HeartbeatReply { term: self.term, round: 0 };
+            self.send_after_hard_state(from, message);
+            return false;
+        }
+        self.follow(term, Some(from));
+        self.hear_leader();
+        true
+    }
+
+    pub(super) fn on_heartbeat(&mut self, from: ReplicaId, term: LogTerm, round: u64, commit: LogIndex) {
+        if !self.accept_leader(from, term) {
+            return;
+        }
+        self.leader_commit = self.leader_commit.max(commit);
+        // The leader names no index beyond what this replica is known to hold in this term.
+        self.advance_commit(commit.min(self.log.last_index()));
+        self.send_after_hard_state(from, ConsensusMessage::HeartbeatReply { term, round });
+    }
+
+    pub(super) fn on_append(&mut self, from: ReplicaId, message: ConsensusMessage) {
+        let ConsensusMessage::Append { term, previous_index, previous_term, commit, entries } = message else { return };
+        if !self.accept_leader(from, term) {
+            return;
+        }
+        self.leader_commit = self.leader_commit.max(commit);
+        let last = entries.last().map_or(previous_index, |entry| entry.index);
+        // Everything up to the base is committed and therefore equal to the leader's.
+        if previous_index >= self.log.base_index() && self.log.term_at(previous_index) != Some(previous_term) {
+            let hint = self.mismatch_hint(previous_index);
+            return self.send(from, ConsensusMessage::Mismatch { term, refused: previous_index, hint });
+        }
+        let base = self.log.base_index();
+        self.store_entries(entries.into_iter().filter(|entry| entry.index > base).collect());
+        self.advance_commit(commit.min(last));
+        self.send_after_writes(from, ConsensusMessage::Appended { term, matched: last });
+    }
+
+    /// Returns the last index that may match: before the run of entries of the refused entry's term.
+    fn mismatch_hint(&self, refused: LogIndex) -> LogIndex {
+        let Some(term) = self.log.term_at(refused) else { return self.log.last_index() };
+        let mut hint = refused.previous();
+        while hint > self.commit && self.log.term_at(hint) == Some(term) {
+            hint = hint.previous();
+        }
+        hint.max(self.commit)
+    }
+
+    fn store_entries(&mut self, entries: Vec<LogEntry>) {
+        let mut write = LogWrite::default();
+        for entry in entries {
+            match self.log.term_at(entry.index) {
+                Some(term) if term == entry.term => continue,
+                Some(_) => {
+                    self.truncate_from(entry.index);
+                    write.truncate_from = Some(entry.index);
+                }
+                None => {}
+            }
+            self.append_entry(entry.clone());
+            write.entries.push(entry);
+        }
+        if !write.entries.is_empty() {
+            self.persist(write, Vec::new());
+            self.settle_role();
+        }
+    }
+
+    pub(super) fn append_entry(&mut self, entry: LogEntry) {
+        if let EntryPayload::Membership(set) = &entry.payload {
+            self.history.push(entry.index, set.clone());
+        }
+        self.log.append(entry);
+    }
+
+    fn truncate_from(&mut self, index: LogIndex) {
+        assert!(index > self.commit, "a committed entry cannot be overwritten");
+        assert!(self.role != ReplicaRole::Leader, "a leader does not overwrite its log");
+        self.log.truncate_from(index);
+        self.history.truncate_from(index);
+    }
+
+    pub(super) fn advance_commit(&mut self, commit: LogIndex) {
+        if commit <= self.commit {
+            return;
+        }
+        let pending = self.history.is_pending();
+        self.commit = commit;
+        self.history.set_commit(commit);
+        if pending && !self.history.is_pending() {
+            // Remembers on disk that the outgoing voters are no longer needed, since they may be gone for good.
+            self.persist_hard_state(Vec::new());
+            self.settle_role();
+        }
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-consensus/src/node/snapshot.rs
@@ -0,0 +1,141 @@
+//! Snapshots: taking, trimming, handing over and installing.
+
+use std::sync::Arc;
+
+use super::{ConsensusNode, IncomingSnapshot};
+use crate::history::MembershipHistory;
+use crate::progress::TransferMode;
+use crate::window::LogWindow;
+use crate::{
+    ConsensusAction, ConsensusMessage, LogIndex, LogSnapshot, LogTerm, LogWrite, ReplicaId, ReplicaRole, ReplicaSet,
+};
+
+impl ConsensusNode {
+    fn snapshot_index(&self) -> LogIndex {
+        self.snapshot.as_ref().map_or(LogIndex::ZERO, |snapshot| snapshot.index)
+    }
+
+    pub(super) fn ask_for_snapshot(&mut self) {
+        let since = self.applied.get().saturating_sub(self.snapshot_index().get());
+        if since >= self.settings.snapshot_entries && self.snapshot_asked.is_none() {
+            self.snapshot_asked = Some(self.applied);
+            self.actions.push(ConsensusAction::TakeSnapshot { index: self.applied });
+        }
+    }
+
+    pub(super) fn snapshot_taken(&mut self, index: LogIndex, payload: Vec<u8>) {
+        if self.snapshot_asked == Some(index) {
+            self.snapshot_asked = None;
+        }
+        assert!(index <= self.applied, "a snapshot cannot hold more than was applied");
+        // A snapshot from the leader may have overtaken the one that was asked for.
+        if index <= self.snapshot_index() {
+            return;
+        }
+        let Some(term) = self.log.term_at(index) else { return };
+        let members = self.history.at(index).clone();
+        let snapshot = LogSnapshot { index, term, members, payload: Arc::new(payload) };
+        let trim_to = LogIndex::new(index.get().saturating_sub(self.settings.tail_entries));
+        self.snapshot = Some(snapshot.clone());
+        self.log.trim_to(trim_to);
+        self.history.trim_to(trim_to);
+        let write = LogWrite { snapshot: Some(snapshot), trim_to: Some(trim_to), ..LogWrite::default() };
+        self.persist(write, Vec::new());
+    }
+
+    /// Turns to handing over the snapshot; tells whether there is something to send.
+    pub(super) fn start_snapshot(&mut self, position: usize) -> bool {
+        let Some(snapshot) = self.snapshot.clone() else { return false };
+        self.peers[position].mode = TransferMode::Snapshot { snapshot, offset: 0, sent: None };
+        true
+    }
+
+    pub(super) fn send_chunk(&mut self, position: usize) -> bool {
+        let (now, resend) = (self.now, self.settings.resend_after);
+        let chunk = self.settings.snapshot_chunk;
+        let term = self.term;
+        let peer = &mut self.peers[position];
+        let TransferMode::Snapshot { snapshot, offset, sent } = &mut peer.mode else { return false };
+        if sent.is_some_and(|sent| now < sent + resend) {
+            return false;
+        }
+        *sent = Some(now);
+        let start = usize::try_from(*offset).unwrap_or(usize::MAX).min(snapshot.payload.len());
+        let end = start.saturating_add(chunk).min(snapshot.payload.len());
+        let message = ConsensusMessage::SnapshotChunk {
+            term,
+            index: snapshot.index,
+            index_term: snapshot.term,
+            members: snapshot.members.clone(),
+            length: snapshot.payload.len() as u64,
+            offset: *offset,
+            part: snapshot.payload[start..end].to_vec(),
+        };
+        let to = peer.id;
+        self.send(to, message);
+        false
+    }
+
+    pub(super) fn on_snapshot_wanted(&mut self, from: ReplicaId, term: LogTerm, index: LogIndex, offset: u64) {
+        if self.role != ReplicaRole::Leader || term != self.term {
+            return;
+        }
+        let Some(peer) = self.peer(from) else { return };
+        if let TransferMode::Snapshot { snapshot, offset: next, sent } = &mut peer.mode
+            && snapshot.index == index
+            && *next != offset
+            && offset <= snapshot.payload.len() as u64
+        {
+            *next = offset;
+            *sent = None;
+        }
+    }
+
+    pub(super) fn on_snapshot_chunk(&mut self, from: ReplicaId, message: ConsensusMessage) {
+        let ConsensusMessage::SnapshotChunk { term, index, index_term, members, length, offset, part } = message else {
+            return;
+        };
+        if !self.accept_leader(from, term) {
+            return;
+        }
+        self.leader_commit = self.leader_commit.max(index);
+        if index <= self.commit {
+            return self.send_after_writes(from, ConsensusMessage::Appended { term, matched: index });
+        }
+        let current = self.incoming.as_ref().is_some_and(|held| (held.index, held.term) == (index, index_term));
+        if !current {
+            self.incoming = Some(IncomingSnapshot { index, term: index_term, payload: Vec::new() });
+        }
+        let Some(incoming) = &mut self.incoming else { return };
+        if offset == incoming.payload.len() as u64 {
+            incoming.payload.extend_from_slice(&part);
+        }
+        let held = incoming.payload.len() as u64;
+        if held < length {
+            return self.send(from, ConsensusMessage::SnapshotWanted { term, index, offset: held });
+        }
+        let payload = self.incoming.take().map(|incoming| incoming.payload).unwrap_or_default();
+        self.install(LogSnapshot { index, term: index_term, members, payload: Arc::new(payload) });
+        self.send_after_writes(from, ConsensusMessage::Appended { term, matched: index });
+    }
+
+    fn install(&mut self, snapshot: LogSnapshot) {
+        let LogSnapshot { index, term, .. } = snapshot;
+        if self.log.term_at(index) == Some(term) {
+            // The log already holds what the snapshot covers.
+            return self.advance_commit(index);
+        }
+        assert!(index > self.commit, "a snapshot cannot take back committed entries");
+        let members: ReplicaSet = snapshot.members.clone();
+        self.log = LogWindow::new(index, term);
+        self.history = MembershipHistory::new(index, members);
+        self.commit = index;
+        self.applied = index;
+        self.snapshot_asked = None;
+        self.actions.push(ConsensusAction::InstallSnapshot { index, payload: snapshot.payload.clone() });
+        self.snapshot = Some(snapshot.clone());
+        let write = LogWrite { snapshot: Some(snapshot), truncate_from: Some(LogIndex::new(1)), ..LogWrite::default() };
+        self.persist(write, Vec::new());
+        self.settle_role();
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-consensus/src/window.rs
@@ -0,0 +1,81 @@
+//! The part of the log that is held in memory.
+
+use std::collections::VecDeque;
+
+use crate::{LogEntry, LogIndex, LogTerm};
+
+/// Consecutive entries after a base entry of which only index and term are known.
+#[derive(Debug, Default)]
+pub(crate) struct LogWindow {
+    base_index: LogIndex,
+    base_term: LogTerm,
+    entries: VecDeque<LogEntry>,
+}
+
+impl LogWindow {
+    pub(crate) fn new(base_index: LogIndex, base_term: LogTerm) -> Self {
+        Self { base_index, base_term, entries: VecDeque::new() }
+    }
+
+    pub(crate) fn base_index(&self) -> LogIndex {
+        self.base_index
+    }
+
+    pub(crate) fn last_index(&self) -> LogIndex {
+        self.entries.back().map_or(self.base_index, |entry| entry.index)
+    }
+
+    pub(crate) fn last_term(&self) -> LogTerm {
+        self.entries.back().map_or(self.base_term, |entry| entry.term)
+    }
+
+    /// Returns the term at the index, or `None` if it is trimmed or not yet present.
+    pub(crate) fn term_at(&self, index: LogIndex) -> Option<LogTerm> {
+        if index == self.base_index { Some(self.base_term) } else { self.get(index).map(|entry| entry.term) }
+    }
+
+    pub(crate) fn get(&self, index: LogIndex) -> Option<&LogEntry> {
+        self.entries.get(self.position(index)?)
+    }
+
+    /// Copies entries from the index on, up to `end`, until they exceed `limit` bytes; the first is always included.
+    pub(crate) fn batch(&self, from: LogIndex, end: LogIndex, limit: usize) -> Vec<LogEntry> {
+        let Some(start) = self.position(from) else { return Vec::new() };
+        let mut bytes = 0;
+        let mut batch = Vec::new();
+        for entry in self.entries.range(start.min(self.entries.len())..) {
+            bytes += entry.size();
+            if entry.index > end || (bytes > limit && !batch.is_empty()) {
+                break;
+            }
+            batch.push(entry.clone());
+        }
+        batch
+    }
+
+    pub(crate) fn append(&mut self, entry: LogEntry) {
+        assert_eq!(entry.index, self.last_index().next(), "entries must be consecutive");
+        assert!(entry.term >= self.last_term(), "terms in the log must not decrease");
+        self.entries.push_back(entry);
+    }
+
+    pub(crate) fn truncate_from(&mut self, index: LogIndex) {
+        assert!(index > self.base_index, "trimmed entries cannot be truncated");
+        if let Some(position) = self.position(index) {
+            self.entries.truncate(position);
+        }
+    }
+
+    pub(crate) fn trim_to(&mut self, index: LogIndex) {
+        while self.entries.front().is_some_and(|entry| entry.index <= index) {
+            if let Some(entry) = self.entries.pop_front() {
+                self.base_index = entry.index;
+                self.base_term = entry.term;
+            }
+        }
+    }
+
+    fn position(&self, index: LogIndex) -> Option<usize> {
+        usize::try_from(index.get().checked_sub(self.base_index.get())?.checked_sub(1)?).ok()
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-consensus/src/write.rs
@@ -0,0 +1,71 @@
+//! What is kept on disk.
+
+use std::sync::Arc;
+
+use parsleywalk_units::VmNumber;
+use serde::{Deserialize, Serialize};
+
+use crate::{EntryPayload, LogEntry, LogIndex, LogTerm, ReplicaId, ReplicaSet};
+
+/// What a replica must remember besides the log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HardState {
+    /// The newest term that the replica has seen.
+    pub term: LogTerm,
+    /// Whom it voted for in that term.
+    pub vote: Option<ReplicaId>,
+    /// An index known to be committed; possibly older than the newest one known.
+    pub commit: LogIndex,
+}
+
+/// A snapshot of the replicated state.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogSnapshot {
+    /// The last entry that it holds.
+    pub index: LogIndex,
+    /// The term of that entry.
+    pub term: LogTerm,
+    /// The voters at that entry.
+    pub members: ReplicaSet,
+    /// The encoded state.
+    pub payload: Arc<Vec<u8>>,
+}
+
+/// One write, carried out in the order of its fields, all or nothing.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct LogWrite {
+    /// Replaces the hard state.
+    pub hard_state: Option<HardState>,
+    /// Replaces the snapshot.
+    pub snapshot: Option<LogSnapshot>,
+    /// Removes the entries from this index on.
+    pub truncate_from: Option<LogIndex>,
+    /// Appends entries.
+    pub entries: Vec<LogEntry>,
+    /// Removes the entries up to and including this index.
+    pub trim_to: Option<LogIndex>,
+}
+
+/// What a replica finds on its disk.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RecoveredLog {
+    /// The hard state.
+    pub hard_state: HardState,
+    /// The newest snapshot.
+    pub snapshot: Option<LogSnapshot>,
+    /// Consecutive entries; they reach back to the snapshot's index or further.
+    pub entries: Vec<LogEntry>,
+    /// The VMs that form the first membership, as named when the folder was initialised; empty for a folder that
+    /// joins existing replicas.
+    pub founders: Vec<VmNumber>,
+}
+
+impl RecoveredLog {
+    /// Returns the log of a replica whose first membership is already known: one membership entry in term 1.
+    #[must_use]
+    pub fn founded(members: ReplicaSet) -> Self {
+        let term = LogTerm::new(1);
+        let entry = LogEntry { index: LogIndex::new(1), term, payload: EntryPayload::Membership(members) };
+        Self { hard_state: HardState { term, ..HardState::default() }, entries: vec![entry], ..Self::default() }
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-consensus/tests/support/oracle.rs
@@ -0,0 +1,143 @@
+//! What must hold, whatever happens.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use parsleywalk_consensus::{
+    EntryPayload, LogEntry, LogIndex, LogTerm, LogWrite, ProposalId, ProposalRefusal, ReplicaId, ReplicaSet,
+};
+
+/// The replicated state of a test: a digest of everything that was applied.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Replay {
+    pub index: u64,
+    pub digest: u64,
+}
+
+impl Replay {
+    pub fn apply(&mut self, at: ReplicaId, entry: &LogEntry) {
+        assert_eq!(entry.index.get(), self.index + 1, "apply order at {at}");
+        let mut digest = self.digest ^ entry.term.get();
+        if let EntryPayload::Command(bytes) = &entry.payload {
+            digest = bytes.iter().fold(digest, |sum, byte| (sum ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3));
+        }
+        *self = Self { index: self.index + 1, digest: digest.rotate_left(7).wrapping_add(1) };
+    }
+
+    /// Encodes to more bytes than one part of a snapshot holds.
+    pub fn encode(&self) -> Vec<u8> {
+        [self.index.to_le_bytes(), self.digest.to_le_bytes()].concat().repeat(10)
+    }
+
+    pub fn decode(payload: &[u8]) -> Self {
+        assert_eq!(payload.len(), 160, "snapshot length");
+        let number = |at: usize| u64::from_le_bytes(payload[at..at + 8].try_into().expect("8 bytes"));
+        assert_eq!(payload[..16], payload[144..], "snapshot parts belong together");
+        Self { index: number(0), digest: number(8) }
+    }
+}
+
+#[derive(Default)]
+pub struct Oracle {
+    pub committed: BTreeMap<LogIndex, LogEntry>,
+    digests: BTreeMap<u64, u64>,
+    leaders: BTreeMap<LogTerm, ReplicaId>,
+    /// Membership entries with the committed index at the time when they were first written.
+    changes: BTreeMap<(LogIndex, LogTerm), u64>,
+    open: BTreeMap<ProposalId, (ReplicaId, LogIndex, LogTerm)>,
+    pub refused: BTreeMap<ProposalId, ProposalRefusal>,
+    pub done: BTreeSet<ProposalId>,
+}
+
+impl Oracle {
+    pub fn last_committed(&self) -> u64 {
+        self.committed.last_key_value().map_or(0, |(index, _)| index.get())
+    }
+
+    pub fn open_proposals(&self) -> usize {
+        self.open.len()
+    }
+
+    pub fn elected(&mut self, id: ReplicaId, term: LogTerm) {
+        let leader = *self.leaders.entry(term).or_insert(id);
+        assert_eq!(leader, id, "election safety: two leaders in term {term}");
+    }
+
+    pub fn elections(&self) -> usize {
+        self.leaders.len()
+    }
+
+    pub fn written(&mut self, write: &LogWrite) {
+        let committed = self.last_committed();
+        for entry in &write.entries {
+            if matches!(entry.payload, EntryPayload::Membership(_)) {
+                self.changes.entry((entry.index, entry.term)).or_insert(committed);
+            }
+        }
+    }
+
+    /// Checks a committed entry against what others committed, and new voters against their disks.
+    pub fn applied(&mut self, at: ReplicaId, entry: &LogEntry, disk_last: impl Fn(ReplicaId) -> Option<u64>) {
+        if let Some(known) = self.committed.get(&entry.index) {
+            assert_eq!(known, entry, "committed prefix: {at} differs at {}", entry.index);
+        } else {
+            if let EntryPayload::Membership(set) = &entry.payload {
+                self.check_new_voters(entry, set.voters(), disk_last);
+            }
+            self.committed.insert(entry.index, entry.clone());
+        }
+        let applied = self.open.iter().find(|(_, open)| **open == (at, entry.index, entry.term)).map(|(id, _)| *id);
+        if let Some(proposal) = applied {
+            self.open.remove(&proposal);
+            self.done.insert(proposal);
+        }
+    }
+
+    fn check_new_voters(&self, entry: &LogEntry, voters: &[ReplicaId], disk_last: impl Fn(ReplicaId) -> Option<u64>) {
+        let before = self.voters();
+        let Some(committed) = self.changes.get(&(entry.index, entry.term)) else { return };
+        for voter in voters.iter().filter(|voter| !before.is_empty() && !before.contains(voter)) {
+            // A learner that lost its disk after it was chosen is a loss of its own.
+            let Some(last) = disk_last(*voter) else { continue };
+            assert!(last >= *committed, "redundancy: new voter {voter} has {last} of {committed} committed entries");
+        }
+    }
+
+    fn memberships(&self) -> impl Iterator<Item = &ReplicaSet> {
+        self.committed.values().rev().filter_map(|entry| match &entry.payload {
+            EntryPayload::Membership(set) => Some(set),
+            _ => None,
+        })
+    }
+
+    /// The voters of the newest committed membership.
+    pub fn voters(&self) -> Vec<ReplicaId> {
+        self.memberships().next().map(|set| set.voters().to_vec()).unwrap_or_default()
+    }
+
+    /// Tells whether the newest membership is committed twice, which ends a change, or is the first.
+    pub fn change_ended(&self) -> bool {
+        let newest: Vec<&ReplicaSet> = self.memberships().take(2).collect();
+        newest.len() == 1 || (newest.len() == 2 && newest[0] == newest[1])
+    }
+
+    pub fn check_replay(&mut self, at: ReplicaId, replay: &Replay) {
+        let digest = *self.digests.entry(replay.index).or_insert(replay.digest);
+        assert_eq!(digest, replay.digest, "state: {at} differs after {}", replay.index);
+    }
+
+    pub fn accepted(&mut self, id: ReplicaId, proposal: ProposalId, index: LogIndex, term: LogTerm) {
+        assert!(self.open.insert(proposal, (id, index, term)).is_none(), "accepted twice");
+    }
+
+    pub fn refused(&mut self, id: ReplicaId, proposal: ProposalId, reason: ProposalRefusal) {
+        let open = self.open.remove(&proposal);
+        assert_eq!(open.is_some(), reason.is_unknown(), "refusal {reason:?} of {proposal} at {id}");
+        assert!(!self.done.contains(&proposal), "{proposal} is refused after it was applied at its leader");
+        self.refused.insert(proposal, reason);
+    }
+
+    /// Forgets the proposals of a process that ended.
+    pub fn forget(&mut self, id: ReplicaId) {
+        self.open.retain(|_, (at, _, _)| *at != id);
+    }
+}
