--- a/crates/parsleywalkd/src/control/dump.rs
+++ b/crates/parsleywalkd/src/control/dump.rs
@@ -40,7 +40,7 @@
 pub(crate) fn configuration(thread: &ControlThread) -> Option<ConfigurationView> {
     thread.state.configuration().map(|configuration| ConfigurationView {
         version: configuration.version,
-        digest: configuration.digest.to_string(),
+        digest: configuration.digest.clone(),
         operation: configuration.operation.clone(),
         text: configuration.text.clone(),
     })
--- a/crates/parsleywalkd/src/control/feed.rs
+++ b/crates/parsleywalkd/src/control/feed.rs
@@ -3,6 +3,7 @@
 use parsleywalk_catalog::Catalog;
 use parsleywalk_control::{AttemptOutcome, ControlState, StateChange};
 use parsleywalk_scheduler::{ObjectiveWeights, PolicyEvent, ServicePlan, TaskOutcome, TeamQuota};
+use parsleywalk_units::TimeSpan;
 
 /// Maps a change of the state to the policy's event, where it concerns the policy.
 pub(crate) fn policy_event(state: &ControlState, change: &StateChange) -> Option<PolicyEvent> {
@@ -27,7 +28,7 @@
                 class: *class,
                 size: *size,
                 urgent: *urgent,
-                run_time: run_time.map(|span| span.as_duration()),
+                run_time: run_time.map(TimeSpan::as_duration),
                 saved: saved.as_duration(),
             }
         }
@@ -48,7 +49,7 @@
     let services = catalog.services.iter().map(|service| ServicePlan {
         name: service.name.clone(),
         class: service.class,
-        run_time: service.run_time.map(|span| span.as_duration()),
+        run_time: service.run_time.map(TimeSpan::as_duration),
     });
     let teams =
         catalog.teams.iter().map(|team| TeamQuota { team: team.name.clone(), weight: team.weight, quota: team.quota });
--- a/crates/parsleywalkd/src/control/progress.rs
+++ b/crates/parsleywalkd/src/control/progress.rs
@@ -30,6 +30,13 @@
         Self { daemons }
     }
 
+    /// Starts over as a new leader: nothing is known of any daemon, and each has the freshness span to report.
+    pub(crate) fn take_office(&mut self, now: MonotonicTime) {
+        for daemon in &mut self.daemons {
+            *daemon = DaemonProgress { vm: daemon.vm, applied: LogIndex::default(), heard: Some(now) };
+        }
+    }
+
     /// Records a report. A restarted daemon reports a lower index, which holds.
     pub(crate) fn record(&mut self, now: MonotonicTime, vm: VmNumber, applied: LogIndex) {
         if let Ok(place) = self.daemons.binary_search_by_key(&vm, |daemon| daemon.vm) {
--- a/crates/parsleywalkd/src/control/thread.rs
+++ b/crates/parsleywalkd/src/control/thread.rs
@@ -250,6 +250,7 @@
             && duties.term == entry.term
         {
             duties.take_office(now, &self.state);
+            self.progress.take_office(now);
             info!("event=leader_ready term={} index={}", entry.term, entry.index);
             self.calls.retry_all(now);
         }
@@ -373,12 +374,10 @@
                     }
                     self.serve_call(now, ReplyTo::Local(call), body);
                 }
-                Some(vm) => {
-                    if self.links.network.send(vm, PeerLane::Control, &DaemonMessage::Call { call, body }) {
-                        self.calls.mark_sent(call);
-                    }
+                Some(vm) if self.links.network.send(vm, PeerLane::Control, &DaemonMessage::Call { call, body }) => {
+                    self.calls.mark_sent(call);
                 }
-                None => {}
+                Some(_) | None => {}
             }
         }
     }
--- a/crates/parsleywalkd/src/router/thread.rs
+++ b/crates/parsleywalkd/src/router/thread.rs
@@ -37,7 +37,7 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// How long the end of a claim is offered to the leader.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
+const SETTLE_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// The largest answer of an endpoint in bytes.
 const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
@@ -318,7 +318,7 @@
         };
         let events = self.events.clone();
         let done = move |result: std::result::Result<LeaderReply, CallFailure>| {
-            let event = RouterEvent::ClaimDecided { request, decision: claim_decision(result) };
+            let event = RouterEvent::ClaimDecided { request, decision: claim_decision(&result) };
             if events.send(event).is_err() {
                 warn!("event=claim_decision_lost request={request}");
             }
@@ -338,11 +338,11 @@
     }
 }
 
-fn claim_decision(result: std::result::Result<LeaderReply, CallFailure>) -> ClaimDecision {
+fn claim_decision(result: &std::result::Result<LeaderReply, CallFailure>) -> ClaimDecision {
     match result {
         Ok(LeaderReply::Applied(ControlReply::ClaimGranted)) => ClaimDecision::Granted,
         Ok(LeaderReply::Applied(ControlReply::ClaimHeld { entry, outcome, .. })) => {
-            ClaimDecision::HeldBy { entry, state: held_state(outcome) }
+            ClaimDecision::HeldBy { entry: *entry, state: held_state(*outcome) }
         }
         _ => ClaimDecision::Unavailable,
     }
--- a/crates/parsleywalkd/tests/common/mod.rs
+++ b/crates/parsleywalkd/tests/common/mod.rs
@@ -18,7 +18,7 @@
 use tempfile::TempDir;
 
 /// The longest wait for any condition. It is far above what a loaded machine needs.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+pub(crate) const PATIENCE: Duration = Duration::from_mins(1);
 
 /// The operators' text that most tests use.
 pub(crate) const CATALOG: &str = "
@@ -49,10 +49,10 @@
 }
 
 impl Deployment {
-    /// Writes settings, initialises the replicas and starts every daemon. `test` must differ between the tests of one
+    /// Writes settings, initialises the replicas and starts every daemon. `place` must differ between the tests of one
     /// process, since each gets addresses of its own.
-    pub(crate) fn start(test: u8, zones: &[&str], replicas: &[u16]) -> Self {
-        let deployment = Self::prepare(test, zones, replicas);
+    pub(crate) fn start(place: u8, zones: &[&str], replicas: &[u16]) -> Self {
+        let deployment = Self::prepare(place, zones, replicas);
         deployment.started()
     }
 
@@ -64,12 +64,12 @@
     }
 
     /// Writes settings and initialises the replicas.
-    pub(crate) fn prepare(test: u8, zones: &[&str], replicas: &[u16]) -> Self {
+    pub(crate) fn prepare(place: u8, zones: &[&str], replicas: &[u16]) -> Self {
         let folder = TempDir::new().expect("a temporary folder");
         fs::write(folder.path().join("peer.token"), "peer").expect("a token file");
         let pid = std::process::id();
         let prefix = format!("127.{}.{}", 16 + (pid >> 8) % 200, pid & 0xff);
-        let ip = |vm: u16| format!("{prefix}.{}", u16::from(test) * 8 + vm);
+        let ip = |vm: u16| format!("{prefix}.{}", u16::from(place) * 8 + vm);
         let daemons: Vec<String> = (1..)
             .zip(zones)
             .map(|(vm, zone)| {
@@ -79,12 +79,12 @@
             .collect();
         let processes = (1..).zip(zones).map(|(vm, zone)| {
             let disk = if replicas.contains(&vm) { format!("data_folder: data{vm}\n") } else { String::new() };
-            let text = format!(
+            let content = format!(
                 "vm: {vm}\n{disk}replicas: {replicas:?}\npeer_token_file: peer.token\ndaemons:\n{}log: {{ level: info, file: vm{vm}.log }}\n",
                 daemons.concat()
             );
             let settings = folder.path().join(format!("vm{vm}.yaml"));
-            fs::write(&settings, text).expect("a settings file");
+            fs::write(&settings, content).expect("a settings file");
             Process { vm, zone: (*zone).to_owned(), settings, child: None, ip: ip(vm) }
         });
         let deployment = Self { processes: processes.collect(), folder };
