--- a/crates/parsleywalk-control/src/quota.rs
+++ b/crates/parsleywalk-control/src/quota.rs
@@ -28,9 +28,14 @@
 
     pub(crate) fn release_quota(&mut self, task: TaskId, size: ResourceSize) {
         let Some(team) = self.charged_team(&self.tasks[&task]).cloned() else { return };
-        let held = self.held.entry(team).or_default();
-        assert!(size.fits_within(held), "a team releases {size} of {held}");
-        *held = held.saturating_sub(&size);
+        let held = self.held(&team);
+        assert!(size.fits_within(&held), "team {team} releases {size} of {held}");
+        let left = held.saturating_sub(&size);
+        if left.is_zero() {
+            self.held.remove(&team);
+        } else {
+            self.held.insert(team, left);
+        }
     }
 }
 
