--- a/crates/parsleywalk-control/src/attempt.rs
+++ b/crates/parsleywalk-control/src/attempt.rs
@@ -13,7 +13,7 @@
         /// The attempt.
         attempt: AttemptNumber,
     },
-    /// The attempt has a new checkpoint.
+    /// The attempt has a new checkpoint; taken also for a task that waits after this attempt was given up as lost.
     Checkpoint {
         /// The task.
         task: TaskId,
--- a/crates/parsleywalk-control/src/plan.rs
+++ b/crates/parsleywalk-control/src/plan.rs
@@ -126,17 +126,31 @@
         };
         match (held, end) {
             (Some(record), None) => self.plan_running(record, item),
-            (Some(_), Some(end)) => self.changes.push(AttemptChange::Ended {
-                task,
-                attempt,
-                end,
-                checkpoint: item.checkpoint.clone(),
-                since: item.since_checkpoint,
-                text: item.text.clone(),
-            }),
+            (Some(_), Some(end)) => self.changes.push(ended(item, end)),
             // The state has moved past this attempt, so its end is committed or was not needed.
             (None, None) => self.orders.push(WorkerOrder::Stop { task, attempt }),
-            (None, Some(_)) => self.orders.push(WorkerOrder::Settled { task, attempt }),
+            (None, Some(end)) => match self.late_change(item, end) {
+                Some(change) => self.changes.push(change),
+                None => self.orders.push(WorkerOrder::Settled { task, attempt }),
+            },
+        }
+    }
+
+    /// Saves the result or the last checkpoint of an attempt that was given up as lost, as long as its task waits.
+    ///
+    /// A worker that was cut off stops its attempts when their leases end, and reports them only after the state has
+    /// released them.
+    fn late_change(&self, item: &TaskReport, end: AttemptEnd) -> Option<AttemptChange> {
+        let record = self.state.task(item.task)?;
+        if record.phase() != TaskPhase::Queued || record.attempt() != item.attempt {
+            return None;
+        }
+        match (end, &item.checkpoint) {
+            (AttemptEnd::Done, _) if record.owner() != TaskOwner::Service => Some(ended(item, end)),
+            (AttemptEnd::Stopped, Some(reference)) if record.checkpoint() != Some(reference) => {
+                Some(checkpoint(item, reference))
+            }
+            _ => None,
         }
     }
 
@@ -150,12 +164,7 @@
         if let Some(reference) = &item.checkpoint
             && record.checkpoint() != Some(reference)
         {
-            self.changes.push(AttemptChange::Checkpoint {
-                task,
-                attempt,
-                reference: reference.clone(),
-                since: item.since_checkpoint,
-            });
+            self.changes.push(checkpoint(item, reference));
         }
     }
 
@@ -183,3 +192,19 @@
         }
     }
 }
+
+fn ended(item: &TaskReport, end: AttemptEnd) -> AttemptChange {
+    AttemptChange::Ended {
+        task: item.task,
+        attempt: item.attempt,
+        end,
+        checkpoint: item.checkpoint.clone(),
+        since: item.since_checkpoint,
+        text: item.text.clone(),
+    }
+}
+
+fn checkpoint(item: &TaskReport, reference: &str) -> AttemptChange {
+    let (task, attempt, since) = (item.task, item.attempt, item.since_checkpoint);
+    AttemptChange::Checkpoint { task, attempt, reference: reference.to_owned(), since }
+}
--- a/crates/parsleywalk-control/src/record.rs
+++ b/crates/parsleywalk-control/src/record.rs
@@ -40,7 +40,13 @@
     fn record_change(&mut self, worker: WorkerNumber, change: &AttemptChange, effects: &mut Effects) -> bool {
         let task = change.task();
         let Some(record) = self.tasks.get_mut(&task) else { return false };
-        if record.attempt != change.attempt() || record.worker != Some(worker) || !record.holds_capacity() {
+        if record.attempt != change.attempt() {
+            return false;
+        }
+        if record.phase == TaskPhase::Queued {
+            return self.record_late(task, change, effects);
+        }
+        if record.worker != Some(worker) {
             return false;
         }
         match change {
@@ -71,6 +77,31 @@
         true
     }
 
+    /// Records what became of an attempt that was given up as lost, while its task waits for the next one.
+    ///
+    /// The worker was cut off until its lease had ended. Its result or last checkpoint still saves the work.
+    fn record_late(&mut self, task: TaskId, change: &AttemptChange, effects: &mut Effects) -> bool {
+        let now = self.now;
+        let record = self.tasks.get_mut(&task).expect("the caller holds a live task");
+        let next = record.attempt.next();
+        match change {
+            // No attempt has been made, so there is nothing to save.
+            _ if record.attempt.get() == 0 => false,
+            AttemptChange::Checkpoint { reference, since, .. } if record.checkpoint() != Some(reference) => {
+                record.record_checkpoint(now, reference, *since);
+                true
+            }
+            AttemptChange::Ended { end: AttemptEnd::Done, text, .. } if record.owner != TaskOwner::Service => {
+                self.mark_started(task);
+                let (outcome, phase) = (AttemptOutcome::Done, TaskPhase::Done);
+                effects.changes.push(StateChange::TaskEnded { task, attempt: next, outcome, phase });
+                self.finish_task(task, phase, shorten(text, RESULT_LIMIT), effects);
+                true
+            }
+            _ => false,
+        }
+    }
+
     fn record_attempt_end(&mut self, task: TaskId, end: AttemptEnd, text: &str, effects: &mut Effects) {
         let outcome = match end {
             AttemptEnd::Done => AttemptOutcome::Done,
--- a/crates/parsleywalk-control/src/transition.rs
+++ b/crates/parsleywalk-control/src/transition.rs
@@ -192,7 +192,7 @@
     }
 
     /// Removes a task that has ended for good.
-    fn finish_task(&mut self, task: TaskId, phase: TaskPhase, text: &str, effects: &mut Effects) {
+    pub(crate) fn finish_task(&mut self, task: TaskId, phase: TaskPhase, text: &str, effects: &mut Effects) {
         let record = self.tasks.remove(&task).expect("the caller holds a live task");
         let zone = record.worker.and_then(|number| self.workers.get(&number)).map(|worker| worker.zone.clone());
         self.recount(record.phase, phase, zone.as_ref());
--- a/crates/parsleywalk-control/tests/common/commands.rs
+++ b/crates/parsleywalk-control/tests/common/commands.rs
@@ -188,7 +188,7 @@
 }
 
 /// Any command.
-pub fn command(oracle: &Oracle) -> BoxedStrategy<ControlCommand> {
+pub(crate) fn command(oracle: &Oracle) -> BoxedStrategy<ControlCommand> {
     prop_oneof![
         2 => operator(oracle),
         2 => membership(oracle),
--- a/crates/parsleywalk-control/tests/common/mod.rs
+++ b/crates/parsleywalk-control/tests/common/mod.rs
@@ -1,8 +1,9 @@
 //! What the tests of the control state share.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-pub mod commands;
-pub mod oracle;
+pub(crate) mod commands;
+pub(crate) mod model_worker;
+pub(crate) mod oracle;
 
 use parsleywalk_catalog::{Catalog, ObjectiveWeights, ServiceEntry, TeamEntry};
 use parsleywalk_control::{ControlCommand, JobSpec};
@@ -12,22 +13,22 @@
 };
 
 /// Parses any unit of a test.
-pub fn unit<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+pub(crate) fn unit<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
     text.parse().expect("the test names a valid unit")
 }
 
 /// A size of `cores` cores, twice as many GB of memory and no accelerators.
-pub fn size(cores: u32) -> ResourceSize {
+pub(crate) fn size(cores: u32) -> ResourceSize {
     ResourceSize::new(MilliCores::new(cores * 1000), MemoryBytes::new(u64::from(cores) * 2_000_000_000))
 }
 
 /// A worker's capacity with 2 accelerators.
-pub fn capacity(cores: u32) -> ResourceSize {
+pub(crate) fn capacity(cores: u32) -> ResourceSize {
     size(cores).with_accelerators(AcceleratorCount::new(2))
 }
 
 /// A service of team `t`.
-pub fn service(name: &str, class: TaskClass, cores: u32, instances: u32, depends_on: &[&str]) -> ServiceEntry {
+pub(crate) fn service(name: &str, class: TaskClass, cores: u32, instances: u32, depends_on: &[&str]) -> ServiceEntry {
     ServiceEntry {
         name: unit(name),
         class,
@@ -45,7 +46,7 @@
 }
 
 /// A configuration with team `t`.
-pub fn catalog(version: u64, quota: Option<ResourceSize>, mut services: Vec<ServiceEntry>) -> Catalog {
+pub(crate) fn catalog(version: u64, quota: Option<ResourceSize>, mut services: Vec<ServiceEntry>) -> Catalog {
     services.sort_by(|left, right| left.name.cmp(&right.name));
     Catalog {
         version: ConfigurationVersion::new(version),
@@ -56,13 +57,13 @@
 }
 
 /// The fuzz tests' configuration: the batch service `batch` and the latency-critical service `web`.
-pub fn fuzz_catalog(version: u64, quota: u32, instances: u32, cores: u32) -> Catalog {
+pub(crate) fn fuzz_catalog(version: u64, quota: u32, instances: u32, cores: u32) -> Catalog {
     let web = service("web", TaskClass::LatencyCritical, cores, instances, &[]);
     let quota = size(quota).with_accelerators(AcceleratorCount::new(2));
     catalog(version, Some(quota), vec![service("batch", TaskClass::Batch, 1, 0, &[]), web])
 }
 
-pub fn configure(at: u64, operation: &str, catalog: Catalog) -> ControlCommand {
+pub(crate) fn configure(at: u64, operation: &str, catalog: Catalog) -> ControlCommand {
     let text = format!("{catalog:?}");
     ControlCommand::ApplyConfiguration {
         at: StateTime::from_millis(at),
@@ -72,7 +73,7 @@
     }
 }
 
-pub fn register(at: u64, worker: &str, incarnation: u64, zone: &str, cores: u32) -> ControlCommand {
+pub(crate) fn register(at: u64, worker: &str, incarnation: u64, zone: &str, cores: u32) -> ControlCommand {
     ControlCommand::RegisterWorker {
         at: StateTime::from_millis(at),
         worker: unit::<WorkerId>(worker),
@@ -83,14 +84,14 @@
     }
 }
 
-pub fn submit(at: u64, key: &str, count: u32, size: Option<ResourceSize>) -> ControlCommand {
+pub(crate) fn submit(at: u64, key: &str, count: u32, size: Option<ResourceSize>) -> ControlCommand {
     ControlCommand::SubmitJob { at: StateTime::from_millis(at), key: job_key(key), job: spec(count, size) }
 }
 
-pub fn spec(count: u32, size: Option<ResourceSize>) -> JobSpec {
+pub(crate) fn spec(count: u32, size: Option<ResourceSize>) -> JobSpec {
     JobSpec { service: unit("batch"), count, size, urgent: false, arguments: String::new() }
 }
 
-pub fn job_key(key: &str) -> JobKey {
+pub(crate) fn job_key(key: &str) -> JobKey {
     JobKey { team: unit("t"), key: unit(key) }
 }
--- /dev/null
+++ b/crates/parsleywalk-control/tests/common/model_worker.rs
@@ -0,0 +1,183 @@
+//! A worker that follows the rules of the interface and shows what it runs.
+
+use std::collections::BTreeMap;
+
+use parsleywalk_api::{ReportedPhase, TaskReport, WorkerOrder, WorkerReply, WorkerReport};
+use parsleywalk_units::{AttemptNumber, Incarnation, MilliCores, ResourceSize, TaskId, TimeSpan, WorkerId, ZoneName};
+
+use super::{capacity, unit};
+
+pub(crate) type AttemptKey = (TaskId, AttemptNumber);
+
+#[derive(Debug, Clone)]
+pub(crate) struct RunningAttempt {
+    /// On the worker's own clock, in milliseconds.
+    pub(crate) lease_until: u64,
+    pub(crate) size: ResourceSize,
+    pub(crate) checkpoint: Option<String>,
+}
+
+/// What happened at a worker.
+#[derive(Debug, Clone)]
+pub(crate) enum WorkerEvent {
+    Started { key: AttemptKey, checkpoint: Option<String> },
+    Settled { report: TaskReport },
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct ModelWorker {
+    pub(crate) id: WorkerId,
+    pub(crate) zone: ZoneName,
+    pub(crate) incarnation: u64,
+    /// The clock's rate in percent of the real one.
+    pub(crate) rate: u64,
+    pub(crate) sequence: u64,
+    pub(crate) echo: u64,
+    pub(crate) running: BTreeMap<AttemptKey, RunningAttempt>,
+    pub(crate) ended: BTreeMap<AttemptKey, TaskReport>,
+    sent: BTreeMap<u64, u64>,
+}
+
+impl ModelWorker {
+    pub(crate) fn new(number: usize, rate: u64) -> Self {
+        Self {
+            id: unit(&format!("w{number}")),
+            zone: unit(["a", "b"][number % 2]),
+            incarnation: 1,
+            rate,
+            sequence: 0,
+            echo: 0,
+            running: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            sent: BTreeMap::new(),
+        }
+    }
+
+    fn local(&self, now: u64) -> u64 {
+        now * self.rate / 100
+    }
+
+    pub(crate) fn capacity() -> ResourceSize {
+        capacity(3)
+    }
+
+    /// Sends a report; the answer to an earlier one no longer counts.
+    pub(crate) fn report(&mut self, now: u64) -> WorkerReport {
+        self.sequence += 1;
+        self.sent.insert(self.sequence, self.local(now));
+        let running = self.running.iter().map(|(key, it)| item(*key, ReportedPhase::Running, it.checkpoint.clone()));
+        WorkerReport {
+            worker: self.id.clone(),
+            incarnation: Incarnation::new(self.incarnation),
+            zone: self.zone.clone(),
+            rack: unit("r"),
+            capacity: Self::capacity(),
+            sequence: self.sequence,
+            echo: self.echo,
+            lag: unit("0ms"),
+            tasks: running.chain(self.ended.values().cloned()).collect(),
+        }
+    }
+
+    pub(crate) fn receive(&mut self, now: u64, reply: &WorkerReply) -> Vec<WorkerEvent> {
+        // Only the answer to the newest report counts, and none that is older than one that was handled.
+        if reply.sequence != self.sequence || reply.revision < self.echo {
+            return Vec::new();
+        }
+        let Some(sent) = self.sent.remove(&reply.sequence) else { return Vec::new() };
+        self.echo = reply.revision;
+        let lease_until = sent + reply.lease.map_or(0, TimeSpan::as_millis);
+        for attempt in self.running.values_mut() {
+            attempt.lease_until = attempt.lease_until.max(lease_until);
+        }
+        let may_start = self.local(now) < sent + reply.start_within.as_millis();
+        reply.orders.iter().filter_map(|order| self.carry_out(order, may_start, lease_until)).collect()
+    }
+
+    fn carry_out(&mut self, order: &WorkerOrder, may_start: bool, lease_until: u64) -> Option<WorkerEvent> {
+        match order {
+            WorkerOrder::Start { task, attempt, size, checkpoint, .. } => {
+                let key = (*task, *attempt);
+                if self.running.contains_key(&key) || self.ended.contains_key(&key) {
+                    return None;
+                }
+                if !may_start {
+                    self.ended.insert(key, item(key, ReportedPhase::NotStarted, None));
+                    return None;
+                }
+                let checkpoint = checkpoint.clone();
+                self.running.insert(key, RunningAttempt { lease_until, size: *size, checkpoint: checkpoint.clone() });
+                Some(WorkerEvent::Started { key, checkpoint })
+            }
+            WorkerOrder::Stop { task, attempt } => {
+                self.end((*task, *attempt), ReportedPhase::Stopped);
+                None
+            }
+            WorkerOrder::Settled { task, attempt } => {
+                let report = self.ended.remove(&(*task, *attempt))?;
+                Some(WorkerEvent::Settled { report })
+            }
+            WorkerOrder::Throttle { .. } => None,
+        }
+    }
+
+    /// Ends a running attempt; a stopped one takes a last checkpoint.
+    pub(crate) fn end(&mut self, key: AttemptKey, phase: ReportedPhase) {
+        if let Some(mut attempt) = self.running.remove(&key) {
+            if phase == ReportedPhase::Stopped {
+                attempt.checkpoint = Some(next_checkpoint(attempt.checkpoint.as_deref()));
+            }
+            self.ended.insert(key, item(key, phase, attempt.checkpoint));
+        }
+    }
+
+    pub(crate) fn take_checkpoint(&mut self, key: AttemptKey) {
+        if let Some(attempt) = self.running.get_mut(&key) {
+            attempt.checkpoint = Some(next_checkpoint(attempt.checkpoint.as_deref()));
+        }
+    }
+
+    /// Stops what runs without a lease.
+    pub(crate) fn tick(&mut self, now: u64) {
+        let local = self.local(now);
+        let over: Vec<_> = self.running.iter().filter(|(_, it)| it.lease_until <= local).map(|(key, _)| *key).collect();
+        for key in over {
+            self.end(key, ReportedPhase::Stopped);
+        }
+    }
+
+    pub(crate) fn restart(&mut self) {
+        self.incarnation += 1;
+        (self.sequence, self.echo) = (0, 0);
+        self.running.clear();
+        self.ended.clear();
+        self.sent.clear();
+    }
+
+    pub(crate) fn used_cores(&self) -> MilliCores {
+        self.running.values().fold(MilliCores::new(0), |sum, it| sum.checked_add(it.size.cores).unwrap())
+    }
+}
+
+/// Checkpoints are numbered, so that a later one is told from an earlier one.
+pub(crate) fn checkpoint_number(reference: Option<&str>) -> u64 {
+    reference.map_or(0, |text| text[1..].parse().expect("a checkpoint's number"))
+}
+
+fn next_checkpoint(reference: Option<&str>) -> String {
+    format!("c{}", checkpoint_number(reference) + 1)
+}
+
+fn item((task, attempt): AttemptKey, phase: ReportedPhase, checkpoint: Option<String>) -> TaskReport {
+    TaskReport {
+        task,
+        attempt,
+        phase,
+        cores: MilliCores::default(),
+        memory: unit("0B"),
+        latency_us: None,
+        since_checkpoint: unit("0ms"),
+        checkpoint,
+        text: String::new(),
+    }
+}
--- a/crates/parsleywalk-control/tests/common/oracle.rs
+++ b/crates/parsleywalk-control/tests/common/oracle.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use parsleywalk_api::{JobPhase, TaskPhase};
+use parsleywalk_catalog::Catalog;
 use parsleywalk_control::{AttemptChange, AttemptEnd, ControlCommand, JobSpec};
 use parsleywalk_units::{
     ClaimId, ClaimOutcome, Incarnation, JobKey, OperationId, RequestKey, ResourceSize, WorkerId, ZoneDirection,
@@ -13,74 +14,74 @@
 use super::{size, unit};
 
 #[derive(Debug, Clone)]
-pub struct Worker {
-    pub id: WorkerId,
-    pub incarnation: Incarnation,
-    pub zone: ZoneName,
-    pub capacity: ResourceSize,
-    pub sequence: Option<u64>,
+pub(crate) struct Worker {
+    pub(crate) id: WorkerId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) zone: ZoneName,
+    pub(crate) capacity: ResourceSize,
+    pub(crate) sequence: Option<u64>,
 }
 
 #[derive(Debug, Clone, PartialEq)]
-pub struct Task {
+pub(crate) struct Task {
     /// `None` for an instance of the service `web`.
-    pub job: Option<JobKey>,
-    pub attempt: u32,
-    pub phase: TaskPhase,
-    pub worker: Option<u32>,
-    pub declared: ResourceSize,
-    pub size: ResourceSize,
-    pub checkpoint: Option<String>,
-    pub entered: u64,
-    pub successor: Option<u64>,
+    pub(crate) job: Option<JobKey>,
+    pub(crate) attempt: u32,
+    pub(crate) phase: TaskPhase,
+    pub(crate) worker: Option<u32>,
+    pub(crate) declared: ResourceSize,
+    pub(crate) size: ResourceSize,
+    pub(crate) checkpoint: Option<String>,
+    pub(crate) entered: u64,
+    pub(crate) successor: Option<u64>,
 }
 
 #[derive(Debug, Clone)]
-pub struct Job {
-    pub spec: JobSpec,
-    pub cancelled: bool,
-    pub started: bool,
+pub(crate) struct Job {
+    pub(crate) spec: JobSpec,
+    pub(crate) cancelled: bool,
+    pub(crate) started: bool,
 }
 
 /// Tasks and jobs that have ended stay here.
 #[derive(Debug, Clone, Default)]
-pub struct Oracle {
-    pub revision: u64,
-    pub accepted: bool,
-    pub version: u64,
-    pub quota: ResourceSize,
-    pub instances: u32,
-    pub instance_size: ResourceSize,
-    pub operations: BTreeMap<OperationId, (String, bool)>,
-    pub zones: BTreeMap<ZoneName, bool>,
-    pub workers: BTreeMap<u32, Worker>,
-    pub last_worker: u32,
-    pub tasks: BTreeMap<u64, Task>,
-    pub last_task: u64,
-    pub jobs: BTreeMap<JobKey, Job>,
-    pub cancels: BTreeSet<JobKey>,
-    pub claims: BTreeMap<RequestKey, (ClaimId, Option<ClaimOutcome>)>,
+pub(crate) struct Oracle {
+    pub(crate) revision: u64,
+    pub(crate) accepted: bool,
+    pub(crate) version: u64,
+    pub(crate) quota: ResourceSize,
+    pub(crate) instances: u32,
+    pub(crate) instance_size: ResourceSize,
+    pub(crate) operations: BTreeMap<OperationId, (String, bool)>,
+    pub(crate) zones: BTreeMap<ZoneName, bool>,
+    pub(crate) workers: BTreeMap<u32, Worker>,
+    pub(crate) last_worker: u32,
+    pub(crate) tasks: BTreeMap<u64, Task>,
+    pub(crate) last_task: u64,
+    pub(crate) jobs: BTreeMap<JobKey, Job>,
+    pub(crate) cancels: BTreeSet<JobKey>,
+    pub(crate) claims: BTreeMap<RequestKey, (ClaimId, Option<ClaimOutcome>)>,
 }
 
-pub fn is_placed(phase: TaskPhase) -> bool {
+pub(crate) fn is_placed(phase: TaskPhase) -> bool {
     matches!(phase, TaskPhase::Starting | TaskPhase::Running | TaskPhase::Stopping)
 }
 
-pub fn is_live(phase: TaskPhase) -> bool {
+pub(crate) fn is_live(phase: TaskPhase) -> bool {
     phase == TaskPhase::Queued || is_placed(phase)
 }
 
 impl Oracle {
-    pub fn number(&self, id: &WorkerId) -> Option<u32> {
+    pub(crate) fn number(&self, id: &WorkerId) -> Option<u32> {
         self.workers.iter().find(|(_, worker)| worker.id == *id).map(|(number, _)| *number)
     }
 
-    pub fn sum<'a>(&'a self, tasks: impl Iterator<Item = &'a Task>) -> ResourceSize {
+    pub(crate) fn sum<'a>(tasks: impl Iterator<Item = &'a Task>) -> ResourceSize {
         tasks.filter(|task| is_placed(task.phase)).fold(size(0), |sum, task| sum.checked_add(&task.size).unwrap())
     }
 
-    pub fn used(&self, worker: u32) -> ResourceSize {
-        self.sum(self.tasks.values().filter(|task| task.worker == Some(worker)))
+    pub(crate) fn used(&self, worker: u32) -> ResourceSize {
+        Self::sum(self.tasks.values().filter(|task| task.worker == Some(worker)))
     }
 
     fn counts(&self, id: u64) -> bool {
@@ -88,11 +89,11 @@
         task.job.is_none() && task.successor.is_none() && is_live(task.phase) && task.phase != TaskPhase::Stopping
     }
 
-    pub fn counted(&self) -> Vec<u64> {
+    pub(crate) fn counted(&self) -> Vec<u64> {
         self.tasks.keys().copied().filter(|id| self.counts(*id)).collect()
     }
 
-    pub fn job_phase(&self, key: &JobKey) -> JobPhase {
+    pub(crate) fn job_phase(&self, key: &JobKey) -> JobPhase {
         let (job, mut tasks) = (&self.jobs[key], self.tasks.values().filter(|task| task.job.as_ref() == Some(key)));
         match (tasks.clone().any(|task| is_live(task.phase)), job.cancelled) {
             (true, true) => JobPhase::Cancelling,
@@ -144,7 +145,9 @@
 
     fn stop_all(&mut self, choose: impl Fn(&Task) -> bool) {
         let chosen: Vec<_> = self.tasks.iter().filter(|(_, task)| choose(task)).map(|(id, _)| *id).collect();
-        chosen.into_iter().for_each(|id| self.stop(id));
+        for id in chosen {
+            self.stop(id);
+        }
     }
 
     /// The attempt is over; the task goes on unless it is done, cancelled, or an instance that is not needed any more.
@@ -166,7 +169,9 @@
     fn end_worker(&mut self, number: u32) {
         let held: Vec<_> =
             self.tasks.iter().filter(|(_, task)| task.worker == Some(number)).map(|(id, _)| *id).collect();
-        held.into_iter().for_each(|id| self.end(id, false, true));
+        for id in held {
+            self.end(id, false, true);
+        }
         self.workers.remove(&number);
     }
 
@@ -184,7 +189,9 @@
             };
             (rank, Reverse(*id))
         });
-        counted.iter().take(counted.len().saturating_sub(wanted)).for_each(|id| self.stop(*id));
+        for id in counted.iter().take(counted.len().saturating_sub(wanted)) {
+            self.stop(*id);
+        }
         for id in self.tasks.keys().copied().collect::<Vec<_>>() {
             if self.tasks[&id].successor.is_some_and(|successor| !self.counts(successor)) {
                 match newest {
@@ -198,7 +205,7 @@
     fn start_is_allowed(&self, id: u64, attempt: u32, number: u32, asked: ResourceSize) -> bool {
         let (Some(task), Some(worker)) = (self.tasks.get(&id), self.workers.get(&number)) else { return false };
         let fits = |taken: ResourceSize, limit| taken.checked_add(&asked).unwrap().fits_within(&limit);
-        let held = self.sum(self.tasks.values().filter(|task| task.job.is_some()));
+        let held = Self::sum(self.tasks.values().filter(|task| task.job.is_some()));
         task.phase == TaskPhase::Queued
             && attempt == task.attempt + 1
             && self.zones[&worker.zone]
@@ -210,7 +217,22 @@
     fn record(&mut self, number: u32, change: &AttemptChange) {
         let id = change.task().get();
         let Some(task) = self.tasks.get_mut(&id) else { return };
-        if task.worker != Some(number) || task.attempt != change.attempt().get() {
+        if task.attempt != change.attempt().get() {
+            return;
+        }
+        // What became of an attempt that was given up still counts while its task waits.
+        if task.phase == TaskPhase::Queued && task.attempt > 0 {
+            match (change, task.job.clone()) {
+                (AttemptChange::Checkpoint { reference, .. }, _) => task.checkpoint = Some(reference.clone()),
+                (AttemptChange::Ended { end: AttemptEnd::Done, .. }, Some(key)) => {
+                    self.jobs.get_mut(&key).unwrap().started = true;
+                    self.enter(id, TaskPhase::Done);
+                }
+                _ => {}
+            }
+            return;
+        }
+        if task.worker != Some(number) {
             return;
         }
         if let AttemptChange::Ended { checkpoint: Some(reference), .. } | AttemptChange::Checkpoint { reference, .. } =
@@ -250,7 +272,7 @@
         accepted
     }
 
-    pub fn apply(&mut self, command: &ControlCommand) {
+    pub(crate) fn apply(&mut self, command: &ControlCommand) {
         self.revision += 1;
         self.accepted = self.decide(command);
         self.settle_instances();
@@ -259,48 +281,14 @@
     fn decide(&mut self, command: &ControlCommand) -> bool {
         match command {
             ControlCommand::ApplyConfiguration { operation, catalog, text, .. } => {
-                self.operate(operation, text.clone(), |oracle| {
-                    let is_next = catalog.version.get() == oracle.version + 1;
-                    if is_next {
-                        let web = catalog.service(&unit("web")).unwrap();
-                        oracle.version += 1;
-                        oracle.quota = catalog.teams[0].quota.unwrap();
-                        (oracle.instances, oracle.instance_size) = (web.instances, web.size);
-                        for task in oracle.tasks.values_mut() {
-                            if task.job.is_none() && task.phase == TaskPhase::Queued {
-                                (task.declared, task.size) = (web.size, web.size);
-                            }
-                        }
-                    }
-                    is_next
-                })
+                self.operate(operation, text.clone(), |oracle| oracle.configure(catalog))
             }
             ControlCommand::SetZone { operation, zone, direction, .. } => {
-                self.operate(operation, format!("{zone} {direction}"), |oracle| {
-                    let Some(in_service) = oracle.zones.get_mut(zone) else { return false };
-                    *in_service = *direction == ZoneDirection::In;
-                    if *direction == ZoneDirection::Out {
-                        let there: Vec<_> =
-                            oracle.workers.iter().filter(|(_, it)| it.zone == *zone).map(|(it, _)| Some(*it)).collect();
-                        oracle.stop_all(|task| task.phase == TaskPhase::Starting && there.contains(&task.worker));
-                    }
-                    true
-                })
+                let contents = format!("{zone} {direction}");
+                self.operate(operation, contents, |oracle| oracle.set_zone(zone, *direction == ZoneDirection::In))
             }
             ControlCommand::RegisterWorker { worker, incarnation, zone, capacity, .. } => {
-                if let Some(number) = self.number(worker) {
-                    let known = &self.workers[&number];
-                    if *incarnation <= known.incarnation {
-                        return *incarnation == known.incarnation && *zone == known.zone && *capacity == known.capacity;
-                    }
-                    self.end_worker(number);
-                }
-                self.zones.entry(zone.clone()).or_insert(true);
-                self.last_worker += 1;
-                let (id, incarnation, zone) = (worker.clone(), *incarnation, zone.clone());
-                let worker = Worker { id, incarnation, zone, capacity: *capacity, sequence: None };
-                self.workers.insert(self.last_worker, worker);
-                true
+                self.register(worker, *incarnation, zone, *capacity)
             }
             ControlCommand::LoseWorker { worker, incarnation, .. } => match self.number(worker) {
                 Some(number) if self.workers[&number].incarnation == *incarnation => {
@@ -309,51 +297,16 @@
                 }
                 _ => false,
             },
-            ControlCommand::SubmitJob { key, job, .. } => {
-                if let Some(known) = self.jobs.get(key) {
-                    return known.spec == *job;
-                }
-                if self.version == 0 {
-                    return false;
-                }
-                let cancelled = self.cancels.remove(key);
-                self.jobs.insert(key.clone(), Job { spec: job.clone(), cancelled, started: false });
-                for _ in 0..job.count {
-                    let id = self.create(Some(key.clone()), job.size.unwrap_or(size(1)));
-                    if cancelled {
-                        self.stop(id);
-                    }
-                }
-                true
-            }
+            ControlCommand::SubmitJob { key, job, .. } => self.submit(key, job),
             ControlCommand::CancelJob { key, .. } => {
-                if !self.jobs.contains_key(key) {
-                    self.cancels.insert(key.clone());
-                } else if matches!(self.job_phase(key), JobPhase::Queued | JobPhase::Running) {
-                    self.jobs.get_mut(key).unwrap().cancelled = true;
-                    self.stop_all(|task| task.job.as_ref() == Some(key));
-                }
+                self.cancel(key);
                 true
             }
             ControlCommand::StartTask { task, attempt, worker, size, .. } => {
-                let id = task.get();
-                let allowed = self.start_is_allowed(id, attempt.get(), worker.get(), *size);
-                if allowed {
-                    self.enter(id, TaskPhase::Starting);
-                    let task = self.tasks.get_mut(&id).unwrap();
-                    (task.attempt, task.worker, task.size) = (attempt.get(), Some(worker.get()), *size);
-                }
-                allowed
+                self.start(task.get(), attempt.get(), worker.get(), *size)
             }
             ControlCommand::RecordReport { worker, sequence, changes, .. } => {
-                let Some(known) =
-                    self.workers.get_mut(&worker.get()).filter(|it| it.sequence.is_none_or(|last| *sequence > last))
-                else {
-                    return false;
-                };
-                known.sequence = Some(*sequence);
-                changes.iter().for_each(|change| self.record(worker.get(), change));
-                true
+                self.report(worker.get(), *sequence, changes)
             }
             ControlCommand::EvictTask { task, attempt, .. } => {
                 let is_going = |it: &&Task| matches!(it.phase, TaskPhase::Starting | TaskPhase::Running);
@@ -363,20 +316,7 @@
                 }
                 found
             }
-            ControlCommand::ReplaceInstance { task, .. } => {
-                let id = task.get();
-                let Some(old) = self.tasks.get(&id) else { return false };
-                if !matches!(old.phase, TaskPhase::Starting | TaskPhase::Running) || !self.counts(id) {
-                    return false;
-                }
-                let successor = Some(self.create(None, self.instance_size));
-                for (other, task) in &mut self.tasks {
-                    if *other == id || task.successor == Some(id) {
-                        task.successor = successor;
-                    }
-                }
-                true
-            }
+            ControlCommand::ReplaceInstance { task, .. } => self.replace(task.get()),
             ControlCommand::FailTask { task, .. } => {
                 let waits = |it: &Task| it.job.is_some() && it.phase == TaskPhase::Queued;
                 let found = self.tasks.get(&task.get()).is_some_and(waits);
@@ -385,19 +325,7 @@
                 }
                 found
             }
-            ControlCommand::Claim { key, claim, .. } => {
-                if self.version == 0 {
-                    return false;
-                }
-                let free = match self.claims.get(key) {
-                    None => true,
-                    Some((holder, outcome)) => *outcome == Some(ClaimOutcome::NotRun) && holder != claim,
-                };
-                if free {
-                    self.claims.insert(key.clone(), (*claim, None));
-                }
-                true
-            }
+            ControlCommand::Claim { key, claim, .. } => self.claim(key, *claim),
             ControlCommand::SettleClaim { key, claim, outcome, .. } => match self.claims.get_mut(key) {
                 Some((holder, settled)) if holder == claim && settled.is_none_or(|it| it == *outcome) => {
                     *settled = Some(*outcome);
@@ -407,4 +335,129 @@
             },
         }
     }
+
+    fn configure(&mut self, catalog: &Catalog) -> bool {
+        if catalog.version.get() != self.version + 1 {
+            return false;
+        }
+        let web = catalog.service(&unit("web")).unwrap();
+        self.version += 1;
+        self.quota = catalog.teams[0].quota.unwrap();
+        (self.instances, self.instance_size) = (web.instances, web.size);
+        for task in self.tasks.values_mut() {
+            if task.job.is_none() && task.phase == TaskPhase::Queued {
+                (task.declared, task.size) = (web.size, web.size);
+            }
+        }
+        true
+    }
+
+    fn set_zone(&mut self, zone: &ZoneName, in_service: bool) -> bool {
+        let Some(state) = self.zones.get_mut(zone) else { return false };
+        *state = in_service;
+        if !in_service {
+            let there: Vec<_> =
+                self.workers.iter().filter(|(_, it)| it.zone == *zone).map(|(it, _)| Some(*it)).collect();
+            self.stop_all(|task| task.phase == TaskPhase::Starting && there.contains(&task.worker));
+        }
+        true
+    }
+
+    fn register(
+        &mut self,
+        worker: &WorkerId,
+        incarnation: Incarnation,
+        zone: &ZoneName,
+        capacity: ResourceSize,
+    ) -> bool {
+        if let Some(number) = self.number(worker) {
+            let known = &self.workers[&number];
+            if incarnation <= known.incarnation {
+                return incarnation == known.incarnation && *zone == known.zone && capacity == known.capacity;
+            }
+            self.end_worker(number);
+        }
+        self.zones.entry(zone.clone()).or_insert(true);
+        self.last_worker += 1;
+        let worker = Worker { id: worker.clone(), incarnation, zone: zone.clone(), capacity, sequence: None };
+        self.workers.insert(self.last_worker, worker);
+        true
+    }
+
+    fn submit(&mut self, key: &JobKey, job: &JobSpec) -> bool {
+        if let Some(known) = self.jobs.get(key) {
+            return known.spec == *job;
+        }
+        if self.version == 0 {
+            return false;
+        }
+        let cancelled = self.cancels.remove(key);
+        self.jobs.insert(key.clone(), Job { spec: job.clone(), cancelled, started: false });
+        for _ in 0..job.count {
+            let id = self.create(Some(key.clone()), job.size.unwrap_or(size(1)));
+            if cancelled {
+                self.stop(id);
+            }
+        }
+        true
+    }
+
+    fn cancel(&mut self, key: &JobKey) {
+        if !self.jobs.contains_key(key) {
+            self.cancels.insert(key.clone());
+        } else if matches!(self.job_phase(key), JobPhase::Queued | JobPhase::Running) {
+            self.jobs.get_mut(key).unwrap().cancelled = true;
+            self.stop_all(|task| task.job.as_ref() == Some(key));
+        }
+    }
+
+    fn start(&mut self, id: u64, attempt: u32, worker: u32, size: ResourceSize) -> bool {
+        let allowed = self.start_is_allowed(id, attempt, worker, size);
+        if allowed {
+            self.enter(id, TaskPhase::Starting);
+            let task = self.tasks.get_mut(&id).unwrap();
+            (task.attempt, task.worker, task.size) = (attempt, Some(worker), size);
+        }
+        allowed
+    }
+
+    fn report(&mut self, worker: u32, sequence: u64, changes: &[AttemptChange]) -> bool {
+        let Some(known) = self.workers.get_mut(&worker) else { return false };
+        if known.sequence.is_some_and(|last| sequence <= last) {
+            return false;
+        }
+        known.sequence = Some(sequence);
+        for change in changes {
+            self.record(worker, change);
+        }
+        true
+    }
+
+    fn replace(&mut self, id: u64) -> bool {
+        let Some(old) = self.tasks.get(&id) else { return false };
+        if !matches!(old.phase, TaskPhase::Starting | TaskPhase::Running) || !self.counts(id) {
+            return false;
+        }
+        let successor = Some(self.create(None, self.instance_size));
+        for (other, task) in &mut self.tasks {
+            if *other == id || task.successor == Some(id) {
+                task.successor = successor;
+            }
+        }
+        true
+    }
+
+    fn claim(&mut self, key: &RequestKey, claim: ClaimId) -> bool {
+        if self.version == 0 {
+            return false;
+        }
+        let is_free = match self.claims.get(key) {
+            None => true,
+            Some((holder, outcome)) => *outcome == Some(ClaimOutcome::NotRun) && *holder != claim,
+        };
+        if is_free {
+            self.claims.insert(key.clone(), (claim, None));
+        }
+        true
+    }
 }
--- /dev/null
+++ b/crates/parsleywalk-control/tests/report_fuzz.rs
@@ -0,0 +1,418 @@
+//! Reports and answers that are delayed, dropped, repeated and reordered across changes of the leader.
+//!
+//! Guards against a task that runs on two workers at once, an attempt that starts twice, evicted work that does not
+//! resume from its checkpoint, a start in a zone long after it was taken out, and workers that run more than they have.
+//! The seed is fixed; `FUZZ_SEED` and `FUZZ_CASES` choose another run.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use common::model_worker::{AttemptKey, ModelWorker, WorkerEvent, checkpoint_number};
+use common::{configure, fuzz_catalog, job_key, register, submit, unit};
+use parsleywalk_api::{JobPhase, ReportedPhase, TaskPhase, WorkerReply, WorkerReport};
+use parsleywalk_control::{
+    ControlCommand, ControlState, EvictionReason, LeaseSettings, LeaseTable, TaskRecord, WorkerRecord, plan_report,
+};
+use parsleywalk_units::{MonotonicTime, StateTime, TaskId, TimeSpan, ZoneDirection, ZoneName};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const WORKERS: usize = 4;
+const JOBS: u32 = 6;
+const START_WITHIN: u64 = 1000;
+/// Far shorter than the real one, so that leases end within a run.
+const LEASE: u64 = 6000;
+/// A new leader answers only once the lease of the old one has ended.
+const LEADER_LEASE: u64 = 500;
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Wait(u64),
+    SendReport(usize),
+    DeliverReport(usize),
+    RepeatReport(usize),
+    DropReport(usize),
+    DeliverAnswer(usize),
+    DropAnswer(usize),
+    /// A report, its answer and the commits between them, without any fault.
+    Exchange(usize),
+    Commit,
+    ChangeLeader(usize),
+    Place(usize, usize),
+    Evict(usize),
+    Replace(usize),
+    SetZone(usize, bool),
+    Submit(u32),
+    Cancel(u32),
+    LoseEnded,
+    EndAttempt(usize, usize, bool),
+    TakeCheckpoint(usize, usize),
+    Restart(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let choice = 0..64_usize;
+    let worker = 0..WORKERS;
+    prop_oneof![
+        6 => (0..700_u64).prop_map(Step::Wait),
+        1 => (0..7000_u64).prop_map(Step::Wait),
+        8 => worker.clone().prop_map(Step::SendReport),
+        8 => choice.clone().prop_map(Step::DeliverReport),
+        1 => choice.clone().prop_map(Step::RepeatReport),
+        1 => choice.clone().prop_map(Step::DropReport),
+        8 => choice.clone().prop_map(Step::DeliverAnswer),
+        1 => choice.clone().prop_map(Step::DropAnswer),
+        6 => worker.clone().prop_map(Step::Exchange),
+        8 => Just(Step::Commit),
+        1 => (0..4_usize).prop_map(Step::ChangeLeader),
+        12 => (choice.clone(), worker.clone()).prop_map(|(task, worker)| Step::Place(task, worker)),
+        4 => choice.clone().prop_map(Step::Evict),
+        1 => choice.clone().prop_map(Step::Replace),
+        1 => (0..2_usize, any::<bool>()).prop_map(|(zone, out)| Step::SetZone(zone, out)),
+        3 => (0..JOBS).prop_map(Step::Submit),
+        1 => (0..JOBS / 2).prop_map(Step::Cancel),
+        2 => Just(Step::LoseEnded),
+        3 => (worker.clone(), choice.clone(), any::<bool>()).prop_map(|(it, key, done)| Step::EndAttempt(it, key, done)),
+        3 => (worker.clone(), choice.clone()).prop_map(|(worker, key)| Step::TakeCheckpoint(worker, key)),
+        1 => worker.prop_map(Step::Restart),
+    ]
+}
+
+fn pick<T: Clone>(list: &[T], choice: usize) -> Option<T> {
+    list.get(choice.checked_rem(list.len())?).cloned()
+}
+
+struct World {
+    now: u64,
+    /// The committed state, which the leader has applied.
+    state: ControlState,
+    /// Proposed and not committed.
+    pending: VecDeque<ControlCommand>,
+    leases: LeaseTable,
+    /// When the present leader begins to answer.
+    leads_from: u64,
+    leader_rate: u64,
+    operations: u32,
+    workers: Vec<ModelWorker>,
+    reports: Vec<WorkerReport>,
+    answers: Vec<(usize, u64, WorkerReply)>,
+    out_since: BTreeMap<ZoneName, u64>,
+    started: BTreeSet<AttemptKey>,
+    /// The last checkpoint of each task whose recording was confirmed to its worker.
+    settled_checkpoints: BTreeMap<TaskId, u64>,
+}
+
+impl World {
+    fn new() -> Self {
+        let lease = Duration::from_millis(LEASE);
+        let mut world = Self {
+            now: 1,
+            state: ControlState::new(),
+            pending: VecDeque::new(),
+            leases: LeaseTable::new(LeaseSettings { lease, ..LeaseSettings::default() }),
+            leads_from: 0,
+            leader_rate: 100,
+            operations: 0,
+            workers: (0..WORKERS).map(|number| ModelWorker::new(number, 99 + number as u64 % 3)).collect(),
+            reports: Vec::new(),
+            answers: Vec::new(),
+            out_since: BTreeMap::new(),
+            started: BTreeSet::new(),
+            settled_checkpoints: BTreeMap::new(),
+        };
+        world.pending.push_back(configure(1, "first", fuzz_catalog(1, 9, 2, 1)));
+        for worker in &world.workers {
+            world.pending.push_back(register(1, worker.id.as_str(), 1, worker.zone.as_str(), 3));
+        }
+        (0..3).for_each(|key| world.pending.push_back(submit(1, &format!("k{key}"), 2, None)));
+        world.commit_all();
+        world
+    }
+
+    fn at(&self) -> StateTime {
+        StateTime::from_millis(self.now)
+    }
+
+    fn leader_clock(&self) -> MonotonicTime {
+        MonotonicTime::from_millis(self.now * self.leader_rate / 100)
+    }
+
+    fn propose(&mut self, command: ControlCommand) {
+        if self.now >= self.leads_from {
+            self.pending.push_back(command);
+        }
+    }
+
+    fn commit(&mut self) {
+        if self.now < self.leads_from {
+            return;
+        }
+        let Some(command) = self.pending.pop_front() else { return };
+        self.state.apply(&command);
+        self.state.check_invariants().unwrap();
+        match command {
+            ControlCommand::SetZone { zone, .. } if self.state.zone(&zone).in_service => {
+                self.out_since.remove(&zone);
+            }
+            ControlCommand::SetZone { zone, .. } => {
+                self.out_since.entry(zone).or_insert(self.now);
+            }
+            // What the daemon does with `WorkerLost`.
+            ControlCommand::LoseWorker { worker, .. } if self.state.worker(&worker).is_none() => {
+                self.leases.remove(&worker);
+            }
+            _ => {}
+        }
+    }
+
+    fn commit_all(&mut self) {
+        while !self.pending.is_empty() {
+            self.commit();
+        }
+    }
+
+    /// The new leader holds all but the last `lost` proposals of the old one.
+    fn change_leader(&mut self, lost: usize) {
+        self.pending.truncate(self.pending.len().saturating_sub(lost));
+        self.leads_from = 0;
+        self.commit_all();
+        self.leads_from = self.now + LEADER_LEASE;
+        self.leader_rate = 99 + (self.leader_rate - 98) % 3;
+        let (clock, workers) = (self.leader_clock(), self.state.workers().map(|it| it.id().clone()));
+        self.leases.take_office(clock, workers);
+    }
+
+    /// The leader answers a report.
+    fn answer(&mut self, report: &WorkerReport) {
+        if self.now < self.leads_from {
+            return;
+        }
+        let plan = plan_report(&self.state, self.at(), report);
+        let renews = plan.renews && self.leases.renew(self.leader_clock(), &report.worker);
+        self.pending.extend(plan.commands);
+        let reply = WorkerReply {
+            sequence: report.sequence,
+            revision: self.state.revision(),
+            lease: renews.then_some(TimeSpan::from_millis(LEASE)),
+            start_within: TimeSpan::from_millis(START_WITHIN),
+            report_every: TimeSpan::from_secs(1),
+            orders: if renews { plan.orders } else { Vec::new() },
+            entries: Vec::new(),
+        };
+        let worker = self.workers.iter().position(|it| it.id == report.worker).unwrap();
+        self.answers.push((worker, report.incarnation.get(), reply));
+    }
+
+    fn receive(&mut self, (worker, incarnation, reply): (usize, u64, WorkerReply)) {
+        let worker = &mut self.workers[worker];
+        // The connection of an earlier life is gone.
+        if worker.incarnation != incarnation {
+            return;
+        }
+        let zone = worker.zone.clone();
+        for event in worker.receive(self.now, &reply) {
+            match event {
+                WorkerEvent::Started { key, checkpoint } => {
+                    assert!(self.started.insert(key), "attempt {key:?} started twice");
+                    let (found, settled) =
+                        (checkpoint_number(checkpoint.as_deref()), self.settled_checkpoints.get(&key.0));
+                    assert!(settled.is_none_or(|settled| found >= *settled), "{key:?} resumed from {found}");
+                    let late = self.out_since.get(&zone).is_some_and(|out| self.now > out + START_WITHIN * 102 / 100);
+                    assert!(!late, "{key:?} started in zone {zone} at {}, out since {:?}", self.now, self.out_since);
+                }
+                // A checkpoint that arrives after a further attempt was placed is of no use any more.
+                WorkerEvent::Settled { report }
+                    if self.state.task(report.task).is_some_and(|it| it.attempt() == report.attempt)
+                        && report.phase != ReportedPhase::NotStarted =>
+                {
+                    let number = checkpoint_number(report.checkpoint.as_deref());
+                    let settled = self.settled_checkpoints.entry(report.task).or_default();
+                    *settled = number.max(*settled);
+                }
+                WorkerEvent::Settled { .. } => {}
+            }
+        }
+    }
+
+    fn exchange(&mut self, worker: usize) {
+        let report = self.workers[worker].report(self.now);
+        self.answer(&report);
+        if self.answers.last().is_some_and(|(to, _, reply)| *to == worker && reply.sequence == report.sequence) {
+            let answer = self.answers.pop().unwrap();
+            self.receive(answer);
+        }
+        if self.now >= self.leads_from {
+            self.commit_all();
+        }
+    }
+
+    fn tasks(&self, filter: impl Fn(&TaskRecord) -> bool) -> Vec<TaskRecord> {
+        self.state.tasks().filter(|record| filter(record)).cloned().collect()
+    }
+
+    fn place(&mut self, task: usize, worker: usize) {
+        let Some(record) = pick(&self.tasks(|it| it.phase() == TaskPhase::Queued), task) else { return };
+        let Some(holder) = self.state.worker(&self.workers[worker].id) else { return };
+        let command = ControlCommand::StartTask {
+            at: self.at(),
+            task: record.id(),
+            attempt: record.attempt().next(),
+            worker: holder.number(),
+            size: record.declared(),
+        };
+        self.propose(command);
+    }
+
+    fn set_zone(&mut self, zone: usize, out: bool) {
+        self.operations += 1;
+        let direction = if out { ZoneDirection::Out } else { ZoneDirection::In };
+        let operation = unit(&format!("op{}", self.operations));
+        self.propose(ControlCommand::SetZone { at: self.at(), operation, zone: unit(["a", "b"][zone]), direction });
+    }
+
+    fn lose_ended(&mut self) {
+        for worker in self.leases.ended(self.leader_clock()) {
+            if let Some(incarnation) = self.state.worker(&worker).map(WorkerRecord::incarnation) {
+                self.propose(ControlCommand::LoseWorker { at: self.at(), worker, incarnation });
+            }
+        }
+    }
+
+    fn run(&mut self, step: Step) {
+        let at = self.at();
+        match step {
+            Step::Wait(millis) => self.now += millis,
+            Step::SendReport(worker) => {
+                let report = self.workers[worker].report(self.now);
+                self.reports.push(report);
+            }
+            Step::DeliverReport(choice) if !self.reports.is_empty() => {
+                let report = self.reports.remove(choice % self.reports.len());
+                self.answer(&report);
+            }
+            Step::RepeatReport(choice) => {
+                if let Some(report) = pick(&self.reports, choice) {
+                    self.answer(&report);
+                }
+            }
+            Step::DropReport(choice) if !self.reports.is_empty() => {
+                self.reports.remove(choice % self.reports.len());
+            }
+            Step::DeliverAnswer(choice) if !self.answers.is_empty() => {
+                let answer = self.answers.remove(choice % self.answers.len());
+                self.receive(answer);
+            }
+            Step::DropAnswer(choice) if !self.answers.is_empty() => {
+                self.answers.remove(choice % self.answers.len());
+            }
+            Step::Exchange(worker) => self.exchange(worker),
+            Step::Commit => self.commit(),
+            Step::ChangeLeader(lost) => self.change_leader(lost),
+            Step::Place(task, worker) => self.place(task, worker),
+            Step::Evict(choice) => {
+                let placed = self.tasks(|it| matches!(it.phase(), TaskPhase::Starting | TaskPhase::Running));
+                if let Some(record) = pick(&placed, choice) {
+                    let (task, attempt, reason) = (record.id(), record.attempt(), EvictionReason::Rebalance);
+                    self.propose(ControlCommand::EvictTask { at, task, attempt, reason });
+                }
+            }
+            Step::Replace(choice) => {
+                if let Some(record) = pick(&self.tasks(|it| it.service().as_str() == "web"), choice) {
+                    self.propose(ControlCommand::ReplaceInstance { at, task: record.id() });
+                }
+            }
+            Step::SetZone(zone, out) => self.set_zone(zone, out),
+            Step::Submit(key) => self.propose(submit(self.now, &format!("k{key}"), 2, None)),
+            Step::Cancel(key) => self.propose(ControlCommand::CancelJob { at, key: job_key(&format!("k{key}")) }),
+            Step::LoseEnded => self.lose_ended(),
+            Step::EndAttempt(worker, choice, done) => {
+                let worker = &mut self.workers[worker];
+                if let Some(key) = pick(&worker.running.keys().copied().collect::<Vec<_>>(), choice) {
+                    worker.end(key, if done { ReportedPhase::Done } else { ReportedPhase::Failed });
+                }
+            }
+            Step::TakeCheckpoint(worker, choice) => {
+                let worker = &mut self.workers[worker];
+                if let Some(key) = pick(&worker.running.keys().copied().collect::<Vec<_>>(), choice) {
+                    worker.take_checkpoint(key);
+                }
+            }
+            Step::Restart(worker) => self.workers[worker].restart(),
+            _ => {}
+        }
+        self.check();
+    }
+
+    fn check(&mut self) {
+        let mut runners = BTreeMap::new();
+        for worker in &mut self.workers {
+            worker.tick(self.now);
+            assert!(worker.used_cores() <= ModelWorker::capacity().cores, "{} runs more than it has", worker.id);
+            for (task, attempt) in worker.running.keys() {
+                let other = runners.insert(*task, &worker.id);
+                assert!(other.is_none(), "{task:?} attempt {attempt} runs on {:?} and {}", other, worker.id);
+            }
+        }
+    }
+
+    /// Without further faults all work must end, once each.
+    fn finish(&mut self) {
+        self.reports.clear();
+        self.answers.clear();
+        (0..2).for_each(|zone| self.set_zone(zone, false));
+        self.now = self.now.max(self.leads_from);
+        (0..2).for_each(|zone| self.set_zone(zone, false));
+        for round in 0..60 {
+            for worker in 0..WORKERS {
+                self.exchange(worker);
+                for task in 0..4 {
+                    self.place(task, worker);
+                }
+                self.commit_all();
+                self.exchange(worker);
+                let done: Vec<_> = self.workers[worker].running.keys().copied().collect();
+                for key in done {
+                    if self.state.task(key.0).is_some_and(|it| it.service().as_str() == "batch") {
+                        self.workers[worker].end(key, ReportedPhase::Done);
+                    }
+                }
+                self.check();
+            }
+            self.now += 300;
+            if round % 10 == 9 {
+                self.lose_ended();
+            }
+        }
+        for key in (0..JOBS).map(|key| job_key(&format!("k{key}"))) {
+            if let Some(status) = self.state.job_status(&key) {
+                assert!(matches!(status.phase, JobPhase::Done | JobPhase::Cancelled), "{status:?}");
+            }
+        }
+        assert_eq!(self.state.task_counts().running, 2, "both instances run: {:?}", self.state.task_counts());
+    }
+}
+
+fn number_from(variable: &str, otherwise: u64) -> u64 {
+    std::env::var(variable).ok().map_or(otherwise, |text| text.parse().expect("a number"))
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: u32::try_from(number_from("FUZZ_CASES", 600)).unwrap(),
+        rng_seed: RngSeed::Fixed(number_from("FUZZ_SEED", 11)),
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn no_task_runs_twice_whatever_the_network_does(steps in prop::collection::vec(step(), 100..500)) {
+        let mut world = World::new();
+        for step in steps {
+            world.run(step);
+        }
+        world.finish();
+    }
+}
--- a/crates/parsleywalk-control/tests/state_fuzz.rs
+++ b/crates/parsleywalk-control/tests/state_fuzz.rs
@@ -10,7 +10,7 @@
 use common::commands::command;
 use common::oracle::{Oracle, is_live};
 use parsleywalk_api::TaskPhase;
-use parsleywalk_control::{ControlCommand, ControlReply, ControlState, StateChange};
+use parsleywalk_control::{ControlCommand, ControlReply, ControlState, StateChange, WorkerNumber};
 use parsleywalk_units::{AttemptNumber, OperationId, TaskId, WorkerId};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -26,7 +26,9 @@
         // Most runs start with a configuration and workers, so that few commands are spent on them.
         let prepared = {
             let mut oracle = Oracle::default();
-            preparation().iter().for_each(|command| oracle.apply(command));
+            for command in preparation() {
+                oracle.apply(&command);
+            }
             oracle
         };
         prop_oneof![9 => Just(prepared), 1 => Just(Oracle::default())].boxed()
@@ -192,7 +194,7 @@
             (task.attempt, task.phase, task.size, task.entered, task.checkpoint.as_deref()),
             "task {id}"
         );
-        assert_eq!(record.worker().map(|it| it.get()), task.worker);
+        assert_eq!(record.worker().map(WorkerNumber::get), task.worker);
         assert_eq!(record.successor().map(TaskId::get), task.successor);
         assert_eq!(subject.index[&TaskId::new(*id)].phase, task.phase);
     }
