Fuzz routers against an oracle of callers, endpoints and claims

Cause of a fault found: dispatch identities began at 1 at each start, so a result that another zone sent to an earlier start of an entry matched a dispatch of the new one and answered another request. Identities are now drawn from the seed of the start.

--- a/crates/parsleywalk-routing/src/request_router.rs
+++ b/crates/parsleywalk-routing/src/request_router.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use parsleywalk_units::{DispatchId, MonotonicTime, RequestId, ServiceName};
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::endpoint_table::{AnnounceEffect, EndpointHandle, EndpointTable};
@@ -71,14 +71,17 @@
 impl RequestRouter {
     /// Creates a router without services and endpoints.
     ///
-    /// Claim identities are drawn from `seed`, so each start of each entry needs a different one.
+    /// The identities of claims and dispatches are drawn from `seed`, so each start of each entry needs a different one.
     #[must_use]
     pub fn new(settings: RouterSettings, seed: u64) -> Self {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        // A result that another zone sends to an earlier start of this entry must not match a dispatch of this one.
+        let next_dispatch = DispatchId::new(random.random::<u64>() >> 1);
         Self {
             claims: ClaimRegister::new(settings.claim_limit),
             answers: AnswerCache::new(settings.cache_bytes, settings.cache_entries, settings.cache_age),
             settings,
-            random: Pcg64Mcg::seed_from_u64(seed),
+            random,
             services: Vec::new(),
             by_name: HashMap::new(),
             endpoints: EndpointTable::default(),
@@ -87,7 +90,7 @@
             dispatches: HashMap::new(),
             timers: TimerQueue::default(),
             zones: ZoneChoice::default(),
-            next_dispatch: DispatchId::new(1),
+            next_dispatch,
             draining: false,
             forwards: 0,
             claiming: 0,
--- /dev/null
+++ b/crates/parsleywalk-routing/tests/model/oracle.rs
@@ -0,0 +1,151 @@
+//! What must hold, checked against the routers' actions.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use parsleywalk_routing::{EndpointAddress, RouteAnswer, RouteReason};
+use parsleywalk_units::{DispatchId, IdempotencyKey, MonotonicTime, RequestId, RequestKey, ServiceName};
+
+/// A request as its caller, or the forwarding entry, knows it.
+#[derive(Debug, Clone)]
+pub struct ModelRequest {
+    pub entry: usize,
+    pub body: u64,
+    pub service: ServiceName,
+    pub caller: usize,
+    pub key: Option<IdempotencyKey>,
+    pub repeatable: bool,
+    pub deadline: MonotonicTime,
+    pub origin: Option<(usize, DispatchId)>,
+    pub after_drain: bool,
+    pub wait: WaitState,
+}
+
+/// Whether a caller waits for its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitState {
+    Waiting,
+    Answered,
+    Abandoned,
+}
+
+impl ModelRequest {
+    pub fn request_key(&self) -> Option<RequestKey> {
+        self.key.clone().map(|key| RequestKey { service: self.service.clone(), key })
+    }
+
+    pub fn waits(&self) -> bool {
+        self.wait == WaitState::Waiting
+    }
+}
+
+/// A dispatch or forward whose result the entry's daemon has not reported.
+#[derive(Debug, Clone)]
+pub struct OpenAttempt {
+    pub address: Option<EndpointAddress>,
+    pub body: u64,
+    pub due: MonotonicTime,
+}
+
+/// What an entry was told of an address: the slots and until when, or nothing once it left or was replaced.
+pub type KnownAddresses = BTreeMap<EndpointAddress, (u32, MonotonicTime)>;
+
+#[derive(Debug, Default)]
+pub struct Oracle {
+    pub requests: BTreeMap<RequestId, ModelRequest>,
+    pub open: BTreeMap<(usize, DispatchId), OpenAttempt>,
+    pub used: BTreeSet<(usize, DispatchId)>,
+    /// How often each body ran.
+    pub runs: BTreeMap<u64, u32>,
+    /// Bodies of requests without a key that were called not run.
+    pub never_run: BTreeSet<u64>,
+    pub known: Vec<KnownAddresses>,
+    pub answers: BTreeMap<&'static str, u32>,
+}
+
+impl Oracle {
+    pub fn record_run(&mut self, body: u64) {
+        let runs = self.runs.entry(body).or_default();
+        *runs += 1;
+        let runs = *runs;
+        assert!(!self.never_run.contains(&body), "body {body} ran after it was called not run");
+        let once = self.requests.values().any(|request| request.body == body && !request.repeatable);
+        assert!(!once || runs == 1, "body {body} is not repeatable and ran {runs} times");
+    }
+
+    pub fn check_dispatch(
+        &mut self,
+        now: MonotonicTime,
+        entry: usize,
+        request: RequestId,
+        dispatch: DispatchId,
+        address: Option<EndpointAddress>,
+    ) -> &ModelRequest {
+        assert!(self.used.insert((entry, dispatch)), "entry {entry} used {dispatch} twice");
+        let record = &self.requests[&request];
+        assert!(record.entry == entry && record.waits(), "entry {entry} sent {request}, whose caller does not wait");
+        assert!(record.deadline > now, "{request} was sent past its deadline");
+        assert!(address.is_some() || record.origin.is_none(), "{request} was forwarded twice");
+        let before_drain =
+            |other: &ModelRequest| other.entry == entry && other.body == record.body && !other.after_drain;
+        assert!(
+            !record.after_drain || self.requests.values().any(before_drain),
+            "{request} arrived during shutdown and was sent"
+        );
+        if let Some(address) = address {
+            let known = self.known[entry].get(&address);
+            let (slots, until) = *known.unwrap_or_else(|| panic!("{address} left or was replaced and got {request}"));
+            assert!(until > now, "the announcement of {address} expired and it got {request}");
+            let used = self.open.iter().filter(|((at, _), open)| *at == entry && open.address == Some(address)).count();
+            assert!(used < slots as usize, "entry {entry} uses {used} + 1 of {slots} slots of {address}");
+        }
+        record
+    }
+
+    /// Checks an answer. `in_transit` tells whether a copy of the body may still reach an endpoint, and `holds_claim`
+    /// whether the entry holds the claim on the request's key.
+    pub fn check_answer(
+        &mut self,
+        now: MonotonicTime,
+        request: RequestId,
+        answer: &RouteAnswer,
+        in_transit: bool,
+        holds_claim: bool,
+    ) {
+        let record = self.requests.get_mut(&request).expect("the request was submitted");
+        assert_ne!(record.wait, WaitState::Answered, "{request} was answered twice");
+        assert_ne!(record.wait, WaitState::Abandoned, "{request} was answered after its caller left");
+        record.wait = WaitState::Answered;
+        let record = record.clone();
+        let runs = self.runs.get(&record.body).copied().unwrap_or(0);
+        let kind = match answer {
+            RouteAnswer::Whole(answer) => {
+                let body = u64::from_le_bytes(answer.body[..].try_into().expect("the body is whole"));
+                assert_eq!(body, record.body, "{request} got the answer of another request");
+                assert!(now <= record.deadline, "{request} was answered as a success past its deadline");
+                assert!(runs > 0, "{request} was answered and did not run");
+                "whole"
+            }
+            RouteAnswer::NotRun { reason, .. } => {
+                assert!(record.after_drain || *reason != RouteReason::Draining, "{request} was cut off by shutdown");
+                if record.origin.is_none() {
+                    let may_run = self.requests.values().any(|other| {
+                        other.origin.is_some_and(|(entry, _)| entry == record.entry)
+                            && other.body == record.body
+                            && other.waits()
+                    });
+                    assert!(runs == 0 && !in_transit && !may_run, "{request} ran or may run and was called not run");
+                    assert!(record.key.is_none() || holds_claim, "{request} was called not run without a claim");
+                    if record.key.is_none() {
+                        self.never_run.insert(record.body);
+                    }
+                }
+                "not run"
+            }
+            RouteAnswer::Unknown { reason } => {
+                assert!(record.after_drain || *reason != RouteReason::Draining, "{request} was cut off by shutdown");
+                "unknown"
+            }
+        };
+        *self.answers.entry(kind).or_default() += 1;
+    }
+}
