Add the measurement program, and keep a probe's quarantine when its start is committed

Cause: placing a committed start freed and held the capacity again, which ended the probe, so a quarantined worker was probed by every waiting task at once.

--- /dev/null
+++ b/crates/parsleywalk-scheduler/examples/policy_bench/traffic.rs
@@ -0,0 +1,238 @@
+//! Latencies, reports and what becomes of proposals.
+
+use std::time::Duration;
+
+use parsleywalk_scheduler::{EvictionCause, PolicyDecision, PolicyEvent, TaskOutcome, TaskUsage};
+use parsleywalk_units::{
+    AttemptNumber, MemoryBytes, MilliCores, MonotonicTime, ResourceSize, TaskId, ThrottleLevel, WorkerId,
+};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use crate::truth::{CRITICAL, WORKERS};
+use crate::world::{
+    BenchTask, BenchWorker, COLD_START, INSTANCES, LOST_PROPOSAL, Phase, STOP_DELAY, World, cores_of, instance_size,
+    kept, worker_size,
+};
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "small positive numbers")]
+fn millicores(cores: f64) -> MilliCores {
+    MilliCores::new((cores * 1000.0) as u32)
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "small positive numbers")]
+fn bytes(memory: f64) -> MemoryBytes {
+    MemoryBytes::new(memory as u64)
+}
+
+/// Standard normal, close enough: the sum of twelve uniform draws.
+fn normal(rng: &mut Pcg64Mcg) -> f64 {
+    (0..12).map(|_| rng.random_range(0.0..1.0)).sum::<f64>() - 6.0
+}
+
+impl World {
+    fn serving(&self) -> Vec<TaskId> {
+        let serves = |task: &BenchTask| {
+            task.critical && task.phase != Phase::Queued && self.tick >= task.since + COLD_START.min(self.tick)
+        };
+        self.tasks.iter().filter(|(_, task)| serves(task)).map(|(id, _)| *id).collect()
+    }
+
+    /// The share of its capacity that each service's instances use.
+    fn utilization(&self) -> [f64; CRITICAL] {
+        let mut counts = [0.0; CRITICAL];
+        for id in self.serving() {
+            counts[self.tasks[&id].service] += 1.0;
+        }
+        let load = self.truth.load(self.tick);
+        let mut result = [0.0; CRITICAL];
+        for service in 0..CRITICAL {
+            #[expect(clippy::cast_precision_loss, reason = "a small count")]
+            let wanted = load * INSTANCES[service] as f64;
+            result[service] = (wanted / f64::max(counts[service], 1.0)).min(1.2);
+        }
+        result
+    }
+
+    /// How much each instance is slowed by its neighbours.
+    fn slowdown(&self, id: TaskId, demand: &[f64], load: f64) -> f64 {
+        let instance = &self.tasks[&id];
+        let mut sum = 0.0;
+        for task in self.tasks.values().filter(|task| !task.critical && task.phase != Phase::Queued) {
+            if task.worker == instance.worker {
+                let noise = self.truth.noise(task.service, self.tick);
+                let slope = self.truth.slopes[instance.service][task.service];
+                sum += slope * task.cores * kept(task.throttle) * noise;
+            }
+        }
+        let over = (demand[instance.worker] / cores_of(&worker_size()) - 1.0).max(0.0);
+        sum * (0.4 + 1.2 * load) + over
+    }
+
+    pub(crate) fn serve(&mut self) {
+        let utilization = self.utilization();
+        let demand = self.demand();
+        for id in self.serving() {
+            let service = self.tasks[&id].service;
+            let used = utilization[service];
+            let slowdown = self.slowdown(id, &demand, used.min(1.0));
+            let queueing = 1.0 / (1.0 - 0.75 * used.min(1.0)) + 10.0 * (used - 1.0).max(0.0);
+            let base = 8.0 + 4.0 * f64::from(u8::try_from(service).unwrap_or(0));
+            let mean = base * queueing * (1.0 + slowdown);
+            for _ in 0..2 {
+                let sample = mean * (0.3 * normal(&mut self.rng)).exp();
+                self.measure.latency(sample);
+            }
+            // Reports give the tail latency of the last seconds, which is noisy itself.
+            let reported = mean * 2.0 * (0.08 * normal(&mut self.rng)).exp();
+            if let Some(task) = self.tasks.get_mut(&id) {
+                task.done = reported;
+                task.cores = 4.0 * (0.2 + 0.8 * used.min(1.0));
+            }
+        }
+    }
+
+    /// Takes each worker's measurements every 5 s and delivers them after its lag.
+    pub(crate) fn report(&mut self) {
+        for worker in 0..WORKERS {
+            if !self.workers[worker].present {
+                continue;
+            }
+            if (self.tick + worker as u64).is_multiple_of(5) {
+                let usages = self.usages(worker);
+                let due = self.tick + self.workers[worker].lag;
+                self.workers[worker].reports.push_back((due, self.tick, usages));
+            }
+            while self.workers[worker].reports.front().is_some_and(|report| report.0 <= self.tick) {
+                if let Some((_, measured, tasks)) = self.workers[worker].reports.pop_front() {
+                    let measured_at = MonotonicTime::from_millis(1000 + measured * 1000);
+                    let id = self.workers[worker].id.clone();
+                    self.observe(PolicyEvent::UsageReported { worker: id, measured_at, tasks });
+                }
+            }
+        }
+    }
+
+    fn usages(&self, worker: usize) -> Vec<TaskUsage> {
+        let running = self.tasks_on(worker).into_iter().map(|id| (id, &self.tasks[&id]));
+        running
+            .map(|(task, record)| {
+                let serves = record.critical && self.tick >= record.since + COLD_START;
+                let loss = if record.critical { 0.0 } else { (record.done - record.saved).max(0.0) };
+                TaskUsage {
+                    task,
+                    cores: millicores(record.cores * kept(record.throttle)),
+                    memory: bytes(record.memory),
+                    latency: serves.then(|| Duration::from_secs_f64(record.done / 1000.0)),
+                    since_checkpoint: Duration::from_secs_f64(loss),
+                }
+            })
+            .collect()
+    }
+
+    pub(crate) fn decide(&mut self) {
+        let now = self.now();
+        for decision in self.policy.decide(now) {
+            if !self.rng.random_bool(LOST_PROPOSAL) {
+                self.apply(&decision);
+            }
+        }
+        if self.trace && self.tick.is_multiple_of(60) {
+            self.print_trace();
+        }
+        self.measure.capacity(self.tick, self.allowed());
+    }
+
+    fn print_trace(&self) {
+        let count = |keep: &dyn Fn(&BenchTask) -> bool| self.tasks.values().filter(|task| keep(task)).count();
+        let committed: f64 =
+            self.tasks.values().filter(|task| task.phase != Phase::Queued).map(|task| cores_of(&task.size)).sum();
+        eprintln!(
+            "tick={} load={:.2} committed={committed:.0} light={} hard={} stopping={} waiting_instances={} {:?}",
+            self.tick,
+            self.truth.load(self.tick),
+            count(&|task| task.throttle == ThrottleLevel::Light),
+            count(&|task| task.throttle == ThrottleLevel::Hard),
+            count(&|task| matches!(task.phase, Phase::Stopping(_))),
+            count(&|task| task.critical && task.phase == Phase::Queued),
+            self.measure.causes,
+        );
+    }
+
+    /// What batch tasks could do in this second: the present capacity of zones in service less the instances.
+    fn allowed(&self) -> f64 {
+        let open = |worker: &BenchWorker| worker.present && !(self.zone_out && worker.zone == 1);
+        #[expect(clippy::cast_precision_loss, reason = "a small count")]
+        let workers = self.workers.iter().filter(|worker| open(worker)).count() as f64;
+        #[expect(clippy::cast_precision_loss, reason = "a small count")]
+        let instances = INSTANCES.iter().sum::<usize>() as f64;
+        workers * cores_of(&worker_size()) - instances * cores_of(&instance_size())
+    }
+
+    fn apply(&mut self, decision: &PolicyDecision) {
+        match decision {
+            PolicyDecision::Start { task, attempt, worker, size } => {
+                self.start(*task, *attempt, worker, *size);
+            }
+            PolicyDecision::Evict { task, attempt, reason } => self.evict(*task, *attempt, *reason),
+            PolicyDecision::Throttle { task, attempt, level } => {
+                if let Some(record) = self.tasks.get_mut(task).filter(|record| record.attempt == attempt.get()) {
+                    record.throttle = *level;
+                    self.measure.throttles += 1;
+                }
+            }
+            PolicyDecision::Replace { task, attempt } => self.replace(*task, *attempt),
+            PolicyDecision::Fail { task, .. } => {
+                let Some(record) = self.tasks.get(task) else { return };
+                self.measure.failed_jobs += 1;
+                if !record.hopeless {
+                    self.measure.wrongly_failed += 1;
+                }
+                self.end(*task, TaskOutcome::Cancelled);
+            }
+        }
+    }
+
+    fn start(&mut self, id: TaskId, attempt: AttemptNumber, worker: &WorkerId, size: ResourceSize) {
+        let place = self.workers.iter().position(|record| record.id == *worker);
+        let Some(place) = place.filter(|place| self.workers[*place].present) else { return };
+        let tick = self.tick;
+        let out = self.zone_out && self.workers[place].zone == 1;
+        let held = self
+            .tasks_on(place)
+            .iter()
+            .fold(size, |sum, id| sum.checked_add(&self.tasks[id].size).expect("far below the limit"));
+        assert!(!out && held.fits_within(&worker_size()), "{id} starts at {worker}, which then holds {held}");
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        if task.attempt != attempt.get() || task.phase != Phase::Queued {
+            return;
+        }
+        task.phase = Phase::Running;
+        task.worker = place;
+        task.size = size;
+        task.since = tick;
+        if task.urgent {
+            self.measure.urgent_wait(tick - task.queued_at);
+        }
+        self.observe(PolicyEvent::TaskPlaced { task: id, attempt, worker: worker.clone(), size });
+        self.observe(PolicyEvent::TaskRunning { task: id, attempt });
+    }
+
+    fn evict(&mut self, id: TaskId, attempt: AttemptNumber, reason: EvictionCause) {
+        let until = self.tick + STOP_DELAY;
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        if task.attempt == attempt.get() && task.phase == Phase::Running && !task.critical {
+            task.phase = Phase::Stopping(until);
+            self.measure.evict(reason);
+        }
+    }
+
+    fn replace(&mut self, id: TaskId, attempt: AttemptNumber) {
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        if task.attempt == attempt.get() && task.critical && !task.replaced {
+            task.replaced = true;
+            let service = task.service;
+            self.add_instance(service, Some(id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-scheduler/examples/policy_bench/world.rs
@@ -0,0 +1,468 @@
+//! One run: tasks, workers and time, in steps of one second.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use parsleywalk_scheduler::{ObjectiveWeights, PolicyEvent, ServicePlan, TaskOutcome, TaskUsage, TeamQuota};
+use parsleywalk_units::{
+    AttemptNumber, MemoryBytes, MilliCores, MonotonicTime, ResourceSize, TaskClass, TaskId, ThrottleLevel, WorkerId,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::baseline::BenchPolicy;
+use crate::measure::RunMeasure;
+use crate::truth::{BATCH, BenchEvent, BenchUser, CRITICAL, HiddenTruth, LENGTH, WORKERS, ZONE_IN, ZONE_OUT};
+
+/// Seconds until a new instance serves.
+pub(crate) const COLD_START: u64 = 20;
+/// Seconds from a stop order to the worker's confirmation.
+pub(crate) const STOP_DELAY: u64 = 2;
+/// Seconds in which a started batch task restores its state and makes no progress.
+pub(crate) const RESTORE: u64 = 20;
+/// One proposal in this many is lost, to show that it is made again.
+pub(crate) const LOST_PROPOSAL: f64 = 0.02;
+/// The share of stops in which the checkpoint succeeds; otherwise the last periodic one counts.
+pub(crate) const STOP_CHECKPOINT: f64 = 0.8;
+pub(crate) const INSTANCES: [usize; CRITICAL] = [30, 20];
+const BACKLOG: usize = 120;
+
+/// How many more instances run than are needed, and for how long after a loss or a high load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct SpareSettings {
+    pub(crate) spares: usize,
+    /// Seconds; 0 keeps the spares all the time.
+    pub(crate) cool_down: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    Queued,
+    Running,
+    Stopping(u64),
+}
+
+#[derive(Debug, Clone)]
+#[expect(clippy::struct_excessive_bools, reason = "independent properties of one task")]
+pub(crate) struct BenchTask {
+    pub(crate) attempt: u32,
+    pub(crate) service: usize,
+    pub(crate) critical: bool,
+    pub(crate) urgent: bool,
+    pub(crate) phase: Phase,
+    pub(crate) worker: usize,
+    pub(crate) size: ResourceSize,
+    /// True processors and memory.
+    pub(crate) cores: f64,
+    pub(crate) memory: f64,
+    pub(crate) since: u64,
+    pub(crate) done: f64,
+    pub(crate) saved: f64,
+    pub(crate) total: f64,
+    pub(crate) throttle: ThrottleLevel,
+    pub(crate) hopeless: bool,
+    pub(crate) cancelled: bool,
+    pub(crate) failures: u32,
+    pub(crate) queued_at: u64,
+    /// The instance that this one replaces.
+    pub(crate) replaces: Option<TaskId>,
+    pub(crate) replaced: bool,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct BenchWorker {
+    pub(crate) id: WorkerId,
+    pub(crate) zone: usize,
+    pub(crate) rack: usize,
+    pub(crate) present: bool,
+    pub(crate) broken: bool,
+    pub(crate) lag: u64,
+    pub(crate) reports: VecDeque<(u64, u64, Vec<TaskUsage>)>,
+}
+
+pub(crate) struct World {
+    pub(crate) truth: HiddenTruth,
+    pub(crate) policy: BenchPolicy,
+    pub(crate) measure: RunMeasure,
+    pub(crate) rng: Pcg64Mcg,
+    /// Draws for tasks, so that all policies get the same ones.
+    pub(crate) task_rng: Pcg64Mcg,
+    pub(crate) workers: Vec<BenchWorker>,
+    pub(crate) tasks: BTreeMap<TaskId, BenchTask>,
+    pub(crate) next: u64,
+    pub(crate) tick: u64,
+    pub(crate) zone_out: bool,
+    pub(crate) batch: bool,
+    pub(crate) spares: SpareSettings,
+    pub(crate) spares_until: u64,
+    pub(crate) trace: bool,
+}
+
+fn zone_name(zone: usize) -> String {
+    format!("z{zone}")
+}
+
+pub(crate) fn kept(level: ThrottleLevel) -> f64 {
+    match level {
+        ThrottleLevel::None => 1.0,
+        ThrottleLevel::Light => 0.5,
+        ThrottleLevel::Hard => 0.125,
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+pub(crate) fn memory_of(size: &ResourceSize) -> f64 {
+    size.memory.get() as f64
+}
+
+pub(crate) fn cores_of(size: &ResourceSize) -> f64 {
+    f64::from(size.cores.get()) / 1000.0
+}
+
+pub(crate) fn worker_size() -> ResourceSize {
+    ResourceSize::new(MilliCores::new(32_000), MemoryBytes::new(125_000_000_000))
+}
+
+pub(crate) fn instance_size() -> ResourceSize {
+    ResourceSize::new(MilliCores::new(4000), MemoryBytes::new(16_000_000_000))
+}
+
+impl World {
+    pub(crate) fn new(user: BenchUser, seed: u64, policy: BenchPolicy, batch: bool, spares: SpareSettings) -> Self {
+        let workers = (0..WORKERS)
+            .map(|number| BenchWorker {
+                id: format!("w{number:02}").parse().expect("a valid name"),
+                zone: number / 8 % 3,
+                rack: number / 8,
+                present: false,
+                broken: false,
+                lag: 2 + number as u64 % 5,
+                reports: VecDeque::new(),
+            })
+            .collect();
+        let mut world = Self {
+            truth: HiddenTruth::draw(user, seed),
+            policy,
+            measure: RunMeasure::new(),
+            rng: Pcg64Mcg::seed_from_u64(seed ^ 0x5eed),
+            task_rng: Pcg64Mcg::seed_from_u64(seed.wrapping_mul(31)),
+            workers,
+            tasks: BTreeMap::new(),
+            next: 1,
+            tick: 0,
+            zone_out: false,
+            batch,
+            spares,
+            spares_until: 0,
+            trace: std::env::var_os("POLICY_BENCH_TRACE").is_some(),
+        };
+        world.configure(user);
+        world
+    }
+
+    pub(crate) fn now(&self) -> MonotonicTime {
+        MonotonicTime::from_millis(1000 + self.tick * 1000)
+    }
+
+    pub(crate) fn observe(&mut self, event: PolicyEvent) {
+        let now = self.now();
+        self.policy.observe(now, event);
+    }
+
+    fn configure(&mut self, user: BenchUser) {
+        let (batch_throughput, service_latency) = user.weights();
+        let batch = self.truth.batch.iter().enumerate().map(|(number, batch)| ServicePlan {
+            name: format!("batch{number}").parse().expect("a valid name"),
+            class: TaskClass::Batch,
+            run_time: Some(Duration::from_secs_f64(batch.run_time)),
+        });
+        let services = batch.collect();
+        let teams = (0..3)
+            .map(|team| TeamQuota {
+                team: format!("team{team}").parse().expect("a valid name"),
+                weight: team + 1,
+                quota: None,
+            })
+            .collect();
+        let weights = ObjectiveWeights { batch_throughput, service_latency };
+        self.observe(PolicyEvent::ConfigurationChanged { services, teams, weights });
+        for worker in 0..WORKERS {
+            self.join(worker);
+        }
+        for (service, count) in INSTANCES.iter().enumerate() {
+            for _ in 0..*count {
+                self.add_instance(service, None);
+            }
+        }
+    }
+
+    fn join(&mut self, worker: usize) {
+        let record = &mut self.workers[worker];
+        if record.present || (self.zone_out && record.zone == 1 && self.tick >= ZONE_OUT + 300) {
+            return;
+        }
+        record.present = true;
+        record.broken = false;
+        let event = PolicyEvent::WorkerJoined {
+            worker: record.id.clone(),
+            zone: zone_name(record.zone).parse().expect("a valid name"),
+            rack: format!("r{}", record.rack).parse().expect("a valid name"),
+            capacity: worker_size(),
+        };
+        self.observe(event);
+    }
+
+    fn lose(&mut self, worker: usize) {
+        if !self.workers[worker].present {
+            return;
+        }
+        self.workers[worker].present = false;
+        self.workers[worker].reports.clear();
+        let id = self.workers[worker].id.clone();
+        self.observe(PolicyEvent::WorkerLost { worker: id });
+        for task in self.tasks_on(worker) {
+            self.lose_progress(task);
+            self.end(task, TaskOutcome::Lost);
+        }
+        self.spares_until = self.tick + self.spares.cool_down;
+    }
+
+    pub(crate) fn tasks_on(&self, worker: usize) -> Vec<TaskId> {
+        let on = |task: &BenchTask| task.phase != Phase::Queued && task.worker == worker;
+        self.tasks.iter().filter(|(_, task)| on(task)).map(|(id, _)| *id).collect()
+    }
+
+    pub(crate) fn add_instance(&mut self, service: usize, replaces: Option<TaskId>) {
+        let size = instance_size();
+        let task = BenchTask {
+            attempt: 0,
+            service,
+            critical: true,
+            urgent: false,
+            phase: Phase::Queued,
+            worker: 0,
+            size,
+            cores: cores_of(&size),
+            memory: memory_of(&size) * 0.8,
+            since: 0,
+            done: 0.0,
+            saved: 0.0,
+            total: f64::MAX,
+            throttle: ThrottleLevel::None,
+            hopeless: false,
+            cancelled: false,
+            failures: 0,
+            queued_at: self.tick,
+            replaces,
+            replaced: false,
+        };
+        self.add(task);
+    }
+
+    fn add_batch(&mut self, urgent: bool) {
+        let service = self.task_rng.random_range(0..BATCH);
+        let truth = &self.truth.batch[service];
+        let own = self.task_rng.random_range(0.85..1.15);
+        let total = truth.run_time * truth.time * self.task_rng.random_range(0.7..1.3);
+        let hopeless = self.task_rng.random_bool(0.01);
+        let task = BenchTask {
+            attempt: 0,
+            service,
+            critical: false,
+            urgent,
+            phase: Phase::Queued,
+            worker: 0,
+            size: truth.declared,
+            cores: cores_of(&truth.declared) * truth.cores * own,
+            memory: memory_of(&truth.declared) * truth.memory * own,
+            since: 0,
+            done: 0.0,
+            saved: 0.0,
+            total,
+            throttle: ThrottleLevel::None,
+            hopeless,
+            cancelled: false,
+            failures: 0,
+            queued_at: self.tick,
+            replaces: None,
+            replaced: false,
+        };
+        self.add(task);
+    }
+
+    fn add(&mut self, task: BenchTask) {
+        let id = TaskId::new(self.next);
+        self.next += 1;
+        self.tasks.insert(id, task);
+        self.queue(id);
+    }
+
+    fn queue(&mut self, id: TaskId) {
+        let tick = self.tick;
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        task.attempt += 1;
+        task.phase = Phase::Queued;
+        task.throttle = ThrottleLevel::None;
+        task.done = task.saved;
+        task.queued_at = tick;
+        let class = if task.critical { TaskClass::LatencyCritical } else { TaskClass::Batch };
+        let kind = if task.critical { "service" } else { "batch" };
+        let team = if task.critical { 0 } else { self.truth.batch[task.service].team };
+        let run_time = (!task.critical).then(|| Duration::from_secs_f64(self.truth.batch[task.service].run_time));
+        let event = PolicyEvent::TaskQueued {
+            task: id,
+            attempt: AttemptNumber::new(task.attempt),
+            service: format!("{kind}{}", task.service).parse().expect("a valid name"),
+            team: format!("team{team}").parse().expect("a valid name"),
+            class,
+            size: if task.critical { instance_size() } else { self.truth.batch[task.service].declared },
+            urgent: task.urgent,
+            run_time,
+            saved: Duration::from_secs_f64(task.saved),
+        };
+        self.observe(event);
+    }
+
+    /// What a task does in a second without a throttle: the processors that it needs committed.
+    pub(crate) fn rate(task: &BenchTask, declared: &ResourceSize) -> f64 {
+        task.cores.max(cores_of(declared))
+    }
+
+    pub(crate) fn declared(&self, task: &BenchTask) -> ResourceSize {
+        if task.critical { instance_size() } else { self.truth.batch[task.service].declared }
+    }
+
+    /// Counts the progress since the last checkpoint as lost.
+    pub(crate) fn lose_progress(&mut self, id: TaskId) {
+        let Some(task) = self.tasks.get(&id).filter(|task| !task.critical) else { return };
+        let lost = (task.done - task.saved).max(0.0) * Self::rate(task, &self.declared(task));
+        self.measure.lose(self.tick, lost);
+    }
+
+    /// Ends an attempt; instances that were lost are replaced by new ones, other tasks continue in the queue.
+    pub(crate) fn end(&mut self, id: TaskId, outcome: TaskOutcome) {
+        let Some(task) = self.tasks.get(&id) else { return };
+        let (attempt, critical, service, replaced) = (task.attempt, task.critical, task.service, task.replaced);
+        self.observe(PolicyEvent::TaskEnded { task: id, attempt: AttemptNumber::new(attempt), outcome });
+        if critical || matches!(outcome, TaskOutcome::Done | TaskOutcome::Cancelled) {
+            self.tasks.remove(&id);
+            if critical && outcome == TaskOutcome::Lost && !replaced {
+                self.add_instance(service, None);
+            }
+        } else {
+            self.queue(id);
+        }
+    }
+
+    pub(crate) fn run(mut self) -> RunMeasure {
+        let events = self.truth.events.clone();
+        let mut next = 0;
+        while self.tick < LENGTH {
+            while next < events.len() && events[next].0 <= self.tick {
+                self.happen(events[next].1);
+                next += 1;
+            }
+            self.arrive();
+            self.keep_spares();
+            self.progress();
+            self.serve();
+            self.report();
+            self.decide();
+            self.tick += 1;
+        }
+        self.measure.finish();
+        self.measure
+    }
+
+    fn happen(&mut self, event: BenchEvent) {
+        match event {
+            BenchEvent::ZoneOut | BenchEvent::ZoneIn => {
+                self.zone_out = matches!(event, BenchEvent::ZoneOut);
+                if !self.zone_out {
+                    for worker in 0..WORKERS {
+                        if self.workers[worker].zone == 1 {
+                            self.join(worker);
+                        }
+                    }
+                }
+                let zone = zone_name(1).parse().expect("a valid name");
+                self.observe(PolicyEvent::ZoneChanged { zone, in_service: !self.zone_out });
+            }
+            BenchEvent::ZoneGone => {
+                for worker in 0..WORKERS {
+                    if self.workers[worker].zone == 1 {
+                        self.lose(worker);
+                    }
+                }
+            }
+            BenchEvent::WorkerLost(worker) => self.lose(worker),
+            BenchEvent::WorkerBack(worker) => self.join(worker),
+            BenchEvent::Breaks(worker) => self.workers[worker].broken = true,
+            BenchEvent::Mends(worker) => self.workers[worker].broken = false,
+            BenchEvent::CancelFlood => self.cancel_flood(),
+            BenchEvent::UrgentBurst(count) => {
+                for _ in 0..count {
+                    if self.batch {
+                        self.add_batch(true);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Cancels half of the queued batch tasks and a few running ones.
+    fn cancel_flood(&mut self) {
+        let mut chosen = Vec::new();
+        for (id, task) in &mut self.tasks {
+            let share = if task.phase == Phase::Queued { 2 } else { 20 };
+            if !task.critical && id.get() % share == 0 {
+                match task.phase {
+                    Phase::Queued => chosen.push(*id),
+                    _ => task.cancelled = true,
+                }
+                if task.phase == Phase::Running {
+                    task.phase = Phase::Stopping(self.tick + STOP_DELAY);
+                }
+            }
+        }
+        for id in chosen {
+            self.end(id, TaskOutcome::Cancelled);
+        }
+    }
+
+    /// Keeps the queue long enough that capacity is the limit.
+    fn arrive(&mut self) {
+        if !self.batch {
+            return;
+        }
+        let queued = self.tasks.values().filter(|task| !task.critical && task.phase == Phase::Queued).count();
+        for _ in queued..BACKLOG {
+            self.add_batch(false);
+        }
+    }
+
+    fn keep_spares(&mut self) {
+        if self.spares.spares == 0 {
+            return;
+        }
+        if self.truth.load(self.tick) > 0.7 {
+            self.spares_until = self.spares_until.max(self.tick + self.spares.cool_down);
+        }
+        let wanted = if self.spares.cool_down == 0 || self.tick < self.spares_until { self.spares.spares } else { 0 };
+        for (service, count) in INSTANCES.iter().enumerate() {
+            let of = |task: &BenchTask| task.critical && task.service == service && !task.replaced;
+            let alive: Vec<TaskId> = self.tasks.iter().filter(|(_, task)| of(task)).map(|(id, _)| *id).collect();
+            for _ in alive.len()..count + wanted {
+                self.add_instance(service, None);
+            }
+            for id in alive.iter().rev().take(alive.len().saturating_sub(count + wanted)) {
+                self.end(*id, TaskOutcome::Cancelled);
+            }
+        }
+    }
+}
+
+/// The seconds for which the zone's absence is measured: until 5 minutes after its return.
+pub(crate) fn is_absence(tick: u64) -> bool {
+    (ZONE_OUT..ZONE_IN + 300).contains(&tick)
+}
--- a/crates/parsleywalk-scheduler/src/lifecycle.rs
+++ b/crates/parsleywalk-scheduler/src/lifecycle.rs
@@ -90,14 +90,20 @@
         if record.attempt != attempt || record.is_committed() {
             return;
         }
-        let (phase, group) = (record.phase, record.group);
+        let (phase, group, proposed) = (record.phase, record.group, (record.worker, record.size));
         let worker = self.worker_number(worker);
-        if phase == TaskPhase::Queued {
+        if phase != TaskPhase::Queued && proposed == (worker, size) {
+            // Releasing it here would end the probe that this start may be.
+            if let Some(record) = self.tasks.get_mut(&task) {
+                record.phase = TaskPhase::Placed;
+            }
+        } else if phase == TaskPhase::Queued {
             self.queue.remove(group, task);
+            self.hold_capacity(task, worker, size, TaskPhase::Placed);
         } else {
             self.release_capacity(task);
+            self.hold_capacity(task, worker, size, TaskPhase::Placed);
         }
-        self.hold_capacity(task, worker, size, TaskPhase::Placed);
         let zone = self.workers[worker as usize].zone;
         if self.zones.get(zone as usize).is_some_and(|zone| zone.out) {
             self.plan_move(now, task);
