Cover the run log's three faults and answers to older reports

With single mechanisms switched off, the tests of the stand-ins had not noticed a run log that overlooks overlapping attempts, nor an answer to an older report. Each case now has a run that the log has to refuse.

--- a/crates/parsleywalk-testkit/tests/common/mod.rs
+++ b/crates/parsleywalk-testkit/tests/common/mod.rs
@@ -59,6 +59,8 @@
     pub(crate) lease: Option<TimeSpan>,
     pub(crate) start_within: TimeSpan,
     pub(crate) delay: Duration,
+    /// By how much the answered sequence lies behind the report's.
+    pub(crate) sequence_lag: u64,
     pub(crate) reports: Vec<WorkerReport>,
 }
 
@@ -71,6 +73,7 @@
         lease: Some(TimeSpan::from_secs(60)),
         start_within: TimeSpan::from_secs(1),
         delay: Duration::ZERO,
+        sequence_lag: 0,
         reports: Vec::new(),
     }));
     let shared = Arc::clone(&script);
@@ -81,7 +84,7 @@
             let mut script = shared.lock().unwrap();
             script.reports.push(report.clone());
             let reply = WorkerReply {
-                sequence: report.sequence,
+                sequence: report.sequence - script.sequence_lag,
                 revision: 100 + script.reports.len() as u64,
                 lease: script.lease,
                 start_within: script.start_within,
--- a/crates/parsleywalk-testkit/tests/worker.rs
+++ b/crates/parsleywalk-testkit/tests/worker.rs
@@ -8,6 +8,7 @@
 use parsleywalk_api::{ReportedPhase, TaskReport, WorkerOrder};
 use parsleywalk_testkit::{FakeWorker, RunLog, WorkerSettings};
 use parsleywalk_units::{AttemptNumber, TaskId, ThrottleLevel, TimeSpan};
+use rstest::rstest;
 
 const FIRST: AttemptNumber = AttemptNumber::new(1);
 
@@ -149,16 +150,43 @@
     wait_for("a report at the second entry", || !script.lock().unwrap().reports.is_empty());
 }
 
-/// Guards against a log that overlooks two runs at once: the check has to fail when one task runs on two workers.
+/// Guards against a worker that acts on the answer to an older report.
 #[test]
-fn log_reports_a_task_on_two_workers() {
+fn answer_to_an_older_report_is_dropped() {
+    let (edge, script) = leader();
+    script.lock().unwrap().orders.push(start_order(1, "1h"));
+    script.lock().unwrap().sequence_lag = 1;
+    let log = RunLog::new();
+    let _worker = FakeWorker::start(settings(vec![edge.address]), log.clone());
+    wait_for("more reports", || script.lock().unwrap().reports.len() > 2);
+    assert!(log.records().is_empty());
+    assert!(script.lock().unwrap().reports.iter().all(|report| report.tasks.is_empty() && report.echo == 0));
+}
+
+/// Guards against a log that overlooks a task on two workers: the same attempt again after a kill, two attempts at once,
+/// and an attempt after the task was done.
+#[rstest]
+#[case::same_attempt("1h", true, 1)]
+#[case::attempts_overlap("1h", false, 2)]
+#[case::after_done("20ms", false, 2)]
+fn log_reports_a_task_that_ran_twice(#[case] run: &str, #[case] is_killed: bool, #[case] second_attempt: u32) {
     let (first_edge, first_script) = leader();
     let (second_edge, second_script) = leader();
-    first_script.lock().unwrap().orders.push(start_order(1, "1h"));
-    second_script.lock().unwrap().orders.push(start_order(1, "1h"));
     let log = RunLog::new();
-    let _first = FakeWorker::start(settings(vec![first_edge.address]), log.clone());
+    first_script.lock().unwrap().orders.push(start_order(1, run));
+    let first = FakeWorker::start(settings(vec![first_edge.address]), log.clone());
+    wait_for("the first run", || log.records().len() == 1);
+    if is_killed {
+        first.kill();
+    }
+    wait_for("its end, if it ends", || run == "1h" || log.records()[0].end.is_some());
+    log.check().unwrap();
+    let mut order = start_order(1, "1h");
+    if let WorkerOrder::Start { attempt, .. } = &mut order {
+        *attempt = AttemptNumber::new(second_attempt);
+    }
+    second_script.lock().unwrap().orders.push(order);
     let _second = FakeWorker::start(settings(vec![second_edge.address]), log.clone());
-    wait_for("both runs", || log.records().len() == 2);
+    wait_for("the second run", || log.records().len() == 2);
     assert!(log.check().unwrap_err().to_string().contains("task 1 ran twice"));
 }
