Prove the mechanisms of the log one by one

Each mechanism is switched off by a setting that only tests use, and the oracle must notice; the same seeds pass with it on. Pre-vote off: a replica that returns from isolation causes an election. Check-quorum off: an isolated leader stays leader.

A silent follower is probed without entries: it cost 64 KiB every 300 ms before.

--- a/crates/parsleywalk-consensus/src/node/leader.rs
+++ b/crates/parsleywalk-consensus/src/node/leader.rs
@@ -251,6 +251,9 @@
         let previous_index = peer.next.previous();
         let Some(previous_term) = self.log.term_at(previous_index) else { return self.start_snapshot(position) };
         let probing = matches!(peer.mode, TransferMode::Probe { .. });
+        // A silent peer is probed without entries, which would most likely be sent in vain.
+        let silent = now >= peer.heard + self.settings.election_timeout_min;
+        let end = if silent && probing { previous_index } else { end };
         let entries = self.log.batch(peer.next, end, self.settings.append_bytes);
         if let TransferMode::Probe { sent } = &mut peer.mode {
             *sent = Some(now);
--- a/crates/parsleywalk-consensus/src/node/open.rs
+++ b/crates/parsleywalk-consensus/src/node/open.rs
@@ -54,7 +54,9 @@
         node.commit = node.commit.max(hard_state.commit);
         node.history.set_commit(node.commit);
         // The promise of the vote withheld for a leader is not on disk, so a restarted replica renews it.
-        node.withhold_until = now + node.settings.leader_lease;
+        if !node.settings.disabled.restart_withholding {
+            node.withhold_until = now + node.settings.leader_lease;
+        }
         node.reset_election();
         node.settle_role();
         if node.history.voters() == [id] {
--- /dev/null
+++ b/crates/parsleywalk-consensus/tests/mechanisms.rs
@@ -0,0 +1,180 @@
+//! Each safety mechanism, switched off, is noticed by the oracle; the same runs pass with it on.
+
+mod support;
+
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::time::Duration;
+
+use parsleywalk_consensus::{ConsensusSettings, DisabledMechanisms, ReplicaRole};
+use rand::RngExt;
+use rstest::rstest;
+use support::{Cluster, Plan, chaos};
+
+const ROUNDS: u32 = 60;
+
+fn plan(disabled: DisabledMechanisms) -> Plan {
+    let plan = Plan::default();
+    Plan { spares: 1, settings: ConsensusSettings { disabled, ..plan.settings }, ..plan }
+}
+
+/// Runs the seed and returns what the oracle or an assertion of the program said.
+fn failure(seed: u64, plan: Plan) -> Option<String> {
+    let run = AssertUnwindSafe(|| chaos::run(&mut Cluster::new(seed, plan), ROUNDS));
+    let panic = catch_unwind(run).err()?;
+    let text = panic.downcast_ref::<String>().cloned();
+    text.or_else(|| panic.downcast_ref::<&str>().map(ToString::to_string)).or_else(|| Some("unknown".to_owned()))
+}
+
+fn expect_failure(name: &str, seeds: u64, expected: &[&str], plan: &Plan) {
+    let failed = |seed| failure(seed, plan.clone()).map(|text| (seed, text));
+    let found = (0..seeds).filter_map(failed).find(|(_, text)| expected.iter().any(|part| text.contains(part)));
+    let (seed, text) = found.unwrap_or_else(|| panic!("{name} off: nothing noticed in {seeds} seeds"));
+    println!("{name} off: seed {seed}: {text}");
+    assert_eq!(failure(seed, self::plan(DisabledMechanisms::default())), None, "seed {seed} with {name} on");
+}
+
+/// Lets the replica that the leader cannot reach ask for votes just when the leader is cut off from the other one too.
+/// Returns what the oracle said.
+fn contend(seed: u64, restart: bool, clock_error: u32, settings: ConsensusSettings) -> Result<(), String> {
+    let election_timeout_min = Duration::from_millis(505);
+    let settings = ConsensusSettings { election_timeout_min, ..settings };
+    let run = AssertUnwindSafe(|| {
+        let plan = Plan { observers: 0, settings, clock_error: Some(clock_error), ..Plan::default() };
+        let mut cluster = Cluster::new(seed, plan);
+        for _ in 0..30 {
+            cluster.heal();
+            cluster.run_until("leader", Duration::from_secs(10), |cluster| cluster.leader().is_some());
+            cluster.run_for(Duration::from_millis(500));
+            let Some(leader) = cluster.leader() else { continue };
+            let (rival, voter) = ((leader + 1) % 3, (leader + 2) % 3);
+            cluster.isolate(rival);
+            let link = (cluster.machines[rival].id.vm, cluster.machines[voter].id.vm);
+            cluster.cuts.remove(&link);
+            cluster.cuts.remove(&(link.1, link.0));
+            let millis = cluster.random.random_range(500..1500);
+            cluster.run_for(Duration::from_millis(millis));
+            let link = (cluster.machines[leader].id.vm, cluster.machines[voter].id.vm);
+            cluster.cuts.extend([link, (link.1, link.0)]);
+            if restart {
+                cluster.crash(voter);
+                cluster.start(voter);
+            }
+            cluster.run_for(Duration::from_secs(1));
+        }
+    });
+    catch_unwind(run).map_err(|panic| panic.downcast_ref::<String>().cloned().unwrap_or_default())
+}
+
+/// Guards against two holders of the leader lease: when votes are granted within the lease, when a restarted replica
+/// forgets that it heard from a leader, and when clocks drift further than the lease allows for.
+#[rstest]
+#[case::vote_withholding(DisabledMechanisms { vote_withholding: true, ..DisabledMechanisms::default() }, false, 10, 10)]
+#[case::after_a_restart(DisabledMechanisms { restart_withholding: true, ..DisabledMechanisms::default() }, true, 10, 10)]
+#[case::drift_bound(DisabledMechanisms::default(), false, 200, 10)]
+fn the_lease_has_one_holder(
+    #[case] disabled: DisabledMechanisms,
+    #[case] restart: bool,
+    #[case] clock_error: u32,
+    #[case] clock_drift: u32,
+) {
+    let off = ConsensusSettings { disabled, clock_drift, ..ConsensusSettings::default() };
+    let on = ConsensusSettings { clock_drift: clock_error, ..ConsensusSettings::default() };
+    let failed = |seed| contend(seed, restart, clock_error, off.clone()).err().map(|text| (seed, text));
+    let (seed, text) = (0..30).find_map(failed).expect("two holders must be noticed");
+    assert!(text.contains("lease: held by"), "{text}");
+    println!("{disabled:?}, clocks off by {clock_error}, allowed {clock_drift}: seed {seed}: {text}");
+    for seed in 0..30 {
+        assert_eq!(contend(seed, restart, clock_error, on.clone()), Ok(()), "seed {seed}");
+    }
+}
+
+/// Guards against an oracle that does not see acknowledgements that were sent before the sync, by a follower and by a
+/// learner that becomes a voter.
+#[rstest]
+#[case::committed_entry_lost(&["committed prefix", "committed entry", "catch-up", "state:", "more of this"])]
+#[case::new_voter_behind(&["redundancy: new voter"])]
+fn counting_waits_for_the_sync(#[case] expected: &[&str]) {
+    let off = DisabledMechanisms { persist_wait: true, ..DisabledMechanisms::default() };
+    expect_failure("waiting for syncs", 400, expected, &plan(off));
+}
+
+/// Loses the disk of one of the two replicas that hold an entry; it and the third, which lacks the entry, must not form
+/// a majority.
+fn lose_one_copy(keep_incarnation: bool) -> Result<(), String> {
+    let run = AssertUnwindSafe(|| {
+        let mut cluster = Cluster::new(3, Plan { keep_incarnation, ..plan(DisabledMechanisms::default()) });
+        cluster.run_until("leader", Duration::from_secs(10), |cluster| cluster.leader().is_some());
+        let leader = cluster.leader().expect("just seen");
+        let (copy, lacks) = ((leader + 1) % 3, (leader + 2) % 3);
+        cluster.isolate(lacks);
+        let proposal = cluster.propose(leader);
+        cluster.run_until("commit", Duration::from_secs(2), |cluster| cluster.oracle.done.contains(&proposal));
+        cluster.isolate(leader);
+        cluster.lose_disk(copy);
+        cluster.start(copy);
+        let (copy, lacks) = (cluster.machines[copy].id.vm, cluster.machines[lacks].id.vm);
+        cluster.cuts.retain(|link| *link != (copy, lacks) && *link != (lacks, copy));
+        cluster.run_for(Duration::from_secs(10));
+        chaos::settle(&mut cluster);
+    });
+    catch_unwind(run).map_err(|panic| panic.downcast_ref::<String>().cloned().unwrap_or_default())
+}
+
+/// Guards against the vote of a VM whose disk was lost.
+#[test]
+fn a_lost_disk_ends_an_incarnation() {
+    assert_eq!(lose_one_copy(false), Ok(()));
+    let text = lose_one_copy(true).expect_err("a lost entry must be noticed");
+    println!("new incarnation off: seed 3: {text}");
+}
+
+/// Guards against an oracle that does not see a voter that lacks committed entries.
+#[test]
+fn a_learner_counts_after_its_sync() {
+    let off = DisabledMechanisms { learner_sync: true, ..DisabledMechanisms::default() };
+    expect_failure("learner sync", 400, &["redundancy: new voter"], &plan(off));
+}
+
+fn isolate_a_follower(disabled: DisabledMechanisms) -> usize {
+    let mut cluster = Cluster::new(5, plan(disabled));
+    cluster.run_until("leader", Duration::from_secs(10), |cluster| cluster.leader().is_some());
+    let leader = cluster.leader().expect("just seen");
+    let before = cluster.oracle.elections();
+    cluster.isolate((leader + 1) % 3);
+    cluster.run_for(Duration::from_secs(10));
+    cluster.heal();
+    cluster.run_for(Duration::from_secs(5));
+    cluster.oracle.elections() - before
+}
+
+/// Guards against a working leader that is deposed by a replica which returns from isolation.
+#[test]
+fn pre_vote_keeps_a_working_leader() {
+    assert_eq!(isolate_a_follower(DisabledMechanisms::default()), 0);
+    let off = DisabledMechanisms { pre_vote: true, ..DisabledMechanisms::default() };
+    let elections = isolate_a_follower(off);
+    println!("pre-vote off: {elections} elections after an isolated follower returned");
+    assert!(elections > 0);
+}
+
+/// Guards against an isolated leader that goes on leading. A cut in one direction must end its role as well.
+#[rstest]
+#[case::both_ways(true)]
+#[case::inbound_only(false)]
+fn check_quorum_ends_an_isolated_leader(#[case] both: bool) {
+    let role_after = |disabled| {
+        let mut cluster = Cluster::new(6, plan(disabled));
+        cluster.run_until("leader", Duration::from_secs(10), |cluster| cluster.leader().is_some());
+        let leader = cluster.leader().expect("just seen");
+        cluster.isolate(leader);
+        if !both {
+            let vm = cluster.machines[leader].id.vm;
+            cluster.cuts.retain(|(_, to)| *to == vm);
+        }
+        cluster.run_for(Duration::from_millis(1500));
+        cluster.node(leader).role()
+    };
+    assert_ne!(role_after(DisabledMechanisms::default()), ReplicaRole::Leader);
+    let off = DisabledMechanisms { check_quorum: true, ..DisabledMechanisms::default() };
+    assert_eq!(role_after(off), ReplicaRole::Leader);
+}
--- /dev/null
+++ b/crates/parsleywalk-consensus/tests/scenarios.rs
@@ -0,0 +1,198 @@
+//! The failures that the design page names, one by one.
+
+mod support;
+
+use std::time::Duration;
+
+use parsleywalk_consensus::{ConsensusSettings, MembershipChange, ProposalRefusal, ReplicaRole};
+use parsleywalk_units::VmNumber;
+use support::{Cluster, Plan, chaos};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn started(seed: u64, plan: Plan) -> (Cluster, usize) {
+    let mut cluster = Cluster::new(seed, plan);
+    cluster.run_until("leader", LIMIT, |cluster| cluster.leader().is_some());
+    let leader = cluster.leader().expect("just seen");
+    (cluster, leader)
+}
+
+fn commit(cluster: &mut Cluster, leader: usize, count: u64) {
+    for _ in 0..count {
+        let proposal = cluster.propose(leader);
+        cluster.run_until("commit", LIMIT, |cluster| cluster.oracle.done.contains(&proposal));
+    }
+}
+
+fn vm(number: u16) -> VmNumber {
+    VmNumber::new(number)
+}
+
+/// Guards against an election timeout before the only member leads.
+#[test]
+fn a_single_member_leads_at_once() {
+    let mut cluster = Cluster::new(1, Plan { voters: 1, observers: 0, ..Plan::default() });
+    let took = cluster.run_until("leader", LIMIT, |cluster| cluster.leader().is_some());
+    assert!(took < Duration::from_millis(50), "{took:?}");
+    commit(&mut cluster, 0, 100);
+    cluster.run_for(Duration::from_secs(5));
+    assert!(cluster.node(0).status().leader_lease);
+    cluster.crash(0);
+    cluster.start(0);
+    chaos::settle(&mut cluster);
+}
+
+/// Guards against empty folders that never form a set, or form it before all founders are there.
+#[test]
+fn founders_form_the_first_set_together() {
+    let mut cluster = Cluster::new(2, Plan { found: true, ..Plan::default() });
+    for position in [0, 1, 3] {
+        cluster.start(position);
+    }
+    cluster.run_for(Duration::from_secs(5));
+    assert_eq!(cluster.leader(), None);
+    cluster.heal();
+    cluster.run_until("leader", LIMIT, |cluster| cluster.leader().is_some());
+    chaos::settle(&mut cluster);
+    assert_eq!(cluster.oracle.voters().len(), 3);
+}
+
+/// Guards against a second set beside the existing one, made by a founder that is initialised again after a lost disk.
+#[test]
+fn a_founder_initialised_again_joins() {
+    let mut cluster = Cluster::new(3, Plan { found: true, ..Plan::default() });
+    cluster.heal();
+    cluster.run_until("leader", LIMIT, |cluster| cluster.leader().is_some());
+    cluster.run_for(Duration::from_secs(2));
+    cluster.lose_disk(0);
+    cluster.machines[0].disk.name_founders(vec![vm(1), vm(2), vm(3)]);
+    cluster.start(0);
+    cluster.run_until("repair", LIMIT, chaos::is_whole);
+    chaos::settle(&mut cluster);
+}
+
+/// Guards against a new leader that takes longer than 2 s after a kill.
+#[test]
+fn a_killed_leader_is_replaced_in_time() {
+    let mut times: Vec<Duration> = (0..100)
+        .map(|seed| {
+            let (mut cluster, leader) = started(seed, Plan { voters: 5, ..Plan::default() });
+            cluster.run_for(Duration::from_millis(seed * 13));
+            let leader = cluster.leader().unwrap_or(leader);
+            cluster.crash(leader);
+            cluster.run_until("new leader", LIMIT, |cluster| cluster.leader().is_some())
+        })
+        .collect();
+    times.sort();
+    println!("new leader ready after a kill: p50 {:?}, p99 {:?}, worst {:?}", times[50], times[98], times[99]);
+    assert!(times[99] < Duration::from_secs(2), "{:?}", times[99]);
+}
+
+/// Guards against a frozen leader that still trusts its lease when it goes on.
+#[test]
+fn a_frozen_leader_finds_out_at_its_first_step() {
+    let (mut cluster, leader) = started(4, Plan::default());
+    cluster.run_for(Duration::from_secs(1));
+    assert!(cluster.node(leader).status().leader_lease);
+    cluster.freeze(leader, 3000);
+    cluster.run_for(Duration::from_millis(2999));
+    let successor = cluster.leader().expect("a new leader");
+    assert_ne!(successor, leader);
+    cluster.run_for(Duration::from_millis(2));
+    assert_ne!(cluster.node(leader).role(), ReplicaRole::Leader);
+    chaos::settle(&mut cluster);
+}
+
+/// Guards against a waiting caller that never hears of a proposal which another leader overwrote.
+#[test]
+fn overwritten_proposals_are_reported() {
+    let (mut cluster, leader) = started(5, Plan::default());
+    commit(&mut cluster, leader, 5);
+    cluster.isolate(leader);
+    let lost: Vec<_> = (0..5).map(|_| cluster.propose(leader)).collect();
+    cluster.run_for(Duration::from_secs(3));
+    for proposal in &lost {
+        assert_eq!(cluster.oracle.refused.get(proposal), Some(&ProposalRefusal::LeadershipLost));
+    }
+    let successor = cluster.leader().expect("a new leader");
+    commit(&mut cluster, successor, 5);
+    chaos::settle(&mut cluster);
+    let refused = cluster.propose((successor + 1) % 3);
+    assert_eq!(cluster.oracle.refused.get(&refused), Some(&ProposalRefusal::NotLeader));
+}
+
+/// Guards against committed entries that are lost with a second disk right after the first one's repair.
+#[test]
+fn a_second_disk_may_be_lost_right_after_a_repair() {
+    for seed in 0..30 {
+        let (mut cluster, leader) = started(seed, Plan::default());
+        commit(&mut cluster, leader, seed * 3);
+        for lost in [(leader + 1) % 3, leader, (leader + 2) % 3] {
+            cluster.lose_disk(lost);
+            cluster.start(lost);
+            cluster.run_until("repair", LIMIT, chaos::is_whole);
+        }
+        chaos::settle(&mut cluster);
+    }
+}
+
+/// Guards against changes of the voters that are not asked for, and against a replaced VM that disturbs the others.
+#[test]
+fn operators_add_replace_and_remove() {
+    let (mut cluster, leader) = started(7, Plan { spares: 2, ..Plan::default() });
+    cluster.run_for(Duration::from_secs(1));
+    let refusal = |cluster: &mut Cluster, change| {
+        let proposal = cluster.change(leader, change);
+        cluster.oracle.refused.get(&proposal).copied()
+    };
+    let unknown = MembershipChange::Add { vm: vm(77) };
+    assert_eq!(refusal(&mut cluster, unknown), Some(ProposalRefusal::LearnerUnknown));
+    let present = MembershipChange::Add { vm: vm(1) };
+    assert_eq!(refusal(&mut cluster, present), Some(ProposalRefusal::InvalidChange));
+    assert_eq!(refusal(&mut cluster, MembershipChange::Add { vm: vm(4) }), None);
+    let second = MembershipChange::Add { vm: vm(5) };
+    assert_eq!(refusal(&mut cluster, second), Some(ProposalRefusal::ChangePending));
+    cluster.run_for(Duration::from_secs(1));
+    let old = cluster.machines[(leader + 1) % 3].id.vm;
+    cluster.isolate((leader + 1) % 3);
+    assert_eq!(refusal(&mut cluster, MembershipChange::Replace { old, new: vm(5) }), None);
+    cluster.run_for(Duration::from_secs(1));
+    let own = cluster.machines[leader].id.vm;
+    assert_eq!(refusal(&mut cluster, MembershipChange::Remove { vm: own }), None);
+    cluster.run_until("removed leader leaves", LIMIT, |cluster| cluster.node(leader).role() == ReplicaRole::Learner);
+    chaos::settle(&mut cluster);
+    let voters: Vec<VmNumber> = cluster.oracle.voters().iter().map(|voter| voter.vm).collect();
+    let expected: Vec<VmNumber> = (1..=5).map(vm).filter(|vm| *vm != old && *vm != own).collect();
+    assert_eq!(voters, expected);
+    assert_eq!(cluster.node((leader + 1) % 3).role(), ReplicaRole::Learner);
+}
+
+/// Guards against a slow catch-up after 1,000 entries, by entries and by a snapshot, and against observers that claim to
+/// be caught up while they are not.
+#[test]
+fn a_late_replica_catches_up() {
+    for snapshot_entries in [10_000, 200] {
+        let settings = ConsensusSettings { snapshot_entries, tail_entries: 100, ..ConsensusSettings::default() };
+        let (mut cluster, leader) = started(8, Plan { settings, ..Plan::default() });
+        let late = (leader + 1) % 3;
+        cluster.crash(late);
+        cluster.isolate(3);
+        for _ in 0..1000 {
+            cluster.propose(leader);
+        }
+        cluster.run_for(Duration::from_secs(2));
+        assert!(!cluster.node(3).is_caught_up());
+        cluster.cuts.clear();
+        cluster.start(late);
+        let target = cluster.oracle.last_committed();
+        assert!(target > 1000);
+        let applied =
+            move |position: usize| move |cluster: &Cluster| cluster.node(position).status().applied.get() >= target;
+        let took = cluster.run_until("catch-up", LIMIT, applied(late));
+        println!("catch-up after 1,000 entries, snapshot every {snapshot_entries}: {took:?}");
+        cluster.run_until("observer", LIMIT, applied(3));
+        cluster.run_for(Duration::from_secs(1));
+        assert!(cluster.node(3).is_caught_up() && cluster.node(late).is_caught_up());
+        chaos::settle(&mut cluster);
+    }
+}
--- a/crates/parsleywalk-consensus/tests/support/disk.rs
+++ b/crates/parsleywalk-consensus/tests/support/disk.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use parsleywalk_consensus::{EntryPayload, LogIndex, LogWrite, RecoveredLog, ReplicaId, WriteTicket};
+use parsleywalk_units::VmNumber;
 
 pub struct Disk {
     synced: RecoveredLog,
@@ -18,6 +19,10 @@
         self.synced.clone()
     }
 
+    pub fn name_founders(&mut self, founders: Vec<VmNumber>) {
+        self.synced.founders = founders;
+    }
+
     pub fn unsynced(&self) -> usize {
         self.unsynced.len()
     }
--- a/crates/parsleywalk-consensus/tests/support/mod.rs
+++ b/crates/parsleywalk-consensus/tests/support/mod.rs
@@ -54,6 +54,10 @@
     pub settings: ConsensusSettings,
     /// Starts VMs with lost disks under their old incarnation, as if nobody drew a new one.
     pub keep_incarnation: bool,
+    /// How far clocks are off, in thousandths, where it is not as far as the settings permit.
+    pub clock_error: Option<u32>,
+    /// Gives all voters empty folders that name them as founders, and starts nothing.
+    pub found: bool,
 }
 
 impl Default for Plan {
@@ -66,7 +70,7 @@
             tail_entries: 10,
             ..ConsensusSettings::default()
         };
-        Self { voters: 3, spares: 0, observers: 1, settings, keep_incarnation: false }
+        Self { voters: 3, spares: 0, observers: 1, settings, keep_incarnation: false, clock_error: None, found: false }
     }
 }
 
@@ -99,7 +103,12 @@
         let voters: Vec<ReplicaId> = vms.iter().take(plan.voters.into()).map(id).collect();
         let founded = RecoveredLog::founded(ReplicaSet::new(voters.clone()));
         let machine = |vm: &VmNumber| {
-            let recovered = if voters.contains(&id(vm)) { founded.clone() } else { RecoveredLog::default() };
+            let founders = voters.iter().map(|voter| voter.vm).collect();
+            let recovered = match voters.contains(&id(vm)) {
+                true if plan.found => RecoveredLog { founders, ..RecoveredLog::default() },
+                true => founded.clone(),
+                false => RecoveredLog::default(),
+            };
             Machine {
                 id: id(vm),
                 node: None,
@@ -131,8 +140,8 @@
             incarnations: 1000,
             proposals: 0,
         };
-        for position in 0..cluster.machines.len() {
-            cluster.start(position);
+        if !cluster.plan.found {
+            cluster.heal();
         }
         cluster
     }
@@ -145,7 +154,7 @@
 
     /// Starts the VM's process from its disk.
     pub fn start(&mut self, position: usize) {
-        let drift = u64::from(self.plan.settings.clock_drift) * 1000;
+        let drift = u64::from(self.plan.clock_error.unwrap_or(self.plan.settings.clock_drift)) * 1000;
         let rate = self.random.random_range(1_000_000 - drift..=1_000_000 + drift);
         let seed = self.random.random();
         let contacts: Vec<VmNumber> =
