Move the control thread's logic into a pure package

The new package parsleywalk-coordinator joins log, state, policy, leases and calls as a state machine that takes time, messages and finished writes as arguments. The daemon's control thread only carries out its actions, so that seeded runs of many coordinators in one process exercise the code that the daemon runs.

--- a/crates/parsleywalkd/src/control/call.rs
+++ b/crates/parsleywalk-coordinator/src/call.rs
@@ -1,10 +1,6 @@
 //! Calls that only the leader can answer.
 
-#![allow(
-    missing_docs,
-    unreachable_pub,
-    reason = "quick_error takes neither docs on fields nor a restricted visibility"
-)]
+#![allow(missing_docs, reason = "quick_error does not take docs on fields")]
 
 use std::net::SocketAddr;
 
@@ -15,8 +11,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A call to the leader. Every one may be sent again without harm.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) enum LeaderCall {
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum LeaderCall {
     /// Commits a command; the leader sets its time.
     Command(Box<ControlCommand>),
     /// Commits an operator's command and waits until it is in force.
@@ -34,8 +30,8 @@
 }
 
 /// The leader's answer.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) enum LeaderReply {
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum LeaderReply {
     /// What the state answered to a committed command.
     Applied(ControlReply),
     /// An operator's command is committed, and in force at the daemons named.
--- a/crates/parsleywalkd/src/control/forwarded.rs
+++ b/crates/parsleywalk-coordinator/src/call_table.rs
@@ -4,8 +4,7 @@
 
 use parsleywalk_units::{MonotonicTime, VmNumber};
 
-use super::call::{CallFailure, LeaderCall, LeaderReply};
-use super::event::CallDone;
+use crate::{CallFailure, CallToken, LeaderCall, LeaderReply};
 
 /// The wait before an unanswered call is sent again. Every call may be repeated without harm.
 const RESEND_PAUSE: Duration = Duration::from_millis(400);
@@ -16,63 +15,76 @@
 /// The most calls that wait; more are refused as not sent.
 const WAITING_LIMIT: usize = 8192;
 
+/// How a call ended.
+#[derive(Debug)]
+pub(crate) struct FinishedCall {
+    pub(crate) call: CallToken,
+    pub(crate) result: Result<LeaderReply, CallFailure>,
+}
+
 /// One call that waits.
+#[derive(Debug)]
 struct WaitingCall {
-    call: u64,
+    call: CallToken,
     body: LeaderCall,
     deadline: MonotonicTime,
     next_try: MonotonicTime,
     /// Set once the call may have reached a leader.
     sent: bool,
-    done: CallDone,
 }
 
 /// The calls that wait, sorted by number.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct CallTable {
     waiting: Vec<WaitingCall>,
-    last: u64,
 }
 
 impl CallTable {
-    /// Adds a call, to be tried at once; a full table refuses it.
-    pub(crate) fn add(&mut self, now: MonotonicTime, body: LeaderCall, timeout: Duration, done: CallDone) {
+    /// Adds a call, to be tried at once; a full table refuses it. Tokens grow, so the table stays sorted.
+    pub(crate) fn add(
+        &mut self,
+        now: MonotonicTime,
+        call: CallToken,
+        body: LeaderCall,
+        timeout: Duration,
+    ) -> Option<FinishedCall> {
         if self.waiting.len() >= WAITING_LIMIT {
-            done(Err(CallFailure::NotSent("too many calls wait for the leader".to_owned())));
-            return;
+            let failure = CallFailure::NotSent("too many calls wait for the leader".to_owned());
+            return Some(FinishedCall { call, result: Err(failure) });
         }
-        self.last += 1;
-        let (call, deadline) = (self.last, now + timeout);
-        self.waiting.push(WaitingCall { call, body, deadline, next_try: now, sent: false, done });
+        debug_assert!(self.waiting.last().is_none_or(|last| last.call < call), "call tokens must grow");
+        self.waiting.push(WaitingCall { call, body, deadline: now + timeout, next_try: now, sent: false });
+        None
     }
 
     /// Takes an answer. `NotLeader` leads to another try, `Lost` too since calls may be repeated.
-    pub(crate) fn answer(&mut self, now: MonotonicTime, call: u64, reply: LeaderReply) {
-        let Ok(place) = self.waiting.binary_search_by_key(&call, |waiting| waiting.call) else { return };
-        match reply {
-            LeaderReply::NotLeader | LeaderReply::Lost => {
-                let waiting = &mut self.waiting[place];
-                waiting.next_try = waiting.next_try.min(now + RETRY_PAUSE);
-            }
-            reply => (self.waiting.remove(place).done)(Ok(reply)),
+    pub(crate) fn answer(&mut self, now: MonotonicTime, call: CallToken, reply: LeaderReply) -> Option<FinishedCall> {
+        let place = self.waiting.binary_search_by_key(&call, |waiting| waiting.call).ok()?;
+        if matches!(reply, LeaderReply::NotLeader | LeaderReply::Lost) {
+            let waiting = &mut self.waiting[place];
+            waiting.next_try = waiting.next_try.min(now + RETRY_PAUSE);
+            return None;
         }
+        self.waiting.remove(place);
+        Some(FinishedCall { call, result: Ok(reply) })
     }
 
     /// Ends the calls whose deadline has passed.
-    pub(crate) fn expire(&mut self, now: MonotonicTime) {
-        let expired: Vec<WaitingCall> = self.waiting.extract_if(.., |waiting| waiting.deadline <= now).collect();
-        for waiting in expired {
+    pub(crate) fn expire(&mut self, now: MonotonicTime) -> Vec<FinishedCall> {
+        let expired = self.waiting.extract_if(.., |waiting| waiting.deadline <= now);
+        let finished = expired.map(|waiting| {
             let failure = if waiting.sent {
                 CallFailure::Unknown("no answer from a leader in time".to_owned())
             } else {
                 CallFailure::NotSent("no leader is reachable from this entry".to_owned())
             };
-            (waiting.done)(Err(failure));
-        }
+            FinishedCall { call: waiting.call, result: Err(failure) }
+        });
+        finished.collect()
     }
 
     /// The calls that are due to be tried, with their numbers; each is due again after a pause.
-    pub(crate) fn due(&mut self, now: MonotonicTime) -> Vec<(u64, LeaderCall)> {
+    pub(crate) fn due(&mut self, now: MonotonicTime) -> Vec<(CallToken, LeaderCall)> {
         let due = self.waiting.iter_mut().filter(|waiting| waiting.next_try <= now);
         due.map(|waiting| {
             waiting.next_try = now + RESEND_PAUSE;
@@ -82,7 +94,7 @@
     }
 
     /// Notes that a call may reach a leader from now on.
-    pub(crate) fn mark_sent(&mut self, call: u64) {
+    pub(crate) fn mark_sent(&mut self, call: CallToken) {
         if let Ok(place) = self.waiting.binary_search_by_key(&call, |waiting| waiting.call) {
             self.waiting[place].sent = true;
         }
@@ -110,7 +122,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ReplyTo {
     /// To a call of this daemon.
-    Local(u64),
+    Local(CallToken),
     /// To another daemon's call.
-    Peer(VmNumber, u64),
+    Peer(VmNumber, CallToken),
 }
--- a/crates/parsleywalkd/src/control/leader.rs
+++ b/crates/parsleywalk-coordinator/src/leader.rs
@@ -9,8 +9,8 @@
 use parsleywalk_scheduler::{EvictionCause, PolicyDecision, PolicySettings, SchedulerPolicy};
 use parsleywalk_units::{AttemptNumber, MonotonicTime, StateTime, TaskId, ThrottleLevel, WorkerId};
 
-use super::feed;
-use super::forwarded::ReplyTo;
+use crate::call_table::ReplyTo;
+use crate::feed;
 
 /// The wait between two rounds of decisions.
 const DECISION_INTERVAL: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/crates/parsleywalk-coordinator/src/lib.rs
@@ -0,0 +1,61 @@
+//! One daemon's part in the control plane, as a pure state machine.
+//!
+//! A [`DaemonCoordinator`] joins the replicated log, the control state and, while its replica leads, the scheduling
+//! policy and the leases. It takes time, messages and finished writes as arguments and returns what the daemon has to
+//! do, so that the same code runs in the daemon and in seeded runs of many coordinators in one process.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use parsleywalk_consensus::{ConsensusNode, ConsensusSettings, RecoveredLog, ReplicaId, ReplicaSet};
+//! use parsleywalk_coordinator::{
+//!     CallToken, CoordinatorAction, CoordinatorEvent, DaemonCoordinator, LeaderCall, LeaderReply,
+//! };
+//! use parsleywalk_units::{Incarnation, MonotonicTime, StateTime, VmNumber};
+//!
+//! let vm = VmNumber::new(1);
+//! let id = ReplicaId::new(vm, Incarnation::new(1));
+//! let recovered = RecoveredLog::founded(ReplicaSet::new(vec![id]));
+//! let node = ConsensusNode::open(ConsensusSettings::default(), id, recovered, 7, MonotonicTime::ZERO)?;
+//! let mut coordinator = DaemonCoordinator::new(node, [vm].into_iter(), 7);
+//!
+//! let body = LeaderCall::JobStatus("planning/unknown".parse()?);
+//! let call = CoordinatorEvent::Call { call: CallToken::new(1), body, timeout: Duration::from_secs(5) };
+//! let (mut now, at) = (MonotonicTime::ZERO, StateTime::from_millis(1));
+//! let mut actions = coordinator.step(now, at, call);
+//! let reply = loop {
+//!     let mut next = Vec::new();
+//!     for action in actions {
+//!         match action {
+//!             CoordinatorAction::Persist { ticket, .. } => {
+//!                 next.extend(coordinator.step(now, at, CoordinatorEvent::Persisted { ticket }));
+//!             }
+//!             CoordinatorAction::Finish { result, .. } => return Ok(assert_eq!(result, Ok(LeaderReply::NotFound))),
+//!             _ => {}
+//!         }
+//!     }
+//!     now = now + Duration::from_millis(10);
+//!     next.extend(coordinator.tick(now, at));
+//!     actions = next;
+//! };
+//! # #[allow(unreachable_code)]
+//! # Ok::<(), Box<dyn std::error::Error>>(reply)
+//! ```
+
+mod call;
+mod call_table;
+mod coordinator;
+mod dump;
+mod event;
+mod feed;
+mod leader;
+mod message;
+mod progress;
+mod proposals;
+mod report;
+mod view;
+
+pub use call::{CallFailure, LeaderCall, LeaderReply};
+pub use coordinator::DaemonCoordinator;
+pub use event::{CallToken, CoordinatorAction, CoordinatorEvent, CoordinatorRecord};
+pub use message::CoordinatorMessage;
--- a/crates/parsleywalkd/src/control/proposals.rs
+++ b/crates/parsleywalk-coordinator/src/proposals.rs
@@ -5,7 +5,7 @@
 
 use parsleywalk_consensus::{LogIndex, LogTerm, ProposalId};
 
-use super::forwarded::ReplyTo;
+use crate::call_table::ReplyTo;
 
 /// What follows once a proposal is applied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/parsleywalkd/src/control/report.rs
+++ b/crates/parsleywalk-coordinator/src/report.rs
@@ -8,7 +8,7 @@
 use parsleywalk_scheduler::{PolicyEvent, TaskUsage};
 use parsleywalk_units::{MonotonicTime, StateTime, TimeSpan};
 
-use super::leader::LeaderDuties;
+use crate::leader::LeaderDuties;
 
 /// For how long after its report was sent a worker may carry out a start order. Together with the leader lease it
 /// bounds how long after the commit of a zone out a task can still start there.
--- a/crates/parsleywalkd/src/control/view.rs
+++ b/crates/parsleywalk-coordinator/src/view.rs
@@ -1,14 +1,12 @@
-//! What the state looks like to callers, operators and the router.
+//! What the state looks like to callers and operators.
 
 use parsleywalk_api::{JobExplanation, JobPhase, TaskExplanation};
-use parsleywalk_catalog::Catalog;
 use parsleywalk_control::ControlState;
-use parsleywalk_routing::ServiceRoute;
 use parsleywalk_units::{JobKey, TaskId};
 use serde::Serialize;
 
-use super::call::LeaderReply;
-use super::leader::LeaderDuties;
+use crate::LeaderReply;
+use crate::leader::LeaderDuties;
 
 /// A job's status.
 pub(crate) fn job_status(state: &ControlState, job: &JobKey) -> LeaderReply {
@@ -43,19 +41,6 @@
     }
 }
 
-/// The services as the router sees them. A dependency of a latency-critical service is routed as latency-critical.
-pub(crate) fn service_routes(catalog: &Catalog) -> Vec<ServiceRoute> {
-    let routes = catalog.services.iter().map(|service| ServiceRoute {
-        service: service.name.clone(),
-        class: catalog.effective_class(&service.name).unwrap_or(service.class),
-        repeatable: service.repeatable,
-        deadline: service.deadline.as_duration(),
-        depends_on: service.depends_on.clone(),
-        slots_limit: service.slots.min(service.connections),
-    });
-    routes.collect()
-}
-
 fn json<T: Serialize>(body: &T) -> LeaderReply {
     LeaderReply::Json(serde_json::to_vec(body).unwrap_or_default())
 }
--- a/crates/parsleywalkd/src/control/event.rs
+++ b/crates/parsleywalkd/src/control/event.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 
 use parsleywalk_consensus::WriteTicket;
-use parsleywalk_peer::ReceivedMessage;
+use parsleywalk_coordinator::{CallFailure, CoordinatorMessage, LeaderCall, LeaderReply};
+use parsleywalk_units::VmNumber;
 
-use super::call::{CallFailure, LeaderCall, LeaderReply};
 use super::thread::ControlThread;
-use crate::message::DaemonMessage;
 
 /// Called exactly once with the result of a call.
 pub(crate) type CallDone = Box<dyn FnOnce(Result<LeaderReply, CallFailure>) + Send>;
@@ -20,8 +19,8 @@
 pub(crate) enum ControlEvent {
     /// A call to the leader from this daemon.
     Call { call: LeaderCall, timeout: Duration, done: CallDone },
-    /// A message of another daemon.
-    Peer(ReceivedMessage<DaemonMessage>),
+    /// A message of another daemon's coordinator.
+    Peer { from: VmNumber, message: CoordinatorMessage },
     /// Log writes are synced.
     Persisted(Vec<WriteTicket>),
     /// A question to this daemon's own state.
@@ -34,7 +33,7 @@
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
             Self::Call { .. } => "Call",
-            Self::Peer(_) => "Peer",
+            Self::Peer { .. } => "Peer",
             Self::Persisted(_) => "Persisted",
             Self::Query(_) => "Query",
             Self::Stop => "Stop",
--- a/crates/parsleywalkd/src/control/handle.rs
+++ b/crates/parsleywalkd/src/control/handle.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use flume::Sender;
+use parsleywalk_coordinator::{CallFailure, LeaderCall, LeaderReply};
 
-use super::call::{CallFailure, LeaderCall, LeaderReply};
 use super::event::{CallDone, ControlEvent, LocalQuery};
 
 /// Sends events to the control thread. Cloning shares the queue.
--- a/crates/parsleywalkd/src/daemon.rs
+++ b/crates/parsleywalkd/src/daemon.rs
@@ -9,6 +9,7 @@
 use flume::Receiver;
 use log::info;
 use parsleywalk_consensus::{ConsensusNode, ConsensusSettings, ReplicaId};
+use parsleywalk_coordinator::DaemonCoordinator;
 use parsleywalk_peer::{PeerAddress, PeerNetwork, PeerSettings, ReceivedMessage};
 use parsleywalk_storage::LogStore;
 use parsleywalk_units::{Incarnation, VmNumber};
@@ -108,15 +109,16 @@
         let (node, store) = open_log(settings, clock, process, &control)?;
         let (network, inbox) = PeerNetwork::start(peer_settings).map_err(|cause| DaemonError::Peer { cause })?;
         let network = Arc::new(network);
+        let daemons = settings.daemons.iter().map(|daemon| daemon.vm);
+        let coordinator = DaemonCoordinator::new(node, daemons, process);
         let control_links = ControlLinks {
             clock,
             network: Arc::clone(&network),
             router: router.clone(),
             metrics: metrics.clone(),
             store,
-            seed: process,
         };
-        let control_thread = control::start(settings, control_links, node, control_queue)?;
+        let control_thread = control::start(settings, control_links, coordinator, control_queue)?;
         let router_links = RouterLinks { clock, control: control.clone(), network: Arc::clone(&network), process };
         router::start(settings, router_links, &router_events, router_queue)?;
         start_inbox(inbox, control.clone(), router.clone(), Arc::clone(&network))?;
@@ -253,9 +255,8 @@
                         );
                     }
                     DaemonMessage::ForwardReply { call, answer } => router.finish_forward(call, answer),
-                    message => {
-                        let event = ControlEvent::Peer(ReceivedMessage { from: received.from, message });
-                        if control.events().send(event).is_err() {
+                    DaemonMessage::Coordinator(message) => {
+                        if control.events().send(ControlEvent::Peer { from: vm, message }).is_err() {
                             return;
                         }
                     }
--- a/crates/parsleywalkd/src/edge/operator.rs
+++ b/crates/parsleywalkd/src/edge/operator.rs
@@ -14,13 +14,14 @@
 };
 use parsleywalk_catalog::Catalog;
 use parsleywalk_control::{ControlCommand, ControlReply};
+use parsleywalk_coordinator::{CallFailure, LeaderCall, LeaderReply};
 use parsleywalk_peer::tokens_match;
 use parsleywalk_units::{JobKey, StateTime, TimeSpan, ZoneName};
 use rouille::{Request, Response, Server};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::control::{CallFailure, ControlHandle, LeaderCall, LeaderReply, dump};
+use crate::control::{ControlHandle, ControlThread};
 use crate::metrics::DaemonMetrics;
 use crate::router::RouterHandle;
 use crate::{DaemonError, Result};
@@ -141,14 +142,14 @@
     if context.draining.load(Ordering::Relaxed) {
         return Response::text("shutting down\n").with_status_code(503);
     }
-    match context.control.query(dump::is_ready) {
+    match context.control.query(ControlThread::is_ready) {
         Some(true) => Response::text("ready\n"),
         _ => Response::text("not caught up with the replicas\n").with_status_code(503),
     }
 }
 
 fn metrics(context: &OperatorContext) -> Response {
-    if let Some(sizes) = context.control.query(dump::sizes) {
+    if let Some(sizes) = context.control.query(ControlThread::sizes) {
         for (name, value) in sizes {
             context.metrics.state(name, value);
         }
@@ -158,7 +159,7 @@
 
 fn status(context: &OperatorContext) -> Response {
     let router = context.router.status();
-    let Some(mut status) = context.control.query(dump::status) else {
+    let Some(mut status) = context.control.query(ControlThread::status) else {
         return refusal(503, &Refusal::not_run("the control thread does not answer"));
     };
     if let Some(router) = router {
@@ -171,14 +172,14 @@
 
 fn full_dump(context: &OperatorContext) -> Response {
     let router = context.router.status();
-    match context.control.query(dump::control) {
+    match context.control.query(ControlThread::dump) {
         Some(control) => json(200, &serde_json::json!({ "control": control, "router": router })),
         None => refusal(503, &Refusal::not_run("the control thread does not answer")),
     }
 }
 
 fn configuration(context: &OperatorContext) -> Response {
-    match context.control.query(dump::configuration) {
+    match context.control.query(ControlThread::configuration) {
         Some(Some(view)) => json::<ConfigurationView>(200, &view),
         Some(None) => refusal(404, &Refusal::not_run("no configuration is in force yet")),
         None => refusal(503, &Refusal::not_run("the control thread does not answer")),
--- a/crates/parsleywalkd/src/edge/reply.rs
+++ b/crates/parsleywalkd/src/edge/reply.rs
@@ -4,12 +4,11 @@
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use parsleywalk_api::{Refusal, RefusalOutcome};
+use parsleywalk_coordinator::CallFailure;
 use parsleywalk_routing::{EndpointAnswer, RouteAnswer};
 use parsleywalk_units::TimeSpan;
 use serde::Serialize;
 
-use crate::control::CallFailure;
-
 /// The body type of all answers.
 pub(crate) type EdgeReply = Response<Full<Bytes>>;
 
--- a/crates/parsleywalkd/src/edge/routes.rs
+++ b/crates/parsleywalkd/src/edge/routes.rs
@@ -9,12 +9,13 @@
 use hyper::body::Incoming;
 use parsleywalk_api::{AnnounceReply, AnnounceRequest, JobSubmission, Refusal, WorkerReport, headers};
 use parsleywalk_control::{ControlCommand, ControlReply, JobSpec};
+use parsleywalk_coordinator::{LeaderCall, LeaderReply};
 use parsleywalk_routing::RouteAnswer;
 use parsleywalk_units::{CallerName, IdempotencyKey, JobKey, ServiceName, StateTime};
 use serde::de::DeserializeOwned;
 
 use super::reply::{self, EdgeReply};
-use crate::control::{ControlHandle, LeaderCall, LeaderReply};
+use crate::control::ControlHandle;
 use crate::metrics::DaemonMetrics;
 use crate::router::{RequestCall, RouterHandle};
 use crate::settings::EdgeLimits;
--- a/crates/parsleywalkd/src/message.rs
+++ b/crates/parsleywalkd/src/message.rs
@@ -2,24 +2,16 @@
 
 use std::time::Duration;
 
-use parsleywalk_consensus::{ConsensusMessage, LogIndex, ReplicaId};
+use parsleywalk_coordinator::CoordinatorMessage;
 use parsleywalk_routing::{EndpointAnnouncement, EndpointAnswer};
 use parsleywalk_units::{CallerName, IdempotencyKey, ServiceName, TimeSpan};
 use serde::{Deserialize, Serialize};
 
-use crate::control::{LeaderCall, LeaderReply};
-
 /// A message between daemons.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum DaemonMessage {
-    /// A message of the replicated log.
-    Consensus { from: ReplicaId, to: ReplicaId, message: ConsensusMessage },
-    /// A call that only the leader can answer.
-    Call { call: u64, body: LeaderCall },
-    /// The leader's answer to a call.
-    Reply { call: u64, body: LeaderReply },
-    /// How far the sender has applied the log.
-    Progress { applied: LogIndex },
+    /// A message of the control plane.
+    Coordinator(CoordinatorMessage),
     /// A leaving endpoint, pushed to the entries of its zone.
     Announce(EndpointAnnouncement),
     /// A request that the sender's zone can't serve.
--- a/crates/parsleywalkd/src/router/mod.rs
+++ b/crates/parsleywalkd/src/router/mod.rs
@@ -4,8 +4,10 @@
 mod forward;
 mod handle;
 mod requests;
+mod routes;
 mod thread;
 
 pub(crate) use handle::{RequestCall, RouterHandle};
 pub(crate) use requests::AnswerSink;
+pub(crate) use routes::service_routes;
 pub(crate) use thread::{EVENT_LIMIT, RouterLinks, start};
--- a/crates/parsleywalkd/src/router/thread.rs
+++ b/crates/parsleywalkd/src/router/thread.rs
@@ -7,6 +7,7 @@
 use flume::{Receiver, RecvTimeoutError, Sender};
 use log::{info, warn};
 use parsleywalk_control::{ControlCommand, ControlReply};
+use parsleywalk_coordinator::{CallFailure, LeaderCall, LeaderReply};
 use parsleywalk_peer::{PeerLane, PeerNetwork};
 use parsleywalk_routing::{
     BodyDigest, ClaimDecision, DispatchResult, EndpointAnnouncement, HeldState, RequestArrival, RequestRouter,
@@ -22,7 +23,7 @@
 use super::handle::RequestCall;
 use super::requests::{AnswerSink, RequestBody, RequestTable};
 use crate::clock::ProcessClock;
-use crate::control::{CallFailure, ControlHandle, LeaderCall, LeaderReply};
+use crate::control::ControlHandle;
 use crate::message::{DaemonMessage, ForwardedAnswer, ForwardedRequest};
 use crate::settings::DaemonSettings;
 use crate::{DaemonError, Result};
