--- a/crates/parsleywalk-control/src/plan.rs
+++ b/crates/parsleywalk-control/src/plan.rs
@@ -147,7 +147,7 @@
         }
         match (end, &item.checkpoint) {
             (AttemptEnd::Done, _) if record.owner() != TaskOwner::Service => Some(ended(item, end)),
-            (AttemptEnd::Stopped, Some(reference)) if record.checkpoint() != Some(reference) => {
+            (AttemptEnd::Stopped | AttemptEnd::Failed, Some(reference)) if record.checkpoint() != Some(reference) => {
                 Some(checkpoint(item, reference))
             }
             _ => None,
