--- a/crates/parsleywalk-consensus/src/message.rs
+++ b/crates/parsleywalk-consensus/src/message.rs
@@ -66,6 +66,7 @@
         /// The leader's committed index.
         commit: LogIndex,
         /// Consecutive entries.
+        #[serde(with = "crate::batch")]
         entries: Vec<LogEntry>,
     },
     /// The sender holds, synced, everything that the leader has up to an index.
--- a/crates/parsleywalk-consensus/tests/fuzz.rs
+++ b/crates/parsleywalk-consensus/tests/fuzz.rs
@@ -7,8 +7,8 @@
 use support::{Cluster, Plan, chaos};
 
 fn seeds() -> std::ops::Range<u64> {
-    let text = std::env::var("PARSLEYWALK_SEEDS").unwrap_or_else(|_| "0-39".to_owned());
-    let (first, last) = text.split_once('-').expect("a range such as 0-39");
+    let text = std::env::var("PARSLEYWALK_SEEDS").unwrap_or_else(|_| "0-199".to_owned());
+    let (first, last) = text.split_once('-').expect("a range such as 0-199");
     first.parse().expect("a number")..last.parse::<u64>().expect("a number") + 1
 }
 
--- a/crates/parsleywalk-consensus/tests/mechanisms.rs
+++ b/crates/parsleywalk-consensus/tests/mechanisms.rs
@@ -5,7 +5,11 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 
-use parsleywalk_consensus::{ConsensusSettings, DisabledMechanisms, ReplicaRole};
+use parsleywalk_consensus::{
+    ConsensusEvent, ConsensusMessage, ConsensusNode, ConsensusSettings, DisabledMechanisms, EntryPayload, LogEntry,
+    LogIndex, LogTerm, RecoveredLog, ReplicaId, ReplicaRole, ReplicaSet, WriteTicket,
+};
+use parsleywalk_units::{Incarnation, MonotonicTime, VmNumber};
 use rand::RngExt;
 use rstest::rstest;
 use support::{Cluster, Plan, chaos};
@@ -135,6 +139,41 @@
     expect_failure("learner sync", 400, &["redundancy: new voter"], &plan(off));
 }
 
+/// Returns what a leader of term 4 commits when a majority holds its entry of term 2, which a leader of term 3 may still
+/// overwrite, but not yet its entry of term 4.
+fn commit_by_copies(disabled: DisabledMechanisms) -> LogIndex {
+    let id = |vm| ReplicaId::new(VmNumber::new(vm), Incarnation::new(1));
+    let mut recovered = RecoveredLog::founded(ReplicaSet::new((1..=5).map(id).collect()));
+    let (index, term) = (LogIndex::new(2), LogTerm::new(2));
+    recovered.entries.push(LogEntry { index, term, payload: EntryPayload::Command(vec![1]) });
+    recovered.hard_state.term = LogTerm::new(3);
+    let settings = ConsensusSettings { disabled, ..ConsensusSettings::default() };
+    let mut node = ConsensusNode::open(settings, id(1), recovered, 1, MonotonicTime::ZERO).expect("sound");
+    let term = LogTerm::new(4);
+    let granted = ConsensusMessage::PreVoteReply { term, granted: true };
+    let voted = ConsensusMessage::VoteReply { term, granted: true };
+    let holds = ConsensusMessage::Appended { term, matched: index };
+    let now = MonotonicTime::from_millis(2000);
+    node.step(now, ConsensusEvent::Tick);
+    for (message, ticket) in [(granted, 1), (voted, 2), (holds, 2)] {
+        for vm in [2, 3] {
+            node.step(now, ConsensusEvent::Receive { from: id(vm), message: message.clone() });
+        }
+        node.step(now, ConsensusEvent::Persisted { ticket: WriteTicket::new(ticket) });
+    }
+    assert_eq!((node.role(), node.term()), (ReplicaRole::Leader, term));
+    node.commit()
+}
+
+/// Guards against an entry that is committed by counting copies and overwritten afterwards. The random runs did not meet
+/// this in 6,000 seeds, since leaders append an entry of their own term at once.
+#[test]
+fn copies_of_earlier_terms_do_not_count() {
+    assert_eq!(commit_by_copies(DisabledMechanisms::default()), LogIndex::ZERO);
+    let off = DisabledMechanisms { own_term_commit: true, ..DisabledMechanisms::default() };
+    assert_eq!(commit_by_copies(off), LogIndex::new(2));
+}
+
 fn isolate_a_follower(disabled: DisabledMechanisms) -> usize {
     let mut cluster = Cluster::new(5, plan(disabled));
     cluster.run_until("leader", Duration::from_secs(10), |cluster| cluster.leader().is_some());
--- a/crates/parsleywalk-storage/examples/log_bench.rs
+++ b/crates/parsleywalk-storage/examples/log_bench.rs
@@ -3,10 +3,12 @@
 //! `cargo run --release -p parsleywalk-storage --example log_bench -- FOLDER [SECONDS]`
 
 use std::path::Path;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use parsleywalk_consensus::{
-    ConsensusAction, ConsensusEvent, ConsensusNode, ConsensusSettings, LogWrite, ProposalId, WriteTicket,
+    ConsensusAction, ConsensusEvent, ConsensusNode, ConsensusSettings, EntryPayload, LogEntry, LogIndex, LogSnapshot,
+    LogWrite, ProposalId, ReplicaSet, WriteTicket,
 };
 use parsleywalk_storage::LogStore;
 use parsleywalk_units::{MonotonicTime, VmNumber};
@@ -69,6 +71,28 @@
     }
 }
 
+/// Measures writing and opening a log with a large snapshot.
+fn measure_snapshot(folder: &Path) -> Outcome<()> {
+    let vm = VmNumber::new(1);
+    let id = LogStore::init(folder, vm, &[vm])?;
+    let (mut store, recovered) = LogStore::open(folder)?;
+    let members = ReplicaSet::new(vec![id]);
+    let payload = Arc::new((0..=255).cycle().take(40_000_000).collect());
+    let snapshot = LogSnapshot { index: LogIndex::new(1), term: recovered.hard_state.term, members, payload };
+    let term = recovered.hard_state.term;
+    let entry = |index| LogEntry { index: LogIndex::new(index), term, payload: EntryPayload::Command(vec![0; 40]) };
+    store.write(&[LogWrite { entries: (2..12_000).map(entry).collect(), ..LogWrite::default() }])?;
+    let start = Instant::now();
+    store.write(&[LogWrite { snapshot: Some(snapshot), ..LogWrite::default() }])?;
+    println!("write of a snapshot of 40 MB: {:?}", start.elapsed());
+    drop(store);
+    let start = Instant::now();
+    LogStore::open(folder)?;
+    println!("open with a snapshot of 40 MB and 12,000 entries: {:?}", start.elapsed());
+    std::fs::remove_dir_all(folder)?;
+    Ok(())
+}
+
 fn main() -> Outcome<()> {
     let mut arguments = std::env::args().skip(1);
     let folder = arguments.next().ok_or("usage: log_bench FOLDER [SECONDS]")?;
@@ -90,5 +114,5 @@
         drop(bench);
         std::fs::remove_dir_all(&folder)?;
     }
-    Ok(())
+    measure_snapshot(&Path::new(&folder).join("snapshot"))
 }
