--- a/crates/parsleywalk-consensus/src/node.rs
+++ b/crates/parsleywalk-consensus/src/node.rs
@@ -101,6 +101,8 @@
     proposals: VecDeque<(LogIndex, ProposalId)>,
     incoming: Option<IncomingSnapshot>,
     snapshot_asked: Option<LogIndex>,
+    /// The applied entries after which the next snapshot is asked for.
+    snapshot_due: u64,
     next_ticket: WriteTicket,
     pending: VecDeque<PendingWrite>,
     announced: Option<(ReplicaRole, LogTerm, Option<ReplicaId>)>,
--- a/crates/parsleywalk-consensus/src/node/open.rs
+++ b/crates/parsleywalk-consensus/src/node/open.rs
@@ -58,6 +58,7 @@
             node.withhold_until = now + node.settings.leader_lease;
         }
         node.reset_election();
+        node.draw_snapshot_due();
         node.settle_role();
         if node.history.voters() == [id] {
             node.withhold_until = now;
@@ -125,6 +126,7 @@
             proposals: VecDeque::new(),
             incoming: None,
             snapshot_asked: None,
+            snapshot_due: 0,
             next_ticket: WriteTicket::new(1),
             pending: VecDeque::new(),
             announced: None,
--- a/crates/parsleywalk-consensus/src/node/snapshot.rs
+++ b/crates/parsleywalk-consensus/src/node/snapshot.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use rand::RngExt;
+
 use super::{ConsensusNode, IncomingSnapshot};
 use crate::history::MembershipHistory;
 use crate::progress::TransferMode;
@@ -15,9 +17,16 @@
         self.snapshot.as_ref().map_or(LogIndex::ZERO, |snapshot| snapshot.index)
     }
 
+    /// Draws when the next snapshot is due. Replicas that wrote large snapshots at the same entry would all hold up the
+    /// syncs of the log at the same time.
+    pub(super) fn draw_snapshot_due(&mut self) {
+        let least = self.settings.snapshot_entries;
+        self.snapshot_due = self.generator.random_range(least..=least.saturating_add(least / 4));
+    }
+
     pub(super) fn ask_for_snapshot(&mut self) {
         let since = self.applied.get().saturating_sub(self.snapshot_index().get());
-        if since >= self.settings.snapshot_entries && self.snapshot_asked.is_none() {
+        if since >= self.snapshot_due && self.snapshot_asked.is_none() {
             self.snapshot_asked = Some(self.applied);
             self.actions.push(ConsensusAction::TakeSnapshot { index: self.applied });
         }
@@ -37,6 +46,7 @@
         let snapshot = LogSnapshot { index, term, members, payload: Arc::new(payload) };
         let trim_to = LogIndex::new(index.get().saturating_sub(self.settings.tail_entries));
         self.snapshot = Some(snapshot.clone());
+        self.draw_snapshot_due();
         self.log.trim_to(trim_to);
         self.history.trim_to(trim_to);
         let write = LogWrite { snapshot: Some(snapshot), trim_to: Some(trim_to), ..LogWrite::default() };
--- a/crates/parsleywalk-consensus/src/settings.rs
+++ b/crates/parsleywalk-consensus/src/settings.rs
@@ -29,7 +29,7 @@
     pub resend_after: Duration,
     /// The bytes of one part of a snapshot.
     pub snapshot_chunk: usize,
-    /// The applied entries after which a snapshot is asked for.
+    /// The least number of applied entries after which a snapshot is asked for; up to a quarter more is drawn each time.
     pub snapshot_entries: u64,
     /// The entries before a snapshot that are kept for slow followers.
     pub tail_entries: u64,
--- a/crates/parsleywalk-consensus/tests/fuzz.rs
+++ b/crates/parsleywalk-consensus/tests/fuzz.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use parsleywalk_consensus::ConsensusSettings;
 use support::{Cluster, Plan, chaos};
 
 fn seeds() -> std::ops::Range<u64> {
@@ -16,28 +17,39 @@
     std::env::var("PARSLEYWALK_ROUNDS").map_or(60, |text| text.parse().expect("a number"))
 }
 
-fn run(voters: u16, spares: u16, observers: u16) {
+fn run(plan: &Plan) {
     for seed in seeds() {
-        println!("seed {seed}: {voters} voters, {spares} spares, {observers} observers");
-        let plan = Plan { voters, spares, observers, ..Plan::default() };
-        chaos::run(&mut Cluster::new(seed, plan), rounds());
+        println!("seed {seed}: {} voters, {} spares, {} observers", plan.voters, plan.spares, plan.observers);
+        let snapshot_entries = [5, 40, 150, 100_000][usize::try_from(seed % 4).expect("small")];
+        let settings = ConsensusSettings { snapshot_entries, ..plan.settings.clone() };
+        let mut cluster = Cluster::new(seed, Plan { settings, ..plan.clone() });
+        if plan.found {
+            cluster.heal();
+        }
+        chaos::run(&mut cluster, rounds());
     }
 }
 
 /// Guards against diverging, lost or doubly applied entries, two leaders in a term and two lease holders.
 #[test]
 fn three_replicas_agree() {
-    run(3, 0, 1);
+    run(&Plan::default());
 }
 
 /// As above, with membership changes between five VMs.
 #[test]
 fn changing_members_agree() {
-    run(3, 2, 1);
+    run(&Plan { spares: 2, ..Plan::default() });
 }
 
 /// As above, with the largest set of a deployment.
 #[test]
 fn five_replicas_agree() {
-    run(5, 1, 1);
+    run(&Plan { voters: 5, spares: 1, ..Plan::default() });
+}
+
+/// As above, from empty folders on, with as many replicas as a deployment has VMs.
+#[test]
+fn founders_agree() {
+    run(&Plan { voters: 6, observers: 1, found: true, ..Plan::default() });
 }
