--- a/crates/parsleywalk-consensus/src/action.rs
+++ b/crates/parsleywalk-consensus/src/action.rs
@@ -152,8 +152,10 @@
     ChangePending,
     /// The VM has not announced itself as a learner.
     LearnerUnknown,
-    /// The learner does not hold everything that is committed yet.
+    /// The learner does not hold everything that is committed yet, or is silent.
     LearnerBehind,
+    /// More than half of the voters after the change would be silent, so the change could not be committed.
+    TooFewReachable,
     /// The VM to remove is not a member, the VM to add is one, or nobody would be left.
     InvalidChange,
 }
@@ -177,6 +179,7 @@
             Self::ChangePending => "the previous membership change is not committed yet",
             Self::LearnerUnknown => "the VM has not announced itself as a learner",
             Self::LearnerBehind => "the learner has not caught up yet",
+            Self::TooFewReachable => "too few of the voters after the change are reachable",
             Self::InvalidChange => "the membership change does not fit the present members",
         })
     }
--- a/crates/parsleywalk-consensus/src/node/membership.rs
+++ b/crates/parsleywalk-consensus/src/node/membership.rs
@@ -130,7 +130,15 @@
         if voters.is_empty() {
             return Err(ProposalRefusal::InvalidChange);
         }
-        Ok(ReplicaSet::new(voters))
+        // Nothing at all could be committed until the silent voters return, since a change cannot be taken back.
+        let set = ReplicaSet::new(voters);
+        let reachable = |voter| voter == self.id || self.peers.iter().any(|peer| peer.id == voter && self.hears(peer));
+        if set.has_quorum(reachable) { Ok(set) } else { Err(ProposalRefusal::TooFewReachable) }
+    }
+
+    /// Tells whether the peer has answered lately; each answers every heartbeat.
+    fn hears(&self, peer: &PeerProgress) -> bool {
+        self.now < peer.heard + self.settings.election_timeout_min
     }
 
     /// Returns the newest learner of the VM, if it holds everything that is committed.
@@ -141,7 +149,8 @@
             .max_by_key(|peer| peer.id.incarnation)
             .ok_or(ProposalRefusal::LearnerUnknown)?;
         // The learner's answers follow its syncs, so its copies count from the moment it becomes a voter.
-        if learner.matched < self.commit && !self.settings.disabled.learner_sync {
+        let synced = learner.matched >= self.commit && self.hears(learner);
+        if !synced && !self.settings.disabled.learner_sync {
             return Err(ProposalRefusal::LearnerBehind);
         }
         Ok(learner.id)
@@ -152,8 +161,7 @@
         if self.history.is_pending() || !self.is_ready() {
             return;
         }
-        let silent = |peer: &&PeerProgress| self.now >= peer.heard + self.settings.election_timeout_min;
-        let lost = self.peers.iter().filter(silent).find(|old| {
+        let lost = self.peers.iter().filter(|peer| !self.hears(peer)).find(|old| {
             let newer = |peer: &PeerProgress| {
                 !peer.observer && peer.id.vm == old.id.vm && peer.id.incarnation > old.id.incarnation
             };
--- a/crates/parsleywalk-consensus/tests/fuzz.rs
+++ b/crates/parsleywalk-consensus/tests/fuzz.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use parsleywalk_consensus::ConsensusSettings;
+use support::oracle::RunCounts;
 use support::{Cluster, Plan, chaos};
 
 fn seeds() -> std::ops::Range<u64> {
@@ -18,6 +19,7 @@
 }
 
 fn run(plan: &Plan) {
+    let mut total = RunCounts::default();
     for seed in seeds() {
         println!("seed {seed}: {} voters, {} spares, {} observers", plan.voters, plan.spares, plan.observers);
         let snapshot_entries = [5, 40, 150, 100_000][usize::try_from(seed % 4).expect("small")];
@@ -27,7 +29,10 @@
             cluster.heal();
         }
         chaos::run(&mut cluster, rounds());
+        total.add(&cluster.oracle.counts());
     }
+    println!("{} runs: {total:?}", seeds().count());
+    assert!(total.changes > 0 && total.snapshots_installed > 0 && total.truncations > 0 && total.proposals_lost > 0);
 }
 
 /// Guards against diverging, lost or doubly applied entries, two leaders in a term and two lease holders.
--- a/crates/parsleywalk-consensus/tests/mechanisms.rs
+++ b/crates/parsleywalk-consensus/tests/mechanisms.rs
@@ -85,7 +85,7 @@
     let on = ConsensusSettings { clock_drift: clock_error, ..ConsensusSettings::default() };
     let failed = |seed| contend(seed, restart, clock_error, off.clone()).err().map(|text| (seed, text));
     let (seed, text) = (0..30).find_map(failed).expect("two holders must be noticed");
-    assert!(text.contains("lease: held by"), "{text}");
+    assert!(text.starts_with("lease: "), "{text}");
     println!("{disabled:?}, clocks off by {clock_error}, allowed {clock_drift}: seed {seed}: {text}");
     for seed in 0..30 {
         assert_eq!(contend(seed, restart, clock_error, on.clone()), Ok(()), "seed {seed}");
--- a/crates/parsleywalk-consensus/tests/scenarios.rs
+++ b/crates/parsleywalk-consensus/tests/scenarios.rs
@@ -167,6 +167,20 @@
     assert_eq!(cluster.node((leader + 1) % 3).role(), ReplicaRole::Learner);
 }
 
+/// Guards against a change that could never be committed, because it would leave a majority of silent voters.
+#[test]
+fn changes_need_reachable_voters() {
+    let (mut cluster, leader) = started(9, Plan::default());
+    cluster.run_for(Duration::from_secs(1));
+    let (silent, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    cluster.crash(silent);
+    cluster.run_for(Duration::from_secs(1));
+    let change = MembershipChange::Remove { vm: cluster.machines[other].id.vm };
+    let proposal = cluster.change(leader, change);
+    assert_eq!(cluster.oracle.refused.get(&proposal), Some(&ProposalRefusal::TooFewReachable));
+    chaos::settle(&mut cluster);
+}
+
 /// Guards against a slow catch-up after 1,000 entries, by entries and by a snapshot, and against observers that claim to
 /// be caught up while they are not.
 #[test]
--- a/crates/parsleywalk-consensus/tests/support/mod.rs
+++ b/crates/parsleywalk-consensus/tests/support/mod.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use parsleywalk_consensus::{
-    ConsensusAction, ConsensusEvent, ConsensusMessage, ConsensusNode, ConsensusSettings, MembershipChange, ProposalId,
-    RecoveredLog, ReplicaId, ReplicaRole, ReplicaSet, WriteTicket,
+    ConsensusAction, ConsensusEvent, ConsensusMessage, ConsensusNode, ConsensusSettings, LogIndex, MembershipChange,
+    ProposalId, RecoveredLog, ReplicaId, ReplicaRole, ReplicaSet, WriteTicket,
 };
 use parsleywalk_units::{Incarnation, MonotonicTime, VmNumber};
 use rand::{RngExt, SeedableRng};
@@ -27,6 +27,7 @@
     Deliver { from: ReplicaId, to: ReplicaId, parcel: usize },
     Synced { life: u64, ticket: WriteTicket },
     Wake { life: u64 },
+    Snapshot { life: u64, index: LogIndex, payload: Vec<u8> },
 }
 
 /// One VM.
@@ -193,6 +194,7 @@
     /// Ends the VM's process and empties its disk. The next start draws a new incarnation.
     pub fn lose_disk(&mut self, position: usize) {
         self.crash(position);
+        self.oracle.counts.disks_lost += 1;
         self.incarnations += 1;
         let machine = &mut self.machines[position];
         machine.disk = Disk::new(RecoveredLog::default());
@@ -319,7 +321,10 @@
                 machine.next_wake = u64::MAX;
                 self.step(position, ConsensusEvent::Tick);
             }
-            Happening::Synced { .. } | Happening::Wake { .. } => {}
+            Happening::Snapshot { life, index, payload } if life == machine.life => {
+                self.step(position, ConsensusEvent::SnapshotTaken { index, payload });
+            }
+            Happening::Synced { .. } | Happening::Wake { .. } | Happening::Snapshot { .. } => {}
         }
     }
 
@@ -378,7 +383,13 @@
             ConsensusAction::TakeSnapshot { index } => {
                 let payload = self.machines[position].replay.encode();
                 assert_eq!(self.machines[position].replay.index, index.get(), "snapshot asked at {id}");
-                events.push(ConsensusEvent::SnapshotTaken { index, payload });
+                // Encoding takes time in a daemon, so other events come between.
+                if self.random.random_ratio(1, 2) {
+                    events.push(ConsensusEvent::SnapshotTaken { index, payload });
+                } else {
+                    let (life, at) = (self.machines[position].life, self.now + self.random.random_range(1..200_000));
+                    self.schedule(at, position, Happening::Snapshot { life, index, payload });
+                }
             }
             ConsensusAction::Accepted { proposal, index, term } => self.oracle.accepted(id, proposal, index, term),
             ConsensusAction::Refused { proposal, reason, .. } => self.oracle.refused(id, proposal, reason),
@@ -411,5 +422,10 @@
             .map(|(_, machine)| machine.id)
             .collect();
         assert!(holders.len() <= 1, "lease: held by {holders:?} at once at {}us", self.now);
+        let holder = self.machines.iter().find(|machine| holders.contains(&machine.id));
+        if let Some(node) = holder.and_then(|machine| machine.node.as_ref()) {
+            let (commit, known) = (node.commit().get(), self.oracle.last_committed());
+            assert!(commit >= known, "lease: {} knows {commit} of {known} committed entries", node.id());
+        }
     }
 }
--- a/crates/parsleywalk-consensus/tests/support/oracle.rs
+++ b/crates/parsleywalk-consensus/tests/support/oracle.rs
@@ -46,6 +46,31 @@
     open: BTreeMap<ProposalId, (ReplicaId, LogIndex, LogTerm)>,
     pub refused: BTreeMap<ProposalId, ProposalRefusal>,
     pub done: BTreeSet<ProposalId>,
+    pub counts: RunCounts,
+}
+
+/// What a run went through, so that runs in which nothing happens are noticed.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct RunCounts {
+    pub committed: usize,
+    pub elections: usize,
+    pub changes: usize,
+    pub disks_lost: usize,
+    pub snapshots_installed: usize,
+    pub truncations: usize,
+    pub proposals_lost: usize,
+}
+
+impl RunCounts {
+    pub fn add(&mut self, other: &Self) {
+        self.committed += other.committed;
+        self.elections += other.elections;
+        self.changes += other.changes;
+        self.disks_lost += other.disks_lost;
+        self.snapshots_installed += other.snapshots_installed;
+        self.truncations += other.truncations;
+        self.proposals_lost += other.proposals_lost;
+    }
 }
 
 impl Oracle {
@@ -66,8 +91,16 @@
         self.leaders.len()
     }
 
+    pub fn counts(&self) -> RunCounts {
+        let sets: Vec<&ReplicaSet> = self.memberships().collect();
+        let changes = sets.windows(2).filter(|pair| pair[0] != pair[1]).count();
+        RunCounts { committed: self.committed.len(), elections: self.elections(), changes, ..self.counts }
+    }
+
     pub fn written(&mut self, write: &LogWrite) {
         let committed = self.last_committed();
+        self.counts.truncations += usize::from(write.truncate_from.is_some() && write.snapshot.is_none());
+        self.counts.snapshots_installed += usize::from(write.truncate_from.is_some() && write.snapshot.is_some());
         for entry in &write.entries {
             if matches!(entry.payload, EntryPayload::Membership(_)) {
                 self.changes.entry((entry.index, entry.term)).or_insert(committed);
@@ -131,6 +164,7 @@
 
     pub fn refused(&mut self, id: ReplicaId, proposal: ProposalId, reason: ProposalRefusal) {
         let open = self.open.remove(&proposal);
+        self.counts.proposals_lost += usize::from(open.is_some());
         assert_eq!(open.is_some(), reason.is_unknown(), "refusal {reason:?} of {proposal} at {id}");
         assert!(!self.done.contains(&proposal), "{proposal} is refused after it was applied at its leader");
         self.refused.insert(proposal, reason);
