--- a/crates/parsleywalk-coordinator/src/feed.rs
+++ b/crates/parsleywalk-coordinator/src/feed.rs
@@ -49,6 +49,7 @@
     let services = catalog.services.iter().map(|service| ServicePlan {
         name: service.name.clone(),
         class: service.class,
+        instances: service.instances,
         run_time: service.run_time.map(TimeSpan::as_duration),
     });
     let teams =
--- a/crates/parsleywalk-coordinator/src/lib.rs
+++ b/crates/parsleywalk-coordinator/src/lib.rs
@@ -23,23 +23,22 @@
 //! let call = CoordinatorEvent::Call { call: CallToken::new(1), body, timeout: Duration::from_secs(5) };
 //! let (mut now, at) = (MonotonicTime::ZERO, StateTime::from_millis(1));
 //! let mut actions = coordinator.step(now, at, call);
-//! let reply = loop {
-//!     let mut next = Vec::new();
-//!     for action in actions {
+//! let mut reply = None;
+//! while reply.is_none() {
+//!     for action in std::mem::take(&mut actions) {
 //!         match action {
 //!             CoordinatorAction::Persist { ticket, .. } => {
-//!                 next.extend(coordinator.step(now, at, CoordinatorEvent::Persisted { ticket }));
+//!                 actions.extend(coordinator.step(now, at, CoordinatorEvent::Persisted { ticket }));
 //!             }
-//!             CoordinatorAction::Finish { result, .. } => return Ok(assert_eq!(result, Ok(LeaderReply::NotFound))),
+//!             CoordinatorAction::Finish { result, .. } => reply = Some(result),
 //!             _ => {}
 //!         }
 //!     }
 //!     now = now + Duration::from_millis(10);
-//!     next.extend(coordinator.tick(now, at));
-//!     actions = next;
-//! };
-//! # #[allow(unreachable_code)]
-//! # Ok::<(), Box<dyn std::error::Error>>(reply)
+//!     actions.extend(coordinator.tick(now, at));
+//! }
+//! assert_eq!(reply, Some(Ok(LeaderReply::NotFound)));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
 mod call;
