--- a/crates/parsleywalk-units/src/name.rs
+++ b/crates/parsleywalk-units/src/name.rs
@@ -4,7 +4,8 @@
 const NAME_LIMIT: usize = 128;
 
 fn is_name(text: &str) -> bool {
-    !text.is_empty()
+    // "." and ".." are dropped from the path of a URL, where names stand.
+    !matches!(text, "" | "." | "..")
         && text.len() <= NAME_LIMIT
         && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b':'))
 }
--- a/crates/parsleywalkd/src/lib.rs
+++ b/crates/parsleywalkd/src/lib.rs
@@ -9,7 +9,7 @@
 //! - *control* owns the replicated log, the control state and, on the leader, the scheduling policy;
 //! - *storage* syncs all waiting log writes at once;
 //! - *peer* carries messages between daemons, *inbox* sorts them;
-//! - *router* owns the request router, *dispatch* threads call endpoints for it;
+//! - *router* owns the request router, *dispatch* calls endpoints for it;
 //! - *callers* is the HTTP server for callers, endpoints and workers; operators have a server of their own.
 
 mod clock;
--- a/crates/parsleywalkd/src/router/mod.rs
+++ b/crates/parsleywalkd/src/router/mod.rs
@@ -1,4 +1,4 @@
-//! The thread that owns the request router, and the threads that call endpoints for it.
+//! The thread that owns the request router, and the thread that calls endpoints for it.
 
 mod dispatch;
 mod forward;
--- a/crates/parsleywalkd/src/router/thread.rs
+++ b/crates/parsleywalkd/src/router/thread.rs
@@ -78,21 +78,21 @@
     zone_peers: Vec<VmNumber>,
 }
 
-/// Starts the router's thread and the dispatch threads.
+/// Starts the router's thread and the thread that calls endpoints.
 pub(crate) fn start(
     settings: &DaemonSettings,
     links: RouterLinks,
     events: &Sender<RouterEvent>,
     queue: Receiver<RouterEvent>,
 ) -> Result<()> {
-    let (jobs, job_queue) = flume::bounded(settings.limits.dispatch_threads);
-    dispatch::start(settings.limits.dispatch_threads, ANSWER_LIMIT, &job_queue, events)?;
+    let (jobs, job_queue) = flume::bounded(settings.limits.dispatches);
+    dispatch::start(ANSWER_LIMIT, job_queue, events.clone())?;
     let own = settings.own_address();
     let in_zone = settings.daemons.iter().filter(|daemon| daemon.zone == own.zone);
     let forwards = ForwardTable::new(&own.zone, &settings.daemons);
     let router_settings = RouterSettings {
         zone_entries: u32::try_from(in_zone.clone().count()).unwrap_or(1),
-        dispatch_limit: settings.limits.dispatch_threads,
+        dispatch_limit: settings.limits.dispatches,
         other_zones: forwards.zone_count(),
         ..RouterSettings::default()
     };
@@ -272,7 +272,7 @@
             timeout,
         };
         if self.jobs.try_send(job).is_err() {
-            return not_sent("all dispatch threads are busy");
+            return not_sent("the queue of calls to endpoints is full");
         }
         None
     }
--- a/crates/parsleywalkd/src/settings.rs
+++ b/crates/parsleywalkd/src/settings.rs
@@ -42,8 +42,8 @@
     pub body_timeout: TimeSpan,
     /// The longest deadline of a request.
     pub longest_deadline: TimeSpan,
-    /// Threads that call endpoints.
-    pub dispatch_threads: usize,
+    /// Calls to endpoints in progress at once.
+    pub dispatches: usize,
     /// How long a shutdown waits for requests in progress.
     pub shutdown_timeout: TimeSpan,
 }
@@ -56,7 +56,7 @@
             head_timeout: TimeSpan::from_secs(15),
             body_timeout: TimeSpan::from_secs(10),
             longest_deadline: TimeSpan::from_secs(600),
-            dispatch_threads: 192,
+            dispatches: 2048,
             shutdown_timeout: TimeSpan::from_secs(60),
         }
     }
@@ -240,7 +240,7 @@
         let counts = [
             ("limits.connections", limits.connections, 100_000),
             ("limits.body_bytes", limits.body_bytes, 64 * 1024 * 1024),
-            ("limits.dispatch_threads", limits.dispatch_threads, 1024),
+            ("limits.dispatches", limits.dispatches, 65_536),
         ];
         for (name, value, most) in counts {
             if value == 0 || value > most {
