Bound the memory of the log

The database's cache is 8 MiB; its default is 1 GiB.

First members that do not include the VM itself are refused.

--- a/crates/parsleywalk-consensus/src/node/snapshot.rs
+++ b/crates/parsleywalk-consensus/src/node/snapshot.rs
@@ -26,7 +26,9 @@
 
     pub(super) fn ask_for_snapshot(&mut self) {
         let since = self.applied.get().saturating_sub(self.snapshot_index().get());
-        if since >= self.snapshot_due && self.snapshot_asked.is_none() {
+        // Large entries fill the memory long before there are many.
+        let due = since >= self.snapshot_due || (since > 0 && self.log.bytes() > self.settings.log_bytes);
+        if due && self.snapshot_asked.is_none() {
             self.snapshot_asked = Some(self.applied);
             self.actions.push(ConsensusAction::TakeSnapshot { index: self.applied });
         }
@@ -44,7 +46,7 @@
         let Some(term) = self.log.term_at(index) else { return };
         let members = self.history.at(index).clone();
         let snapshot = LogSnapshot { index, term, members, payload: Arc::new(payload) };
-        let trim_to = LogIndex::new(index.get().saturating_sub(self.settings.tail_entries));
+        let trim_to = self.log.trim_point(index, self.settings.tail_entries, self.settings.log_bytes / 2);
         self.snapshot = Some(snapshot.clone());
         self.draw_snapshot_due();
         self.log.trim_to(trim_to);
--- a/crates/parsleywalk-consensus/src/settings.rs
+++ b/crates/parsleywalk-consensus/src/settings.rs
@@ -31,6 +31,8 @@
     pub snapshot_chunk: usize,
     /// The least number of applied entries after which a snapshot is asked for; up to a quarter more is drawn each time.
     pub snapshot_entries: u64,
+    /// The bytes of entries in memory beyond which a snapshot is asked for earlier; the tail is kept to half of them.
+    pub log_bytes: usize,
     /// The entries before a snapshot that are kept for slow followers.
     pub tail_entries: u64,
     /// The bytes of entries that may wait to be committed; further proposals are refused.
@@ -83,6 +85,7 @@
             resend_after: Duration::from_millis(300),
             snapshot_chunk: 256 * 1024,
             snapshot_entries: 10_000,
+            log_bytes: 16 * 1024 * 1024,
             tail_entries: 2_000,
             uncommitted_bytes: 8 * 1024 * 1024,
             payload_limit: 1024 * 1024,
--- a/crates/parsleywalk-consensus/src/window.rs
+++ b/crates/parsleywalk-consensus/src/window.rs
@@ -10,11 +10,33 @@
     base_index: LogIndex,
     base_term: LogTerm,
     entries: VecDeque<LogEntry>,
+    bytes: usize,
 }
 
 impl LogWindow {
     pub(crate) fn new(base_index: LogIndex, base_term: LogTerm) -> Self {
-        Self { base_index, base_term, entries: VecDeque::new() }
+        Self { base_index, base_term, entries: VecDeque::new(), bytes: 0 }
+    }
+
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns the last index to trim, so that a number of entries before `index` stay, and fewer if they exceed `limit`
+    /// bytes.
+    pub(crate) fn trim_point(&self, index: LogIndex, tail_entries: u64, limit: usize) -> LogIndex {
+        let mut point = LogIndex::new(index.get().saturating_sub(tail_entries)).max(self.base_index);
+        let mut bytes = self.bytes;
+        for entry in self.entries.iter().take_while(|entry| entry.index <= index) {
+            if entry.index > point {
+                if bytes <= limit {
+                    break;
+                }
+                point = entry.index;
+            }
+            bytes -= entry.size();
+        }
+        point
     }
 
     pub(crate) fn base_index(&self) -> LogIndex {
@@ -56,12 +78,15 @@
     pub(crate) fn append(&mut self, entry: LogEntry) {
         assert_eq!(entry.index, self.last_index().next(), "entries must be consecutive");
         assert!(entry.term >= self.last_term(), "terms in the log must not decrease");
+        self.bytes += entry.size();
         self.entries.push_back(entry);
     }
 
     pub(crate) fn truncate_from(&mut self, index: LogIndex) {
         assert!(index > self.base_index, "trimmed entries cannot be truncated");
         if let Some(position) = self.position(index) {
+            let removed = self.entries.range(position.min(self.entries.len())..).map(LogEntry::size).sum::<usize>();
+            self.bytes -= removed;
             self.entries.truncate(position);
         }
     }
@@ -69,6 +94,7 @@
     pub(crate) fn trim_to(&mut self, index: LogIndex) {
         while self.entries.front().is_some_and(|entry| entry.index <= index) {
             if let Some(entry) = self.entries.pop_front() {
+                self.bytes -= entry.size();
                 self.base_index = entry.index;
                 self.base_term = entry.term;
             }
--- a/crates/parsleywalk-storage/examples/log_bench.rs
+++ b/crates/parsleywalk-storage/examples/log_bench.rs
@@ -89,6 +89,8 @@
     let start = Instant::now();
     LogStore::open(folder)?;
     println!("open with a snapshot of 40 MB and 12,000 entries: {:?}", start.elapsed());
+    let status = std::fs::read_to_string("/proc/self/status")?;
+    println!("peak memory: {}", status.lines().find(|line| line.starts_with("VmHWM")).unwrap_or("unknown"));
     std::fs::remove_dir_all(folder)?;
     Ok(())
 }
--- a/crates/parsleywalk-storage/src/error.rs
+++ b/crates/parsleywalk-storage/src/error.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::path::PathBuf;
 
+use parsleywalk_units::VmNumber;
 use quick_error::quick_error;
 
 /// The result of an operation of the log store.
@@ -18,6 +19,10 @@
         AlreadyInitialised { folder: PathBuf } {
             display("folder {} already holds a log", folder.display())
         }
+        /// The first members do not include the VM itself.
+        NotMember { vm: VmNumber, members: Vec<VmNumber> } {
+            display("first members {} do not include VM {}", list(members), vm)
+        }
         /// The folder holds no log.
         NotInitialised { folder: PathBuf } {
             display("folder {} holds no log: initialise it first", folder.display())
@@ -58,3 +63,7 @@
         }
     }
 }
+
+fn list(vms: &[VmNumber]) -> String {
+    vms.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
+}
--- a/crates/parsleywalk-storage/src/read.rs
+++ b/crates/parsleywalk-storage/src/read.rs
@@ -9,7 +9,7 @@
 use redb::{Database, ReadTransaction, ReadableDatabase, ReadableTable};
 
 use crate::record::{FORMAT_NAME, FORMAT_VERSION, Header, unseal, unseal_bytes};
-use crate::store::{Bounds, ENTRIES, META, PARTS, SnapshotHead};
+use crate::store::{Bounds, ENTRIES, META, PARTS, SnapshotHead, database_builder};
 use crate::{Result, StorageError};
 
 /// Wraps an error of the database.
@@ -25,7 +25,7 @@
 
 /// Opens the file and reads everything in it.
 pub(crate) fn read_log(file: &Path) -> Result<(Database, ReplicaId, Bounds, RecoveredLog)> {
-    let mut database = Database::open(file).map_err(|cause| file_error("open", file, cause))?;
+    let mut database = database_builder().open(file).map_err(|cause| file_error("open", file, cause))?;
     // Opening alone verifies nothing after a clean shutdown.
     if !database.check_integrity().map_err(|cause| file_error("check", file, cause))? {
         return Err(StorageError::Damaged { file: file.to_owned(), detail: "the integrity check failed".to_owned() });
--- a/crates/parsleywalk-storage/src/store.rs
+++ b/crates/parsleywalk-storage/src/store.rs
@@ -8,7 +8,7 @@
 use bincode::serde::Compat;
 use parsleywalk_consensus::{LogIndex, LogSnapshot, LogWrite, RecoveredLog, ReplicaId, ReplicaSet};
 use parsleywalk_units::{Incarnation, VmNumber};
-use redb::{Database, TableDefinition, WriteTransaction};
+use redb::{Builder, Database, TableDefinition, WriteTransaction};
 
 use crate::read::{file_error, read_log};
 use crate::record::{FORMAT_NAME, FORMAT_VERSION, Header, seal, seal_bytes};
@@ -24,6 +24,15 @@
 const NEW_FILE_NAME: &str = "log.redb.new";
 /// Larger values would need large contiguous regions of the file.
 const PART_BYTES: usize = 1024 * 1024;
+/// The log is read once, when it is opened. The library's default of 1 GiB exceeds a daemon's memory budget.
+const CACHE_BYTES: usize = 8 * 1024 * 1024;
+
+/// Returns the settings with which the database is opened.
+pub(crate) fn database_builder() -> Builder {
+    let mut builder = Builder::new();
+    builder.set_cache_size(CACHE_BYTES);
+    builder
+}
 
 /// The first and last index of the kept entries; an empty range has `last` just before `first`.
 pub(crate) type Bounds = (LogIndex, LogIndex);
@@ -50,8 +59,11 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the folder holds a log already or cannot be written.
+    /// Returns an error if the folder holds a log already or cannot be written, or if `members` lacks this VM.
     pub fn init(folder: &Path, vm: VmNumber, members: &[VmNumber]) -> Result<ReplicaId> {
+        if !members.is_empty() && !members.contains(&vm) {
+            return Err(StorageError::NotMember { vm, members: members.to_vec() });
+        }
         fs::create_dir_all(folder).map_err(|cause| step_error("create", folder, cause))?;
         let file = folder.join(FILE_NAME);
         if file.exists() {
@@ -65,7 +77,7 @@
         let recovered =
             if members == [vm] { RecoveredLog::founded(ReplicaSet::new(vec![id])) } else { RecoveredLog::default() };
         let header: Header = (FORMAT_NAME.to_owned(), FORMAT_VERSION, id.vm, id.incarnation, members.to_vec());
-        let database = Database::create(&new_file).map_err(|cause| file_error("create", &new_file, cause))?;
+        let database = database_builder().create(&new_file).map_err(|cause| file_error("create", &new_file, cause))?;
         let mut store =
             Self { database, file: new_file.clone(), id, bounds: (LogIndex::new(1), LogIndex::ZERO), failed: false };
         let first =
