Eject only endpoints that fail clearly more often than the others

Cause: with 25% of requests failing wherever they run, three failures in a row are common, so up to half of the endpoints were ejected although none was worse than another. An endpoint is now ejected for failures only if its failure rate exceeds twice the others' mean plus 0.1.

--- a/crates/parsleywalk-routing/src/endpoint_record.rs
+++ b/crates/parsleywalk-routing/src/endpoint_record.rs
@@ -8,6 +8,8 @@
 
 /// The first rest after a refusal; it doubles with each further refusal in a row.
 const REFUSAL_REST: Duration = Duration::from_millis(5);
+/// The divisor that gives the weight of a new result in the failure rate.
+const RATE_WEIGHT: f64 = 16.0;
 /// The longest rest after a refusal.
 const REFUSAL_REST_LIMIT: Duration = Duration::from_secs(1);
 
@@ -34,6 +36,8 @@
     pub(crate) outstanding: u32,
     pub(crate) health: EndpointHealth,
     pub(crate) failures: u32,
+    /// The share of recent results that are failures.
+    failure_rate: f64,
     refusals: u32,
     rest_until: MonotonicTime,
     /// Absent when the endpoint gets its full share.
@@ -56,6 +60,7 @@
             outstanding: 0,
             health: EndpointHealth::Healthy,
             failures: 0,
+            failure_rate: 0.0,
             refusals: 0,
             rest_until: MonotonicTime::ZERO,
             ramp_start: Some(now),
@@ -99,6 +104,7 @@
 
     pub(crate) fn record_success(&mut self, now: MonotonicTime, started: MonotonicTime) {
         self.failures = 0;
+        self.failure_rate -= self.failure_rate / RATE_WEIGHT;
         self.refusals = 0;
         if let EndpointHealth::Ejected { silent, probe_sent, .. } = self.health
             && (silent || probe_sent.is_some_and(|sent| started >= sent))
@@ -108,6 +114,11 @@
         }
     }
 
+    pub(crate) fn record_failure(&mut self) {
+        self.failures = self.failures.saturating_add(1);
+        self.failure_rate += (1.0 - self.failure_rate) / RATE_WEIGHT;
+    }
+
     /// Records a refusal: the endpoint is full, and it is left alone for a while.
     pub(crate) fn record_refusal(&mut self, now: MonotonicTime, retry_after: Option<Duration>) {
         self.quiet_since = now;
@@ -155,6 +166,10 @@
         self.outstanding > 0 && since.is_some_and(|since| now.since(since) > limit)
     }
 
+    pub(crate) fn failure_rate(&self) -> f64 {
+        self.failure_rate
+    }
+
     pub(crate) fn is_resting(&self, now: MonotonicTime) -> bool {
         self.rest_until > now
     }
--- a/crates/parsleywalk-routing/src/endpoint_table.rs
+++ b/crates/parsleywalk-routing/src/endpoint_table.rs
@@ -13,6 +13,11 @@
 /// The smallest status that counts as a failure of the endpoint.
 const FAILURE_STATUS: u16 = 500;
 
+/// An endpoint is ejected for failures only if its failure rate exceeds this multiple of the others' mean, plus the margin.
+const OUTLIER_FACTOR: f64 = 2.0;
+/// Three failures in a row make a rate of 0.18.
+const OUTLIER_MARGIN: f64 = 0.1;
+
 /// Names a record of the table; stays valid, and unused for another, after the record is gone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct EndpointHandle {
@@ -120,16 +125,15 @@
             record.record_success(now, started);
             return;
         }
-        record.failures = record.failures.saturating_add(1);
-        match record.health {
-            EndpointHealth::Healthy if record.failures >= settings.ejection_failures => {
-                self.eject(now, handle, false, settings);
-            }
-            // The probe failed; results of dispatches from before the ejection do not count again.
-            EndpointHealth::Ejected { probe_sent: Some(sent), .. } if started >= sent => {
-                self.eject(now, handle, false, settings);
-            }
-            _ => {}
+        record.record_failure();
+        let (health, failures) = (record.health, record.failures);
+        let failed = match health {
+            EndpointHealth::Healthy => failures >= settings.ejection_failures && self.is_outlier(now, handle),
+            // Results of dispatches from before the probe do not count again.
+            EndpointHealth::Ejected { probe_sent, .. } => probe_sent.is_some_and(|sent| started >= sent),
+        };
+        if failed {
+            self.eject(now, handle, false, settings);
         }
     }
 
@@ -147,6 +151,19 @@
         }
     }
 
+    /// Whether an endpoint fails clearly more often than the other healthy ones.
+    ///
+    /// Where all fail alike, such as through requests that fail everywhere, ejection would only take capacity away.
+    fn is_outlier(&self, now: MonotonicTime, handle: EndpointHandle) -> bool {
+        let Some(record) = self.get(handle) else { return false };
+        let others = self
+            .present(now, record.service)
+            .filter(|(slot, other)| *slot != handle.slot && other.is_healthy())
+            .map(|(_, other)| other.failure_rate());
+        let (sum, count) = others.fold((0.0, 0.0), |(sum, count), rate| (sum + rate, count + 1.0));
+        count > 0.0 && record.failure_rate() > OUTLIER_FACTOR * (sum / count) + OUTLIER_MARGIN
+    }
+
     /// Ejects an endpoint, unless that would leave less than half of its service's endpoints.
     fn eject(&mut self, now: MonotonicTime, handle: EndpointHandle, silent: bool, settings: &RouterSettings) {
         let Some(record) = self.get(handle) else { return };
