Queue by start-time fair queueing instead of callers in turn

Ruled out: the limit on the expected wait, which a caller with nothing queued does not reach with 20 callers. Each caller's next request is now due one unit of virtual time after its previous one, also when its lane was empty in between.

--- a/crates/parsleywalk-routing/src/admission_queue.rs
+++ b/crates/parsleywalk-routing/src/admission_queue.rs
@@ -1,58 +1,87 @@
 //! The queue of one service.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use parsleywalk_units::{CallerName, RequestId};
 
-/// The caller whose turn it is; absent where callers are not told apart.
+/// The most callers without waiting requests whose finish is remembered.
+const IDLE_LIMIT: usize = 4096;
+
+/// The caller that waits; absent where callers are not told apart.
 type LaneName = Option<CallerName>;
 
-/// Requests waiting for a slot, served by caller in turn, each caller's in order.
+#[derive(Debug)]
+struct CallerLane {
+    /// The virtual time at which the first request is due.
+    start: u64,
+    requests: VecDeque<RequestId>,
+}
+
+/// Requests waiting for a slot, served fairly by caller, each caller's in order.
 ///
-/// A caller that has more requests than its share waits behind its own.
+/// Start-time fair queueing: a request is due one unit of virtual time after the caller's previous one, or at once when
+/// the caller has been idle, and the request that is due first is served first. Virtual time moves on to the due time of
+/// each request served. A caller that sends more than its share therefore waits behind its own requests, also when its
+/// lane was empty in between, and a caller below its share is served before it.
 #[derive(Debug)]
 pub struct AdmissionQueue {
     by_caller: bool,
-    lanes: HashMap<LaneName, VecDeque<RequestId>>,
-    turns: VecDeque<LaneName>,
+    lanes: HashMap<LaneName, CallerLane>,
+    /// The lanes by due time.
+    order: BTreeSet<(u64, LaneName)>,
+    /// When the next request of a caller that does not wait is due, where that is after the present.
+    idle: HashMap<LaneName, u64>,
+    present: u64,
     length: usize,
 }
 
 impl AdmissionQueue {
-    /// Creates an empty queue, served by caller in turn or else in order of arrival.
+    /// Creates an empty queue, served fairly by caller or else in order of arrival.
     #[must_use]
     pub fn new(by_caller: bool) -> Self {
-        Self { by_caller, lanes: HashMap::new(), turns: VecDeque::new(), length: 0 }
+        Self { by_caller, lanes: HashMap::new(), order: BTreeSet::new(), idle: HashMap::new(), present: 0, length: 0 }
     }
 
     /// Adds a request behind the caller's others.
     pub fn push_back(&mut self, caller: &CallerName, request: RequestId) {
         let name = self.lane_name(caller);
-        self.lane(name).push_back(request);
         self.length += 1;
+        if let Some(lane) = self.lanes.get_mut(&name) {
+            lane.requests.push_back(request);
+            return;
+        }
+        let start = self.idle.remove(&name).unwrap_or(0).max(self.present);
+        self.add_lane(name, start, request);
     }
 
-    /// Adds a request that already had its turn before all others of its caller, and makes it the caller's turn.
+    /// Adds a request that already had its turn before all others of its caller, due at once.
     pub fn push_front(&mut self, caller: &CallerName, request: RequestId) {
         let name = self.lane_name(caller);
-        self.lane(name.clone()).push_front(request);
         self.length += 1;
-        if let Some(place) = self.turns.iter().position(|waiting| *waiting == name) {
-            self.turns.remove(place);
-            self.turns.push_front(name);
-        }
+        let present = self.present;
+        let Some(lane) = self.lanes.get_mut(&name) else {
+            self.idle.remove(&name);
+            return self.add_lane(name, present, request);
+        };
+        lane.requests.push_front(request);
+        let start = std::mem::replace(&mut lane.start, present);
+        self.order.remove(&(start, name.clone()));
+        self.order.insert((present, name));
     }
 
     /// Takes the next request.
     pub fn pop(&mut self) -> Option<RequestId> {
-        let name = self.turns.pop_front()?;
+        let (start, name) = self.order.pop_first()?;
+        self.present = self.present.max(start);
         let lane = self.lanes.get_mut(&name)?;
-        let request = lane.pop_front()?;
+        let request = lane.requests.pop_front()?;
         self.length -= 1;
-        if lane.is_empty() {
+        if lane.requests.is_empty() {
             self.lanes.remove(&name);
+            self.remember_idle(name, start + 1);
         } else {
-            self.turns.push_back(name);
+            lane.start = start + 1;
+            self.order.insert((start + 1, name));
         }
         Some(request)
     }
@@ -65,29 +94,43 @@
 
     /// Takes out the newest request of the caller with the most, if that caller has more than `fewer_than`.
     pub fn displace(&mut self, fewer_than: usize) -> Option<RequestId> {
-        let (name, lane) = self.lanes.iter().max_by_key(|(name, lane)| (lane.len(), *name))?;
-        let newest = *lane.back()?;
-        let name = name.clone();
-        (lane.len() > fewer_than && self.remove_from(&name, newest)).then_some(newest)
+        let (name, lane) = self.lanes.iter().max_by_key(|(name, lane)| (lane.requests.len(), *name))?;
+        let newest = *lane.requests.back()?;
+        let (name, length) = (name.clone(), lane.requests.len());
+        (length > fewer_than && self.remove_from(&name, newest)).then_some(newest)
     }
 
     fn remove_from(&mut self, name: &LaneName, request: RequestId) -> bool {
         let Some(lane) = self.lanes.get_mut(name) else { return false };
-        let Some(place) = lane.iter().position(|queued| *queued == request) else { return false };
-        lane.remove(place);
+        let Some(place) = lane.requests.iter().position(|queued| *queued == request) else { return false };
+        lane.requests.remove(place);
         self.length -= 1;
-        if lane.is_empty() {
+        if lane.requests.is_empty() {
+            let start = lane.start;
             self.lanes.remove(name);
-            self.turns.retain(|waiting| waiting != name);
+            self.order.remove(&(start, name.clone()));
+            self.remember_idle(name.clone(), start);
         }
         true
     }
 
-    fn lane(&mut self, name: LaneName) -> &mut VecDeque<RequestId> {
-        if !self.lanes.contains_key(&name) {
-            self.turns.push_back(name.clone());
+    fn add_lane(&mut self, name: LaneName, start: u64, request: RequestId) {
+        self.order.insert((start, name.clone()));
+        self.lanes.insert(name, CallerLane { start, requests: VecDeque::from([request]) });
+    }
+
+    fn remember_idle(&mut self, name: LaneName, due: u64) {
+        if due > self.present {
+            self.idle.insert(name, due);
+        }
+        // A caller that is due by now is served as one that was never seen.
+        if self.idle.len() > 64 + 2 * self.lanes.len() {
+            let present = self.present;
+            self.idle.retain(|_, due| *due > present);
+        }
+        if self.idle.len() > IDLE_LIMIT {
+            self.idle.clear();
         }
-        self.lanes.entry(name).or_default()
     }
 }
 
@@ -107,36 +150,48 @@
     /// Returns the next request.
     #[must_use]
     pub fn peek(&self) -> Option<RequestId> {
-        self.lanes.get(self.turns.front()?)?.front().copied()
+        let (_, name) = self.order.first()?;
+        self.lanes.get(name)?.requests.front().copied()
     }
 
     /// Returns the number of waiting requests of a caller, or of all where callers are not told apart.
     #[must_use]
     pub fn len_of(&self, caller: &CallerName) -> usize {
-        self.lanes.get(&self.lane_name(caller)).map_or(0, VecDeque::len)
+        self.lanes.get(&self.lane_name(caller)).map_or(0, |lane| lane.requests.len())
     }
 
     /// Returns the largest number of waiting requests of one caller.
     #[must_use]
     pub fn longest(&self) -> usize {
-        self.lanes.values().map(VecDeque::len).max().unwrap_or(0)
+        self.lanes.values().map(|lane| lane.requests.len()).max().unwrap_or(0)
     }
 
     /// Returns the number of callers that wait.
     #[must_use]
     pub fn callers(&self) -> usize {
-        self.turns.len()
+        self.lanes.len()
     }
 
-    /// Returns how many requests at most are served before a new one of this caller.
+    /// Returns how many waiting requests are due before a new one of this caller.
     #[must_use]
     pub fn ahead_of(&self, caller: &CallerName) -> usize {
-        let own = self.len_of(caller);
-        let others = self.turns.len() - usize::from(own > 0);
-        self.length.min(own + others * (own + 1))
+        let name = self.lane_name(caller);
+        let own = self.lanes.get(&name);
+        let due = match own {
+            Some(lane) => lane.start + count(lane.requests.len()),
+            None => self.idle.get(&name).copied().unwrap_or(0).max(self.present),
+        };
+        let earlier = self.order.iter().take_while(|(start, _)| *start <= due).filter(|(_, other)| *other != name);
+        let others: u64 =
+            earlier.map(|(start, other)| count(self.lanes[other].requests.len()).min(due - start + 1)).sum();
+        own.map_or(0, |lane| lane.requests.len()) + usize::try_from(others).unwrap_or(usize::MAX)
     }
 
     fn lane_name(&self, caller: &CallerName) -> LaneName {
         self.by_caller.then(|| caller.clone())
     }
 }
+
+fn count(length: usize) -> u64 {
+    u64::try_from(length).unwrap_or(u64::MAX)
+}
