--- a/crates/parsleywalk-routing/src/admission_queue.rs
+++ b/crates/parsleywalk-routing/src/admission_queue.rs
@@ -7,13 +7,16 @@
 /// The most callers without waiting requests whose finish is remembered.
 const IDLE_LIMIT: usize = 4096;
 
+/// A due time and a sequence number.
+type LanePlace = (u64, u64);
+
 /// The caller that waits; absent where callers are not told apart.
 type LaneName = Option<CallerName>;
 
 #[derive(Debug)]
 struct CallerLane {
-    /// The virtual time at which the first request is due.
-    start: u64,
+    /// The virtual time at which the first request is due, and the order among those due at the same time.
+    place: LanePlace,
     requests: VecDeque<RequestId>,
 }
 
@@ -28,10 +31,13 @@
     by_caller: bool,
     lanes: HashMap<LaneName, CallerLane>,
     /// The lanes by due time.
-    order: BTreeSet<(u64, LaneName)>,
+    order: BTreeSet<(LanePlace, LaneName)>,
     /// When the next request of a caller that does not wait is due, where that is after the present.
     idle: HashMap<LaneName, u64>,
+    /// The number of idle callers at which those that are due are forgotten.
+    prune_at: usize,
     present: u64,
+    sequence: u64,
     length: usize,
 }
 
@@ -39,7 +45,16 @@
     /// Creates an empty queue, served fairly by caller or else in order of arrival.
     #[must_use]
     pub fn new(by_caller: bool) -> Self {
-        Self { by_caller, lanes: HashMap::new(), order: BTreeSet::new(), idle: HashMap::new(), present: 0, length: 0 }
+        Self {
+            by_caller,
+            lanes: HashMap::new(),
+            order: BTreeSet::new(),
+            idle: HashMap::new(),
+            prune_at: 64,
+            present: 0,
+            sequence: 0,
+            length: 0,
+        }
     }
 
     /// Adds a request behind the caller's others.
@@ -64,14 +79,14 @@
             return self.add_lane(name, present, request);
         };
         lane.requests.push_front(request);
-        let start = std::mem::replace(&mut lane.start, present);
-        self.order.remove(&(start, name.clone()));
-        self.order.insert((present, name));
+        let place = lane.place;
+        self.order.remove(&(place, name.clone()));
+        self.place_lane(name, present);
     }
 
     /// Takes the next request.
     pub fn pop(&mut self) -> Option<RequestId> {
-        let (start, name) = self.order.pop_first()?;
+        let ((start, _), name) = self.order.pop_first()?;
         self.present = self.present.max(start);
         let lane = self.lanes.get_mut(&name)?;
         let request = lane.requests.pop_front()?;
@@ -80,8 +95,7 @@
             self.lanes.remove(&name);
             self.remember_idle(name, start + 1);
         } else {
-            lane.start = start + 1;
-            self.order.insert((start + 1, name));
+            self.place_lane(name, start + 1);
         }
         Some(request)
     }
@@ -106,17 +120,27 @@
         lane.requests.remove(place);
         self.length -= 1;
         if lane.requests.is_empty() {
-            let start = lane.start;
+            let place = lane.place;
             self.lanes.remove(name);
-            self.order.remove(&(start, name.clone()));
-            self.remember_idle(name.clone(), start);
+            self.order.remove(&(place, name.clone()));
+            self.remember_idle(name.clone(), place.0);
         }
         true
     }
 
     fn add_lane(&mut self, name: LaneName, start: u64, request: RequestId) {
-        self.order.insert((start, name.clone()));
-        self.lanes.insert(name, CallerLane { start, requests: VecDeque::from([request]) });
+        self.lanes.insert(name.clone(), CallerLane { place: (start, 0), requests: VecDeque::from([request]) });
+        self.place_lane(name, start);
+    }
+
+    /// Puts a lane behind all others that are due at the same time.
+    fn place_lane(&mut self, name: LaneName, start: u64) {
+        self.sequence += 1;
+        let place = (start, self.sequence);
+        if let Some(lane) = self.lanes.get_mut(&name) {
+            lane.place = place;
+            self.order.insert((place, name));
+        }
     }
 
     fn remember_idle(&mut self, name: LaneName, due: u64) {
@@ -124,12 +148,13 @@
             self.idle.insert(name, due);
         }
         // A caller that is due by now is served as one that was never seen.
-        if self.idle.len() > 64 + 2 * self.lanes.len() {
+        if self.idle.len() > self.prune_at {
             let present = self.present;
             self.idle.retain(|_, due| *due > present);
-        }
-        if self.idle.len() > IDLE_LIMIT {
-            self.idle.clear();
+            if self.idle.len() > IDLE_LIMIT {
+                self.idle.clear();
+            }
+            self.prune_at = 64 + 2 * self.idle.len();
         }
     }
 }
@@ -178,12 +203,12 @@
         let name = self.lane_name(caller);
         let own = self.lanes.get(&name);
         let due = match own {
-            Some(lane) => lane.start + count(lane.requests.len()),
+            Some(lane) => lane.place.0 + count(lane.requests.len()),
             None => self.idle.get(&name).copied().unwrap_or(0).max(self.present),
         };
-        let earlier = self.order.iter().take_while(|(start, _)| *start <= due).filter(|(_, other)| *other != name);
+        let earlier = self.order.iter().take_while(|((start, _), _)| *start <= due).filter(|(_, other)| *other != name);
         let others: u64 =
-            earlier.map(|(start, other)| count(self.lanes[other].requests.len()).min(due - start + 1)).sum();
+            earlier.map(|((start, _), other)| count(self.lanes[other].requests.len()).min(due - start + 1)).sum();
         own.map_or(0, |lane| lane.requests.len()) + usize::try_from(others).unwrap_or(usize::MAX)
     }
 
