Make room of the size that is looked for

Cause, from the trace: room was made for the declared size and then searched with the learned one, so an urgent task whose service uses more than declared waited for the hold to end.

--- a/crates/parsleywalk-scheduler/src/placement.rs
+++ b/crates/parsleywalk-scheduler/src/placement.rs
@@ -81,7 +81,7 @@
     }
 
     /// The size to commit for a task, or why its team may not hold it.
-    fn needed_size(&self, record: &TaskRecord) -> Result<ResourceSize, WaitReason> {
+    pub(crate) fn needed_size(&self, record: &TaskRecord) -> Result<ResourceSize, WaitReason> {
         let declared = record.declared;
         let mut size = if self.settings.learned_sizes { self.usage.size(record.service, &declared) } else { declared };
         if !record.is_batch() {
--- a/crates/parsleywalk-scheduler/src/room.rs
+++ b/crates/parsleywalk-scheduler/src/room.rs
@@ -37,8 +37,12 @@
             self.drop_hold(task);
         }
         let Some(record) = self.tasks.get(&task) else { return reason };
-        // A learned size may be larger than what would be found; the declared one is certain to be needed.
-        let (size, waited) = (record.declared, now.since(record.queued_at));
+        let waited = now.since(record.queued_at);
+        // The same size as the next search looks for, or the room made would not be enough.
+        let Ok(mut size) = self.needed_size(record) else { return reason };
+        if !self.some_worker_has(&size) {
+            size = record.declared;
+        }
         match (priority, &reason) {
             (_, WaitReason::Quota { .. } | WaitReason::TooLarge { .. } | WaitReason::NoZone) => reason,
             (QueuePriority::Critical | QueuePriority::Urgent, _) => {
