Let guards compare with running alone at the highest recent load

Cause, from the trace: guards throttled and evicted while the load was low, where a slowed request is still faster than an undisturbed one at the peak and so does not reach the tail. One change: the slow-down that guards act on is measured against the service's latency without slow-down at the highest load of about the last hour.

--- a/crates/parsleywalk-scheduler/examples/policy_bench/main.rs
+++ b/crates/parsleywalk-scheduler/examples/policy_bench/main.rs
@@ -57,6 +57,7 @@
         row("fixed-guard", ContenderKind::FirstFit(Some(1.2))),
         ours("ours", |_| {}),
         ours("no-guards", |settings| settings.guards = false),
+        ours("no-tail-budget", |settings| settings.tail_budget = false),
         ours("no-guard-wait", |settings| settings.guard_waits = false),
         ours("no-avoidance", |settings| settings.interference_placement = false),
         ours("no-exploration", |settings| settings.exploration = 0.0),
--- a/crates/parsleywalk-scheduler/src/interference.rs
+++ b/crates/parsleywalk-scheduler/src/interference.rs
@@ -14,6 +14,10 @@
 /// Steps of a service's reference latency towards larger and smaller samples; it follows the lower quarter.
 const REFERENCE_STEPS: (f64, f64) = (0.01, 0.03);
 
+/// Steps of the reference at the highest load, for each report of one of the service's instances; with 50 instances that
+/// report every 5 s the smaller one is about an hour.
+const TAIL_STEPS: (f64, f64) = (0.05, 0.000_03);
+
 #[derive(Debug, Clone, Copy, Default)]
 struct PairEstimate {
     /// Slow-down per core of the batch service.
@@ -21,13 +25,31 @@
     updated: MonotonicTime,
 }
 
+/// The latency of one service without slow-down, in seconds.
+#[derive(Debug, Clone, Copy, Default)]
+struct ServiceReference {
+    /// At the present load.
+    present: f64,
+    /// At the highest load of about the last hour.
+    tail: f64,
+}
+
+/// How much an instance is slowed; 0 is not at all.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Slowdown {
+    /// Against running alone at the present load.
+    pub(crate) present: f64,
+    /// Against running alone at the highest recent load, from which the tail of all latencies comes; negative while the
+    /// load is low and the slow-down does not reach the tail.
+    pub(crate) tail: f64,
+}
+
 /// The slow-down of each latency-critical service for each core that a batch service uses on the same worker.
 #[derive(Debug, Clone)]
 pub(crate) struct InterferenceModel {
     half_life: Duration,
     pairs: HashMap<(u32, u32), PairEstimate>,
-    /// The latency of each service without slow-down, in seconds, at the present load.
-    references: Vec<f64>,
+    references: Vec<ServiceReference>,
 }
 
 impl InterferenceModel {
@@ -48,27 +70,37 @@
     }
 
     /// Learns from one instance's latency beside `neighbours`, the processors that each batch service used at the same
-    /// time, and returns how much the instance is slowed; 0 is not at all.
-    pub(crate) fn learn(&mut self, now: MonotonicTime, critical: u32, latency: f64, neighbours: &[(u32, f64)]) -> f64 {
+    /// time, and returns how much the instance is slowed.
+    pub(crate) fn learn(
+        &mut self,
+        now: MonotonicTime,
+        critical: u32,
+        latency: f64,
+        neighbours: &[(u32, f64)],
+    ) -> Slowdown {
         let predicted: f64 = neighbours.iter().map(|(batch, cores)| self.slope(now, critical, *batch) * cores).sum();
         let place = critical as usize;
         if self.references.len() <= place {
-            self.references.resize(place + 1, 0.0);
+            self.references.resize(place + 1, ServiceReference::default());
         }
         let reference = &mut self.references[place];
         let alone = latency / (1.0 + predicted);
-        if *reference <= 0.0 {
-            *reference = alone;
+        if reference.present <= 0.0 {
+            *reference = ServiceReference { present: alone, tail: alone };
         }
-        *reference += (alone - *reference) * if alone > *reference { REFERENCE_STEPS.0 } else { REFERENCE_STEPS.1 };
-        let slowdown = (latency / reference.max(1e-9) - 1.0).clamp(-1.0, LARGEST);
+        let steps = if alone > reference.present { REFERENCE_STEPS.0 } else { REFERENCE_STEPS.1 };
+        reference.present += (alone - reference.present) * steps;
+        let steps = if reference.present > reference.tail { TAIL_STEPS.0 } else { TAIL_STEPS.1 };
+        reference.tail += (reference.present - reference.tail) * steps;
+        let over = |reference: f64| (latency / reference.max(1e-9) - 1.0).clamp(-1.0, LARGEST);
+        let (slowdown, tail) = (over(reference.present), over(reference.tail.max(reference.present)));
         let square: f64 = neighbours.iter().map(|(_, cores)| cores * cores).sum();
         let error = slowdown - predicted;
         for (batch, cores) in neighbours {
             let slope = self.slope(now, critical, *batch) + STEP * error * cores / (DAMPING + square);
             self.pairs.insert((critical, *batch), PairEstimate { slope: slope.clamp(0.0, LARGEST), updated: now });
         }
-        slowdown
+        Slowdown { present: slowdown, tail }
     }
 
     /// The number of pairs with an estimate.
--- a/crates/parsleywalk-scheduler/src/reports.rs
+++ b/crates/parsleywalk-scheduler/src/reports.rs
@@ -65,7 +65,8 @@
         let mut largest: Option<f64> = None;
         for (service, latency) in critical {
             let slowdown = self.model.learn(now, *service, *latency, neighbours);
-            largest = Some(largest.unwrap_or(slowdown).max(slowdown));
+            let felt = if self.settings.tail_budget { slowdown.tail } else { slowdown.present };
+            largest = Some(largest.unwrap_or(felt).max(felt));
         }
         if let Some(slowdown) = largest {
             let limits = self.guard_limits();
--- a/crates/parsleywalk-scheduler/src/settings.rs
+++ b/crates/parsleywalk-scheduler/src/settings.rs
@@ -38,6 +38,8 @@
     pub interference_half_life: Duration,
     /// Throttle and evict batch tasks that slow services.
     pub guards: bool,
+    /// Guards compare with running alone at the highest recent load instead of the present one.
+    pub tail_budget: bool,
     /// Guards take the next step only when a report measured after the last one took effect has arrived.
     pub guard_waits: bool,
     /// Time from a guard's order to its full effect at the worker.
@@ -77,6 +79,7 @@
             exploration: 0.02,
             interference_half_life: Duration::from_mins(30),
             guards: true,
+            tail_budget: true,
             guard_waits: true,
             guard_effect: Duration::from_secs(2),
             guard_release: Duration::from_secs(30),
