--- a/crates/parsleywalk-scheduler/examples/policy_bench/traffic.rs
+++ b/crates/parsleywalk-scheduler/examples/policy_bench/traffic.rs
@@ -13,7 +13,7 @@
 use crate::truth::{CRITICAL, WORKERS};
 use crate::world::{
     BenchTask, BenchWorker, COLD_START, INSTANCES, LOST_PROPOSAL, Phase, STOP_DELAY, World, cores_of, instance_size,
-    kept, worker_size,
+    kept, memory_of, worker_size,
 };
 
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "small positive numbers")]
@@ -174,7 +174,10 @@
         let workers = self.workers.iter().filter(|worker| open(worker)).count() as f64;
         #[expect(clippy::cast_precision_loss, reason = "a small count")]
         let instances = INSTANCES.iter().sum::<usize>() as f64;
-        workers * cores_of(&worker_size()) - instances * cores_of(&instance_size())
+        let cores = workers * cores_of(&worker_size()) - instances * cores_of(&instance_size());
+        let memory = workers * memory_of(&worker_size()) - instances * memory_of(&instance_size());
+        // The mix of services is given, so the memory that it needs for each core bounds the work as well.
+        cores.min(memory / self.truth.memory_per_core())
     }
 
     fn apply(&mut self, decision: &PolicyDecision) {
--- a/crates/parsleywalk-scheduler/examples/policy_bench/truth.rs
+++ b/crates/parsleywalk-scheduler/examples/policy_bench/truth.rs
@@ -144,6 +144,20 @@
         0.5 + 0.2 * wave + if spike { 0.15 } else { 0.0 }
     }
 
+    /// The memory that the mix of batch services needs for each core, both at least as declared.
+    pub(crate) fn memory_per_core(&self) -> f64 {
+        let mut sums = (0.0, 0.0);
+        for batch in &self.batch {
+            // Long tasks make up more of what runs.
+            let weight = batch.run_time * batch.time;
+            #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+            let memory = batch.declared.memory.get() as f64 * batch.memory.max(1.0);
+            sums.0 += weight * memory;
+            sums.1 += weight * f64::from(batch.declared.cores.get()) / 1000.0 * batch.cores.max(1.0);
+        }
+        sums.0 / sums.1
+    }
+
     pub(crate) fn noise(&self, batch: usize, tick: u64) -> f64 {
         let (from, to) = self.batch[batch].noisy;
         if (from..to).contains(&tick) { 3.0 } else { 1.0 }
