Commit processors as declared and keep their expected use within the worker's capacity

Cause: raising each task's processors to what its service uses leaves unused what other tasks do not use. One change: learned sizes raise memory only; for processors, what a service is known to use counts from the start of a task, and the sum of all uses on a worker stays within its capacity, as does the sum of all committed sizes.

--- a/crates/parsleywalk-scheduler/src/lifecycle.rs
+++ b/crates/parsleywalk-scheduler/src/lifecycle.rs
@@ -176,7 +176,14 @@
         record.throttle = ThrottleLevel::None;
         record.evicting = None;
         let (service, team, batch) = (record.service, record.team, record.is_batch());
-        self.workers[worker as usize].add(task, service, !batch, &size);
+        if self.settings.learned_sizes {
+            // Until the first report the task counts with what its service is known to use.
+            record.cores = self.usage.cores(service, &record.declared);
+        }
+        let expected = ResourceSize::new(record.cores, record.memory);
+        let held = &mut self.workers[worker as usize];
+        held.used = held.used.checked_add(&expected).unwrap_or(held.used);
+        held.add(task, service, !batch, &size);
         if batch {
             self.fair.charge(team, &size);
         } else {
--- a/crates/parsleywalk-scheduler/src/usage.rs
+++ b/crates/parsleywalk-scheduler/src/usage.rs
@@ -11,8 +11,7 @@
 const MEMORY_STEPS: (f64, f64) = (0.3, 0.01);
 const CORE_STEPS: (f64, f64) = (0.06, 0.02);
 const TIME_STEP: f64 = 0.2;
-/// Estimates are rounded up to these grains, so that small changes do not change the committed size.
-const CORE_GRAIN: u32 = 100;
+/// Estimates are rounded up to this grain, so that small changes do not change the committed size.
 const MEMORY_GRAIN: u64 = 64_000_000;
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -71,18 +70,25 @@
         usage.runs = usage.runs.saturating_add(1);
     }
 
-    /// The size that a task of the service needs: never less than declared.
+    /// The processors that a task of the service is expected to use, which may be less than declared.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "rounded")]
+    pub(crate) fn cores(&self, service: u32, declared: &ResourceSize) -> MilliCores {
+        let usage = self.services.get(service as usize).filter(|usage| usage.samples >= ENOUGH);
+        let ratio = usage.map_or(0.0, |usage| usage.cores);
+        MilliCores::new((f64::from(declared.cores.get()) * ratio) as u32)
+    }
+
+    /// The size to commit for a task of the service: never less than declared, and more memory where that is used.
+    /// Processors are not raised: what one task uses beyond its size may be what another leaves, and the expected use of
+    /// all tasks on a worker is kept within its capacity instead.
     #[expect(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "rounded")]
     pub(crate) fn size(&self, service: u32, declared: &ResourceSize) -> ResourceSize {
         let Some(usage) = self.services.get(service as usize).filter(|usage| usage.samples >= ENOUGH) else {
             return *declared;
         };
-        let cores = (f64::from(declared.cores.get()) * usage.cores) as u32;
         let memory = (declared.memory.get() as f64 * usage.memory) as u64;
-        let estimate = ResourceSize::new(
-            MilliCores::new(cores.div_ceil(CORE_GRAIN) * CORE_GRAIN),
-            MemoryBytes::new(memory.div_ceil(MEMORY_GRAIN) * MEMORY_GRAIN),
-        );
+        let estimate =
+            ResourceSize::new(declared.cores, MemoryBytes::new(memory.div_ceil(MEMORY_GRAIN) * MEMORY_GRAIN));
         declared.max_each(&estimate)
     }
 
