Count usage as well when room is made

Cause: the room made for urgent work considered committed sizes only, while a start also needs the workers' usage to fit.

--- a/crates/parsleywalk-scheduler/src/room.rs
+++ b/crates/parsleywalk-scheduler/src/room.rs
@@ -18,6 +18,16 @@
 /// Workers of each zone that are looked at when room is made.
 const ROOM_CANDIDATES: usize = 8;
 
+/// A task that may be evicted.
+#[derive(Debug, Clone, Copy)]
+struct EvictionChoice {
+    urgent: bool,
+    loss: f64,
+    task: TaskId,
+    size: ResourceSize,
+    usage: ResourceSize,
+}
+
 impl SchedulerPolicy {
     /// Makes room for a task that found no place, where it may; returns the reason to give until then.
     pub(crate) fn find_room(
@@ -123,12 +133,14 @@
         priority: QueuePriority,
     ) -> Option<(f64, Vec<TaskId>)> {
         let record = &self.workers[worker as usize];
-        let mut free = record.capacity.saturating_sub(&record.committed);
+        let (mut committed, mut used) = (record.committed, record.used);
         let mut choices = Vec::new();
         for held in &record.tasks {
             let Some(task) = self.tasks.get(held) else { continue };
+            let usage = ResourceSize::new(task.cores, task.memory);
             if task.is_evicting(now) {
-                free = free.checked_add(&task.size).unwrap_or(free);
+                committed = committed.saturating_sub(&task.size);
+                used = used.saturating_sub(&usage);
             } else if task.is_batch() && task.is_committed() && (!task.urgent || priority == QueuePriority::Critical) {
                 let loss = if self.settings.least_loss {
                     task.loss(now)
@@ -137,31 +149,38 @@
                     let newest = 1e9 - held.get() as f64;
                     newest
                 };
-                choices.push((task.urgent, loss, *held, task.size));
+                choices.push(EvictionChoice { urgent: task.urgent, loss, task: *held, size: task.size, usage });
             }
         }
-        choices.sort_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)).then(one.2.cmp(&other.2)));
+        choices.sort_by(|one, other| {
+            one.urgent.cmp(&other.urgent).then(one.loss.total_cmp(&other.loss)).then(one.task.cmp(&other.task))
+        });
+        let fits = |committed: &ResourceSize, used: &ResourceSize| {
+            size.fits_within(&record.capacity.saturating_sub(&committed.max_each(used)))
+        };
         let mut chosen = Vec::new();
         for choice in choices {
-            if size.fits_within(&free) {
+            if fits(&committed, &used) {
                 break;
             }
-            free = free.checked_add(&choice.3).unwrap_or(free);
+            committed = committed.saturating_sub(&choice.size);
+            used = used.saturating_sub(&choice.usage);
             chosen.push(choice);
         }
-        if !size.fits_within(&free) {
+        if !fits(&committed, &used) {
             return None;
         }
         // A later, larger victim may make earlier ones unnecessary; the costliest are spared first.
         for place in (0..chosen.len()).rev() {
-            let without = free.saturating_sub(&chosen[place].3);
-            if size.fits_within(&without) {
-                free = without;
+            let spared = chosen[place];
+            let (more, busier) = (committed.checked_add(&spared.size)?, used.checked_add(&spared.usage)?);
+            if fits(&more, &busier) {
+                (committed, used) = (more, busier);
                 chosen.remove(place);
             }
         }
-        let loss = chosen.iter().map(|choice| choice.1 + 1.0).sum();
-        Some((loss, chosen.into_iter().map(|choice| choice.2).collect()))
+        let loss = chosen.iter().map(|choice| choice.loss + 1.0).sum();
+        Some((loss, chosen.into_iter().map(|choice| choice.task).collect()))
     }
 
     /// Proposes to evict a task that runs and is not being evicted.
