Bring the state to the projected size: measure and shrink the records

Successors of instances moved out of the task records, failure reasons behind a pointer, jobs share their team's text.

--- a/crates/parsleywalk-control/src/claim.rs
+++ b/crates/parsleywalk-control/src/claim.rs
@@ -43,17 +43,17 @@
     pub(crate) fn claim(
         &mut self,
         now: StateTime,
-        key: RequestKey,
+        key: &RequestKey,
         entry: VmNumber,
         claim: ClaimId,
         deadline: TimeSpan,
     ) -> Result<ControlReply, CommandRefusal> {
-        if let Some(record) = self.records.get(&key) {
+        if let Some(record) = self.records.get(key) {
             let is_same = record.claim == claim && record.entry == entry;
             match record.outcome {
                 None if is_same => return Ok(ControlReply::ClaimGranted),
                 // A resent command of a claim that its entry has given up must not take the key again.
-                Some(ClaimOutcome::NotRun) if !is_same => self.remove(&key),
+                Some(ClaimOutcome::NotRun) if !is_same => self.remove(key),
                 outcome => return Ok(ControlReply::ClaimHeld { entry: record.entry, claim: record.claim, outcome }),
             }
         }
@@ -62,7 +62,7 @@
         }
         let expires = now.saturating_add(deadline.min(DEADLINE_LIMIT).as_duration() + KEPT_AFTER_DEADLINE);
         self.expiries.insert((expires, key.clone()));
-        self.records.insert(key, ClaimRecord { entry, claim, outcome: None, expires });
+        self.records.insert(key.clone(), ClaimRecord { entry, claim, outcome: None, expires });
         Ok(ControlReply::ClaimGranted)
     }
 
--- a/crates/parsleywalk-control/src/derived.rs
+++ b/crates/parsleywalk-control/src/derived.rs
@@ -36,7 +36,7 @@
         *counter(&mut self.counts, record.phase)? += 1;
         if record.owner == TaskOwner::Service {
             let set = self.instances.set_mut(&record.service);
-            if let Some(successor) = record.successor {
+            if let Some(successor) = state.successor(record.id) {
                 set.outgoing.insert((successor, record.id));
             } else if record.phase != TaskPhase::Stopping {
                 set.active.insert(record.id);
--- a/crates/parsleywalk-control/src/invariant.rs
+++ b/crates/parsleywalk-control/src/invariant.rs
@@ -101,6 +101,12 @@
             let active = self.instances.set(&entry.name).map_or(0, |set| set.active.len());
             ensure(active == wanted, "a service has its number of instances", || format!("{} {active}", entry.name))?;
         }
+        for task in self.successors.keys() {
+            let leaves = self.tasks.get(task).is_some_and(|record| {
+                record.owner == TaskOwner::Service && matches!(record.phase, TaskPhase::Starting | TaskPhase::Running)
+            });
+            ensure(leaves, "only an instance that may run has a successor", || task.to_string())?;
+        }
         for service in self.instances.services() {
             let is_known = self.service(service).is_some();
             let set = self.instances.set(service).cloned().unwrap_or_default();
--- a/crates/parsleywalk-control/src/job_table.rs
+++ b/crates/parsleywalk-control/src/job_table.rs
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct JobTable {
     next: u32,
-    records: BTreeMap<JobNumber, JobRecord>,
+    records: BTreeMap<JobNumber, Box<JobRecord>>,
     /// Ended jobs in the order of their end.
     ended: VecDeque<JobNumber>,
     /// The number of jobs at the front of `ended` whose results were dropped.
@@ -44,12 +44,12 @@
         let number = JobNumber::new(self.next);
         self.next += 1;
         self.numbers.insert(record.key.clone(), number);
-        self.records.insert(number, record);
+        self.records.insert(number, Box::new(record));
         number
     }
 
     pub(crate) fn get_mut(&mut self, number: JobNumber) -> Option<&mut JobRecord> {
-        self.records.get_mut(&number)
+        self.records.get_mut(&number).map(AsMut::as_mut)
     }
 
     /// Records that the last task of a job has ended.
@@ -127,6 +127,10 @@
         }
     }
 
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut JobRecord> {
+        self.records.values_mut().map(AsMut::as_mut)
+    }
+
     pub(crate) fn rebuild(&mut self) {
         self.numbers = self.records.iter().map(|(number, record)| (record.key.clone(), *number)).collect();
         self.cancel_expiries = self.cancels.iter().map(|(key, expires)| (*expires, key.clone())).collect();
@@ -140,11 +144,11 @@
     }
 
     pub(crate) fn get(&self, number: JobNumber) -> Option<&JobRecord> {
-        self.records.get(&number)
+        self.records.get(&number).map(AsRef::as_ref)
     }
 
     pub(crate) fn iter(&self) -> impl Iterator<Item = (JobNumber, &JobRecord)> {
-        self.records.iter().map(|(number, record)| (*number, record))
+        self.records.iter().map(|(number, record)| (*number, record.as_ref()))
     }
 
     pub(crate) fn waiting_cancels(&self) -> usize {
--- a/crates/parsleywalk-control/src/lib.rs
+++ b/crates/parsleywalk-control/src/lib.rs
@@ -72,6 +72,6 @@
 pub use number::{JobNumber, WorkerNumber};
 pub use plan::{ReportPlan, plan_report};
 pub use state::{AcceptedConfiguration, ControlState};
-pub use task::{StopReason, TaskHistory, TaskOwner, TaskRecord};
+pub use task::{StopReason, TaskOwner, TaskRecord};
 pub use worker::WorkerRecord;
 pub use zone::ZoneState;
--- a/crates/parsleywalk-control/src/query.rs
+++ b/crates/parsleywalk-control/src/query.rs
@@ -116,6 +116,12 @@
         self.tasks.values().map(AsRef::as_ref)
     }
 
+    /// Returns the instance that takes the place of another once it runs.
+    #[must_use]
+    pub fn successor(&self, task: TaskId) -> Option<TaskId> {
+        self.successors.get(&task).copied()
+    }
+
     /// Returns the tasks that hold capacity on a worker, by id.
     pub fn tasks_on(&self, worker: &WorkerId) -> impl Iterator<Item = &TaskRecord> {
         let tasks = self.worker(worker).map_or(&[][..], |record| &record.tasks);
--- a/crates/parsleywalk-control/src/reconcile.rs
+++ b/crates/parsleywalk-control/src/reconcile.rs
@@ -20,7 +20,7 @@
         if record.owner != TaskOwner::Service {
             return Err(CommandRefusal::WrongKind { task });
         }
-        if let Some(successor) = record.successor {
+        if let Some(successor) = self.successor(task) {
             return Err(CommandRefusal::AlreadyReplaced { task, successor });
         }
         if !matches!(record.phase, TaskPhase::Starting | TaskPhase::Running) {
@@ -112,9 +112,13 @@
     }
 
     fn set_successor(&mut self, task: TaskId, successor: Option<TaskId>) {
-        let Some(record) = self.tasks.get_mut(&task) else { return };
+        let Some(record) = self.tasks.get(&task) else { return };
         let set = self.instances.set_mut(&record.service);
-        if let Some(before) = std::mem::replace(&mut record.successor, successor) {
+        let before = match successor {
+            Some(successor) => self.successors.insert(task, successor),
+            None => self.successors.remove(&task),
+        };
+        if let Some(before) = before {
             set.outgoing.remove(&(before, task));
         }
         if let Some(successor) = successor {
--- a/crates/parsleywalk-control/src/snapshot.rs
+++ b/crates/parsleywalk-control/src/snapshot.rs
@@ -2,8 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use parsleywalk_units::ServiceName;
-
 use crate::derived::DerivedState;
 use crate::error::Result;
 use crate::{ControlError, ControlState};
@@ -74,15 +72,23 @@
         Ok(())
     }
 
-    /// Lets equal service names share their text again, as they do in a state that grew by commands.
+    /// Lets equal names share their text again, as they do in a state that grew by commands.
     fn share_names(&mut self) {
-        let mut names: BTreeMap<ServiceName, ServiceName> = BTreeMap::new();
+        let (mut services, mut teams) = (BTreeMap::new(), BTreeMap::new());
         for record in self.tasks.values_mut() {
-            if let Some(shared) = names.get(&record.service) {
-                record.service = shared.clone();
-            } else {
-                names.insert(record.service.clone(), record.service.clone());
-            }
+            share(&mut services, &mut record.service);
+        }
+        for record in self.jobs.iter_mut() {
+            share(&mut services, &mut record.service);
+            share(&mut teams, &mut record.key.team);
         }
     }
 }
+
+fn share<T: Ord + Clone>(names: &mut BTreeMap<T, T>, name: &mut T) {
+    if let Some(shared) = names.get(name) {
+        *name = shared.clone();
+    } else {
+        names.insert(name.clone(), name.clone());
+    }
+}
--- a/crates/parsleywalk-control/src/state.rs
+++ b/crates/parsleywalk-control/src/state.rs
@@ -5,7 +5,8 @@
 use parsleywalk_api::{TaskCounts, TaskPhase};
 use parsleywalk_catalog::Catalog;
 use parsleywalk_units::{
-    ConfigurationVersion, OperationId, ResourceSize, ServiceName, StateTime, TaskId, TeamName, WorkerId, ZoneName,
+    ConfigurationVersion, OperationId, RequestKey, ResourceSize, ServiceName, StateTime, TaskId, TeamName, WorkerId,
+    ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -52,6 +53,9 @@
     pub(crate) next_worker: u32,
     pub(crate) next_task: u64,
     pub(crate) tasks: BTreeMap<TaskId, Box<TaskRecord>>,
+    /// The instance that takes the place of another, by the one that leaves. There are few, so that the task records,
+    /// of which there are many, do not hold it.
+    pub(crate) successors: BTreeMap<TaskId, TaskId>,
     pub(crate) jobs: JobTable,
     pub(crate) claims: ClaimTable,
     /// What the batch tasks of each team hold.
@@ -129,11 +133,13 @@
             ControlCommand::ReplaceInstance { task, .. } => self.replace_instance(*task, effects),
             ControlCommand::FailTask { task, reason, .. } => self.fail_task(*task, reason, effects),
             ControlCommand::Claim { key, entry, claim, deadline, .. } => {
-                if self.service(&key.service).is_none() {
+                // The service's text is shared with the configuration.
+                let Some(service) = self.service(&key.service).map(|entry| entry.name.clone()) else {
                     return Err(CommandRefusal::UnknownService { service: key.service.clone() });
-                }
-                let reply = self.claims.claim(self.now, key.clone(), *entry, *claim, *deadline)?;
-                effects.changes.push(StateChange::ClaimChanged { key: key.clone() });
+                };
+                let key = RequestKey { service, key: key.key.clone() };
+                let reply = self.claims.claim(self.now, &key, *entry, *claim, *deadline)?;
+                effects.changes.push(StateChange::ClaimChanged { key });
                 Ok(reply)
             }
             ControlCommand::SettleClaim { key, claim, outcome, .. } => {
--- a/crates/parsleywalk-control/src/submission.rs
+++ b/crates/parsleywalk-control/src/submission.rs
@@ -30,10 +30,12 @@
         }
         let entry = self.check_job(key, job)?;
         let (service, urgent) = (entry.name.clone(), job.urgent || entry.urgent);
+        // The team's text is shared with the configuration.
+        let team = self.team(&key.team).map_or_else(|| key.team.clone(), |team| team.name.clone());
         let size = job.size.unwrap_or(entry.size);
         let cancelled = self.jobs.take_cancel(key, self.now);
         let number = self.jobs.insert(JobRecord {
-            key: key.clone(),
+            key: JobKey { team, key: key.key.clone() },
             service: service.clone(),
             first: TaskId::new(self.next_task + 1),
             count: job.count,
--- a/crates/parsleywalk-control/src/task.rs
+++ b/crates/parsleywalk-control/src/task.rs
@@ -36,7 +36,7 @@
 /// A task that has not ended.
 ///
 /// Kept small, since there is one for each of the 142,000 tasks that run at the projected size; what only some tasks
-/// have is in [`TaskHistory`].
+/// have is kept apart.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRecord {
     pub(crate) id: TaskId,
@@ -52,24 +52,28 @@
     pub(crate) entered: u64,
     /// When the present attempt was confirmed to run.
     pub(crate) running_since: StateTime,
-    /// The instance that takes this one's place.
-    pub(crate) successor: Option<TaskId>,
     pub(crate) history: Option<Box<TaskHistory>>,
 }
 
 /// What the earlier attempts of a task left behind.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TaskHistory {
+pub(crate) struct TaskHistory {
     /// The reference of the last checkpoint.
-    pub checkpoint: Option<Box<str>>,
+    pub(crate) checkpoint: Option<Box<str>>,
     /// The work that the checkpoint saved, over all attempts.
-    pub saved: TimeSpan,
+    pub(crate) saved: TimeSpan,
     /// The work that the checkpoint from which the present attempt resumed had saved.
-    pub resumed: TimeSpan,
+    pub(crate) resumed: TimeSpan,
+    pub(crate) failures: Option<Box<FailureLog>>,
+}
+
+/// The failed attempts of a task.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct FailureLog {
     /// The number of failed attempts.
-    pub failures: u32,
-    /// The last reasons of failure.
-    pub reasons: Vec<Box<str>>,
+    pub(crate) count: u32,
+    /// The last reasons of failure, oldest first.
+    pub(crate) reasons: Vec<Box<str>>,
 }
 
 impl TaskRecord {
@@ -86,7 +90,6 @@
             worker: None,
             entered: 0,
             running_since: StateTime::default(),
-            successor: None,
             history: None,
         }
     }
@@ -105,12 +108,12 @@
     }
 
     pub(crate) fn record_failure(&mut self, reason: &str) {
-        let history = self.history.get_or_insert_default();
-        history.failures = history.failures.saturating_add(1);
-        if history.reasons.len() == FAILURE_LIMIT {
-            history.reasons.remove(0);
+        let log = self.history.get_or_insert_default().failures.get_or_insert_default();
+        log.count = log.count.saturating_add(1);
+        if log.reasons.len() == FAILURE_LIMIT {
+            log.reasons.remove(0);
         }
-        history.reasons.push(shorten(reason, REASON_LIMIT).into());
+        log.reasons.push(shorten(reason, REASON_LIMIT).into());
     }
 }
 
@@ -176,16 +179,19 @@
         self.entered
     }
 
-    /// Returns the instance that takes this one's place.
+    /// Returns the number of failed attempts.
     #[must_use]
-    pub const fn successor(&self) -> Option<TaskId> {
-        self.successor
+    pub fn failures(&self) -> u32 {
+        self.failure_log().map_or(0, |log| log.count)
     }
 
-    /// Returns what earlier attempts left behind.
-    #[must_use]
-    pub fn history(&self) -> Option<&TaskHistory> {
-        self.history.as_deref()
+    /// Returns the last reasons of failure, oldest first.
+    pub fn reasons(&self) -> impl Iterator<Item = &str> {
+        self.failure_log().into_iter().flat_map(|log| &log.reasons).map(AsRef::as_ref)
+    }
+
+    fn failure_log(&self) -> Option<&FailureLog> {
+        self.history.as_ref()?.failures.as_deref()
     }
 
     /// Returns the reference of the last checkpoint.
--- a/crates/parsleywalk-control/src/transition.rs
+++ b/crates/parsleywalk-control/src/transition.rs
@@ -89,7 +89,7 @@
     }
 
     pub(crate) fn fail_task(&mut self, task: TaskId, reason: &str, effects: &mut Effects) -> Outcome {
-        let Some(record) = self.tasks.get_mut(&task) else {
+        let Some(record) = self.tasks.get(&task) else {
             return Err(CommandRefusal::UnknownTask { task });
         };
         if record.owner == TaskOwner::Service {
@@ -98,9 +98,9 @@
         if record.phase != TaskPhase::Queued {
             return Err(CommandRefusal::WrongPhase { task, phase: record.phase });
         }
-        let mut reasons: Vec<String> =
-            record.history.iter().flat_map(|it| &it.reasons).map(ToString::to_string).collect();
-        reasons.push(reason.to_owned());
+        let mut reasons: Vec<_> = record.reasons().collect();
+        reasons.push(reason);
+        let text = reasons.join("; ");
         let attempt = record.attempt.next();
         effects.changes.push(StateChange::TaskEnded {
             task,
@@ -108,7 +108,7 @@
             outcome: AttemptOutcome::Failed,
             phase: TaskPhase::Failed,
         });
-        self.finish_task(task, TaskPhase::Failed, &reasons.join("; "), effects);
+        self.finish_task(task, TaskPhase::Failed, &text, effects);
         Ok(ControlReply::Accepted)
     }
 
