Hand worker reports to the leader as digests; measure slopes of the control plane

The example slopes runs seven coordinators with a fleet of model workers at several sizes and prints processor time and bytes for each role.

Cause of the leader's cost it showed first: reports travelled as JSON, which the leader parsed again. Ruled out: planning and policy, which stayed as they are.

--- /dev/null
+++ b/crates/parsleywalk-coordinator/examples/slopes/fleet.rs
@@ -0,0 +1,136 @@
+//! Model workers that do what their orders say.
+
+use std::collections::BTreeSet;
+
+use parsleywalk_api::{ReportedPhase, TaskReport, WorkerOrder, WorkerReply, WorkerReport};
+use parsleywalk_units::{
+    AcceleratorCount, AttemptNumber, Incarnation, MemoryBytes, MilliCores, MonotonicTime, ResourceSize, TaskId,
+    TimeSpan,
+};
+
+/// Workers in one rack.
+const RACK: usize = 8;
+
+/// One model worker.
+#[derive(Debug)]
+struct ModelWorker {
+    report: WorkerReport,
+    next_report: MonotonicTime,
+}
+
+/// All model workers.
+#[derive(Debug)]
+pub(crate) struct WorkerFleet {
+    workers: Vec<ModelWorker>,
+    /// Reports since the last reset of the costs.
+    pub(crate) reports: u64,
+    pub(crate) report_bytes: usize,
+    pub(crate) answer_bytes: usize,
+    next_done: usize,
+}
+
+impl WorkerFleet {
+    pub(crate) fn new(count: usize) -> Self {
+        let workers = (0..count).map(|number| ModelWorker {
+            report: WorkerReport {
+                worker: format!("worker-{number}").parse().expect("a name"),
+                incarnation: Incarnation::new(1),
+                zone: format!("zone-{}", number % 11).parse().expect("a name"),
+                rack: format!("rack-{}", number / RACK).parse().expect("a name"),
+                capacity: ResourceSize::new(MilliCores::new(32_000), MemoryBytes::new(125_000_000_000))
+                    .with_accelerators(AcceleratorCount::new(1)),
+                sequence: 0,
+                echo: 0,
+                lag: TimeSpan::from_secs(2),
+                tasks: Vec::new(),
+            },
+            next_report: MonotonicTime::from_millis(number as u64 * 4000 / count as u64),
+        });
+        Self { workers: workers.collect(), reports: 0, report_bytes: 0, answer_bytes: 0, next_done: 0 }
+    }
+
+    /// The reports that are due, with the places of their workers.
+    pub(crate) fn due(&mut self, now: MonotonicTime) -> Vec<(usize, Vec<u8>)> {
+        let due = self.workers.iter_mut().enumerate().filter(|(_, worker)| worker.next_report <= now);
+        let due: Vec<(usize, Vec<u8>)> = due
+            .map(|(place, worker)| {
+                worker.report.sequence += 1;
+                worker.next_report = MonotonicTime::NEVER;
+                (place, serde_json::to_vec(&worker.report).expect("a report"))
+            })
+            .collect();
+        self.reports += due.len() as u64;
+        if let Some((_, body)) = due.last() {
+            self.report_bytes = body.len();
+        }
+        due
+    }
+
+    /// Handles an answer; without one the worker reports again soon.
+    pub(crate) fn answer(&mut self, now: MonotonicTime, place: usize, body: Option<&[u8]>) {
+        let worker = &mut self.workers[place];
+        let reply = body.and_then(|body| serde_json::from_slice::<WorkerReply>(body).ok());
+        let Some(reply) = reply else {
+            worker.next_report = now + std::time::Duration::from_millis(500);
+            return;
+        };
+        self.answer_bytes = body.map_or(0, <[u8]>::len);
+        worker.next_report = now + reply.report_every.as_duration();
+        worker.report.echo = reply.revision;
+        for order in reply.orders {
+            carry_out(&mut worker.report.tasks, &order);
+        }
+    }
+
+    /// Ends `count` running batch tasks, a worker after another.
+    pub(crate) fn complete(&mut self, count: usize, batch: &BTreeSet<TaskId>) {
+        let mut left = count;
+        for _ in 0..self.workers.len() {
+            if left == 0 {
+                return;
+            }
+            self.next_done = (self.next_done + 1) % self.workers.len();
+            let tasks = &mut self.workers[self.next_done].report.tasks;
+            let running =
+                tasks.iter_mut().find(|task| task.phase == ReportedPhase::Running && batch.contains(&task.task));
+            if let Some(task) = running {
+                task.phase = ReportedPhase::Done;
+                left -= 1;
+            }
+        }
+    }
+}
+
+fn carry_out(tasks: &mut Vec<TaskReport>, order: &WorkerOrder) {
+    match *order {
+        WorkerOrder::Start { task, attempt, .. } => {
+            if !tasks.iter().any(|known| known.task == task && known.attempt == attempt) {
+                tasks.push(report(task, attempt));
+            }
+        }
+        WorkerOrder::Stop { task, attempt } => {
+            let known = tasks.iter_mut().find(|known| known.task == task && known.attempt == attempt);
+            if let Some(known) = known {
+                known.phase = ReportedPhase::Stopped;
+            }
+        }
+        WorkerOrder::Settled { task, attempt } => {
+            tasks.retain(|known| known.task != task || known.attempt != attempt);
+        }
+        WorkerOrder::Throttle { .. } => {}
+    }
+}
+
+fn report(task: TaskId, attempt: AttemptNumber) -> TaskReport {
+    TaskReport {
+        task,
+        attempt,
+        phase: ReportedPhase::Running,
+        cores: MilliCores::new(700),
+        memory: MemoryBytes::new(2_000_000_000),
+        latency_us: None,
+        since_checkpoint: TimeSpan::from_secs(30),
+        checkpoint: None,
+        text: String::new(),
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-coordinator/examples/slopes/process.rs
@@ -0,0 +1,10 @@
+//! Figures of this process.
+
+use std::fs;
+
+/// The bytes of memory that the process holds.
+pub(crate) fn resident_bytes() -> u64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: u64 = statm.split_whitespace().nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+    pages * 4096
+}
--- a/crates/parsleywalk-coordinator/src/call.rs
+++ b/crates/parsleywalk-coordinator/src/call.rs
@@ -10,6 +10,8 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
+use crate::ReportDigest;
+
 /// A call to the leader. Every one may be sent again without harm.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum LeaderCall {
@@ -17,8 +19,8 @@
     Command(Box<ControlCommand>),
     /// Commits an operator's command and waits until it is in force.
     Operation(Box<ControlCommand>),
-    /// Handles a worker's report, given as JSON. `entries` are the caller edges of the worker's zone.
-    Report { report: Vec<u8>, entries: Vec<SocketAddr> },
+    /// Handles a worker's report. `entries` are the caller edges of the worker's zone.
+    Report { report: Box<ReportDigest>, entries: Vec<SocketAddr> },
     /// Asks for a job's status.
     JobStatus(JobKey),
     /// Asks for a job's results.
--- a/crates/parsleywalk-coordinator/src/coordinator.rs
+++ b/crates/parsleywalk-coordinator/src/coordinator.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use parsleywalk_api::ReplicaChange;
+use parsleywalk_api::{ReplicaChange, WorkerReport};
 use parsleywalk_consensus::{
     ConsensusAction, ConsensusEvent, ConsensusNode, EntryPayload, LogEntry, LogIndex, MembershipChange, ProposalId,
     ProposalRefusal, ReplicaId, ReplicaRole,
@@ -363,7 +363,7 @@
                 };
                 self.step_log(now, ConsensusEvent::ChangeMembership { proposal, change });
             }
-            LeaderCall::Report { report, entries } => self.serve_report(now, at, reply_to, &report, entries),
+            LeaderCall::Report { report, entries } => self.serve_report(now, at, reply_to, &(*report).into(), entries),
             LeaderCall::JobStatus(job) => self.reply(now, reply_to, view::job_status(&self.state, &job)),
             LeaderCall::JobResult(job) => self.reply(now, reply_to, view::job_result(&self.state, &job)),
             LeaderCall::Explain(job) => {
@@ -378,15 +378,11 @@
         now: MonotonicTime,
         at: StateTime,
         reply_to: ReplyTo,
-        body: &[u8],
+        report: &WorkerReport,
         entries: Vec<SocketAddr>,
     ) {
         let Some(duties) = &mut self.duties else { return };
-        let Ok(parsed) = serde_json::from_slice(body) else {
-            self.reply(now, reply_to, LeaderReply::Refused("malformed report".to_owned()));
-            return;
-        };
-        let outcome = report::handle(now, at, &self.state, duties, &parsed, entries);
+        let outcome = report::handle(now, at, &self.state, duties, report, entries);
         let reply = LeaderReply::Json(serde_json::to_vec(&outcome.reply).unwrap_or_default());
         self.record(CoordinatorRecord::ReportAnswered);
         self.reply(now, reply_to, reply);
--- a/crates/parsleywalk-coordinator/src/lib.rs
+++ b/crates/parsleywalk-coordinator/src/lib.rs
@@ -52,9 +52,11 @@
 mod progress;
 mod proposals;
 mod report;
+mod report_digest;
 mod view;
 
 pub use call::{CallFailure, LeaderCall, LeaderReply};
 pub use coordinator::DaemonCoordinator;
 pub use event::{CallToken, CoordinatorAction, CoordinatorEvent, CoordinatorRecord};
 pub use message::CoordinatorMessage;
+pub use report_digest::ReportDigest;
--- a/crates/parsleywalkd/src/edge/routes.rs
+++ b/crates/parsleywalkd/src/edge/routes.rs
@@ -247,8 +247,8 @@
         Err(refusal) => return refusal,
     };
     let entries = context.zone_entries.clone();
-    let body = serde_json::to_vec(&report).unwrap_or_default();
-    match context.control.call(LeaderCall::Report { report: body, entries }, REPORT_CALL_TIMEOUT).await {
+    let call = LeaderCall::Report { report: Box::new(report.into()), entries };
+    match context.control.call(call, REPORT_CALL_TIMEOUT).await {
         Ok(LeaderReply::Json(body)) => reply::json_bytes(StatusCode::OK, body),
         Ok(LeaderReply::Applied(ControlReply::Refused(refusal))) => {
             reply::refusal(StatusCode::CONFLICT, &Refusal::not_run(refusal.to_string()))
