--- a/crates/parsleywalk-consensus/src/history.rs
+++ b/crates/parsleywalk-consensus/src/history.rs
@@ -6,13 +6,16 @@
 #[derive(Debug)]
 pub(crate) struct MembershipHistory {
     sets: Vec<(LogIndex, ReplicaSet)>,
+    /// Whether the log is known to have confirmed the first set; a snapshot does not tell.
+    base_confirmed: bool,
     /// The first index from which a single set decides; the newest set decides alone once it is committed.
     commit: LogIndex,
 }
 
 impl MembershipHistory {
     pub(crate) fn new(index: LogIndex, set: ReplicaSet) -> Self {
-        Self { sets: vec![(index, set)], commit: index }
+        let base_confirmed = set.voters().is_empty();
+        Self { sets: vec![(index, set)], base_confirmed, commit: index }
     }
 
     pub(crate) fn push(&mut self, index: LogIndex, set: ReplicaSet) {
@@ -28,6 +31,7 @@
     /// Forgets the sets before the one in force at the index.
     pub(crate) fn trim_to(&mut self, index: LogIndex) {
         let drop = self.sets.partition_point(|(at, _)| *at <= index).saturating_sub(1);
+        self.base_confirmed = self.is_confirmed(drop);
         self.sets.drain(..drop);
     }
 
@@ -57,13 +61,20 @@
     ///
     /// An equal set that follows in the log is such an entry: a leader appends it only after the first is committed.
     pub(crate) fn unconfirmed(&self) -> Option<&ReplicaSet> {
-        let confirmed = match self.sets.as_slice() {
-            [.., (_, before), (_, set)] => before.voters().is_empty() || before == set,
-            _ => false,
-        };
+        let confirmed = self.is_confirmed(self.sets.len() - 1);
         (!self.is_pending() && !confirmed).then(|| self.newest())
     }
 
+    fn is_confirmed(&self, position: usize) -> bool {
+        match position.checked_sub(1) {
+            Some(before) => {
+                let before = &self.sets[before].1;
+                before.voters().is_empty() || *before == self.sets[position].1
+            }
+            None => self.base_confirmed,
+        }
+    }
+
     /// Returns the set in force at the index.
     pub(crate) fn at(&self, index: LogIndex) -> &ReplicaSet {
         let position = self.sets.partition_point(|(at, _)| *at <= index).saturating_sub(1);
--- a/crates/parsleywalk-consensus/src/node/leader.rs
+++ b/crates/parsleywalk-consensus/src/node/leader.rs
@@ -227,6 +227,7 @@
         let now = self.now;
         let resend = self.settings.resend_after;
         let window = self.settings.append_window;
+        let silent = !self.hears(&self.peers[position]);
         let peer = &mut self.peers[position];
         if matches!(peer.mode, TransferMode::Snapshot { .. }) {
             return self.send_chunk(position);
@@ -252,7 +253,6 @@
         let Some(previous_term) = self.log.term_at(previous_index) else { return self.start_snapshot(position) };
         let probing = matches!(peer.mode, TransferMode::Probe { .. });
         // A silent peer is probed without entries, which would most likely be sent in vain.
-        let silent = now >= peer.heard + self.settings.election_timeout_min;
         let end = if silent && probing { previous_index } else { end };
         let entries = self.log.batch(peer.next, end, self.settings.append_bytes);
         if let TransferMode::Probe { sent } = &mut peer.mode {
--- a/crates/parsleywalk-consensus/src/node/membership.rs
+++ b/crates/parsleywalk-consensus/src/node/membership.rs
@@ -136,7 +136,7 @@
     }
 
     /// Tells whether the peer has answered lately; each answers every heartbeat.
-    fn hears(&self, peer: &PeerProgress) -> bool {
+    pub(super) fn hears(&self, peer: &PeerProgress) -> bool {
         self.now < peer.heard + self.settings.election_timeout_min
     }
 
--- a/crates/parsleywalk-consensus/src/node/snapshot.rs
+++ b/crates/parsleywalk-consensus/src/node/snapshot.rs
@@ -64,8 +64,9 @@
 
     pub(super) fn send_chunk(&mut self, position: usize) -> bool {
         let (now, resend) = (self.now, self.settings.resend_after);
-        let chunk = self.settings.snapshot_chunk;
         let term = self.term;
+        // A silent peer gets an empty part, which it answers once it is back.
+        let chunk = if self.hears(&self.peers[position]) { self.settings.snapshot_chunk } else { 0 };
         let peer = &mut self.peers[position];
         let TransferMode::Snapshot { snapshot, offset, sent } = &mut peer.mode else { return false };
         if sent.is_some_and(|sent| now < sent + resend) {
--- a/crates/parsleywalk-consensus/tests/scenarios.rs
+++ b/crates/parsleywalk-consensus/tests/scenarios.rs
@@ -181,6 +181,17 @@
     chaos::settle(&mut cluster);
 }
 
+/// Guards against a leader that appends entries of its own after each snapshot, once these trim the membership.
+#[test]
+fn snapshots_add_no_entries() {
+    let (mut cluster, leader) = started(10, Plan::default());
+    let before = cluster.node(leader).status().last_index.get();
+    commit(&mut cluster, leader, 300);
+    let status = cluster.node(leader).status();
+    assert!(status.snapshot.get() > 200 && status.first_index.get() > 100);
+    assert_eq!(status.last_index.get(), before + 300);
+}
+
 /// Guards against a slow catch-up after 1,000 entries, by entries and by a snapshot, and against observers that claim to
 /// be caught up while they are not.
 #[test]
