--- a/crates/parsleywalk-consensus/src/node/snapshot.rs
+++ b/crates/parsleywalk-consensus/src/node/snapshot.rs
@@ -64,8 +64,9 @@
 
     pub(super) fn send_chunk(&mut self, position: usize) -> bool {
         let (now, resend) = (self.now, self.settings.resend_after);
-        let chunk = self.settings.snapshot_chunk;
         let term = self.term;
+        // A silent peer gets an empty part, which it answers once it is back.
+        let chunk = if self.hears(&self.peers[position]) { self.settings.snapshot_chunk } else { 0 };
         let peer = &mut self.peers[position];
         let TransferMode::Snapshot { snapshot, offset, sent } = &mut peer.mode else { return false };
         if sent.is_some_and(|sent| now < sent + resend) {
@@ -127,6 +128,7 @@
             return self.send(from, ConsensusMessage::SnapshotWanted { term, index, offset: held });
         }
         let payload = self.incoming.take().map(|incoming| incoming.payload).unwrap_or_default();
+        self.verified = self.verified.max(index);
         self.install(LogSnapshot { index, term: index_term, members, payload: Arc::new(payload) });
         self.send_after_writes(from, ConsensusMessage::Appended { term, matched: index });
     }
--- a/crates/parsleywalk-consensus/tests/scenarios.rs
+++ b/crates/parsleywalk-consensus/tests/scenarios.rs
@@ -181,6 +181,17 @@
     chaos::settle(&mut cluster);
 }
 
+/// Guards against a leader that appends entries of its own after each snapshot, once these trim the membership.
+#[test]
+fn snapshots_add_no_entries() {
+    let (mut cluster, leader) = started(10, Plan::default());
+    let before = cluster.node(leader).status().last_index.get();
+    commit(&mut cluster, leader, 300);
+    let status = cluster.node(leader).status();
+    assert!(status.snapshot.get() > 200 && status.first_index.get() > 100);
+    assert_eq!(status.last_index.get(), before + 300);
+}
+
 /// Guards against a slow catch-up after 1,000 entries, by entries and by a snapshot, and against observers that claim to
 /// be caught up while they are not.
 #[test]
@@ -198,6 +209,9 @@
         assert!(!cluster.node(3).is_caught_up());
         cluster.cuts.clear();
         cluster.start(late);
+        // Restarted and observing replicas must not take the first message of the leader for all there is.
+        cluster.run_until("first contact", LIMIT, |cluster| cluster.node(late).leader().is_some());
+        assert!(!cluster.node(late).is_caught_up());
         let target = cluster.oracle.last_committed();
         assert!(target > 1000);
         let applied =
