--- a/crates/parsleywalk-routing/src/admission.rs
+++ b/crates/parsleywalk-routing/src/admission.rs
@@ -5,6 +5,7 @@
 use parsleywalk_units::{CallerName, ClaimId, MonotonicTime, RequestId, RequestKey, TaskClass};
 use rand::RngExt;
 
+use crate::endpoint_table::ServiceCapacity;
 use crate::flight::{Flight, FlightAuthority, FlightState, Waiter};
 use crate::timer_queue::TimerKind;
 use crate::{ClaimDecision, RequestArrival, RequestRouter, RouteAction, RouteAnswer, RouteReason};
@@ -247,7 +248,11 @@
         let Err(reason) = room else {
             self.keep_queue_limit(now, request, actions);
             self.enqueue(request, false);
-            return self.pump(now, service, actions);
+            // Behind others, it could be dispatched only where an endpoint got room, which serves the queue by itself.
+            if self.services[service].queue.len() == 1 {
+                self.pump(now, service, actions);
+            }
+            return;
         };
         if !self.forward(now, request, actions) {
             let retry_after = self.retry_after(service);
@@ -267,11 +272,12 @@
         caller: &CallerName,
         deadline: MonotonicTime,
     ) -> Result<(), RouteReason> {
-        let (healthy, ejected) = self.endpoints.present_counts(now, service);
-        if healthy + ejected == 0 {
+        let capacity = self.capacity(now, service);
+        if capacity.endpoints == 0 {
             return Err(RouteReason::NoEndpoint);
         }
-        let capacity = self.capacity(now, service);
+        // Where all endpoints are ejected, one request may wait for a probe.
+        let capacity = capacity.slots.max(1);
         let state = &self.services[service];
         let ahead = state.queue.ahead_of(caller);
         let waiting = u32::try_from(state.queue.len()).unwrap_or(u32::MAX);
@@ -325,18 +331,15 @@
         (state.queue.longest() > own + 1).then_some((service, own + 1))
     }
 
-    /// The requests that this entry can have in progress at the service's endpoints; at least one.
-    fn capacity(&mut self, now: MonotonicTime, service: usize) -> u32 {
-        let state = &self.services[service];
-        let computed = match state.capacity {
-            Some((at, capacity)) if now.since(at) < CAPACITY_VALIDITY => capacity,
-            _ => {
-                let capacity = self.endpoints.capacity(now, service, state.slots_limit(), &self.settings);
-                self.services[service].capacity = Some((now, capacity));
-                capacity
-            }
-        };
-        computed.max(1)
+    /// What the service's endpoints can take, as computed a short while ago.
+    pub(crate) fn capacity(&mut self, now: MonotonicTime, service: usize) -> ServiceCapacity {
+        let state = &mut self.services[service];
+        if let Some(capacity) = state.capacity.filter(|known| now.since(known.computed_at) < CAPACITY_VALIDITY) {
+            return capacity;
+        }
+        let capacity = self.endpoints.capacity(now, service, state.slots_limit(), &self.settings);
+        state.capacity = Some(capacity);
+        capacity
     }
 
     fn failing_dependency(&mut self, now: MonotonicTime, service: usize) -> Option<usize> {
@@ -344,7 +347,7 @@
         dependencies.into_iter().find(|&dependency| {
             let absent = self.settings.other_zones == 0
                 && self.services[dependency].seen_endpoint
-                && self.endpoints.present_counts(now, dependency) == (0, 0);
+                && self.capacity(now, dependency).endpoints == 0;
             absent || self.services[dependency].health.refuses_dependent(now)
         })
     }
--- a/crates/parsleywalk-routing/src/dispatching.rs
+++ b/crates/parsleywalk-routing/src/dispatching.rs
@@ -4,7 +4,7 @@
 
 use parsleywalk_units::{DispatchId, MonotonicTime, RequestId};
 
-use crate::endpoint_table::ChoiceRequest;
+use crate::endpoint_choice::ChoiceRequest;
 use crate::flight::FlightState;
 use crate::request_router::{DispatchRecord, DispatchTarget};
 use crate::timer_queue::TimerKind;
@@ -166,7 +166,7 @@
         if self.services[service].queue.is_empty() {
             return;
         }
-        if self.endpoints.present_counts(now, service) == (0, 0) {
+        if self.capacity(now, service).endpoints == 0 {
             return self.spill(now, service, actions);
         }
         while self.dispatches.len() < self.dispatch_limit(service)
--- a/crates/parsleywalk-routing/src/endpoint_table.rs
+++ b/crates/parsleywalk-routing/src/endpoint_table.rs
@@ -4,11 +4,9 @@
 use std::time::Duration;
 
 use parsleywalk_units::{EndpointId, MonotonicTime};
-use rand::RngExt;
-use rand_pcg::Pcg64Mcg;
 
 use crate::endpoint_record::{EndpointHealth, EndpointRecord};
-use crate::{BalanceMethod, DispatchResult, EndpointAddress, EndpointAnnouncement, RouterSettings};
+use crate::{DispatchResult, EndpointAddress, EndpointAnnouncement, RouterSettings};
 
 /// The smallest status that counts as a failure of the endpoint.
 const FAILURE_STATUS: u16 = 500;
@@ -21,8 +19,18 @@
 /// Names a record of the table; stays valid, and unused for another, after the record is gone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct EndpointHandle {
-    slot: usize,
-    serial: u64,
+    pub(crate) slot: usize,
+    pub(crate) serial: u64,
+}
+
+/// What a service's endpoints can take from this entry at one time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ServiceCapacity {
+    pub(crate) computed_at: MonotonicTime,
+    /// Endpoints that are present, ejected ones included.
+    pub(crate) endpoints: usize,
+    /// Requests that may be in progress at once.
+    pub(crate) slots: u32,
 }
 
 /// What an announcement changed.
@@ -42,10 +50,10 @@
 /// of endpoints that left or expired are kept for a while for this reason.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointTable {
-    records: Vec<Option<EndpointRecord>>,
+    pub(crate) records: Vec<Option<EndpointRecord>>,
     free: Vec<usize>,
     by_endpoint: HashMap<EndpointId, usize>,
-    by_service: Vec<Vec<usize>>,
+    pub(crate) by_service: Vec<Vec<usize>>,
     /// When the first endpoint of each service was announced.
     first_seen: Vec<Option<MonotonicTime>>,
     next_serial: u64,
@@ -221,69 +229,29 @@
 }
 
 impl EndpointTable {
-    /// Chooses an endpoint with room for one more request, preferring those not in `tried`.
-    ///
-    /// A due probe goes first when the request may be repeated, and is otherwise a last resort.
-    pub(crate) fn choose(
-        &self,
-        now: MonotonicTime,
-        request: &ChoiceRequest<'_>,
-        random: &mut Pcg64Mcg,
-        settings: &RouterSettings,
-    ) -> Option<EndpointHandle> {
-        let fresh = |record: &EndpointRecord| !request.tried.iter().any(|handle| handle.serial == record.serial);
-        let probe = || self.present(now, request.service).find(|(_, record)| record.wants_probe(now) && fresh(record));
-        if request.repeatable
-            && let Some((slot, record)) = probe()
-        {
-            return Some(EndpointHandle { slot, serial: record.serial });
-        }
-        let candidates = |only_fresh: bool| -> Vec<Candidate<'_>> {
-            self.present(now, request.service)
-                .filter(|(_, record)| record.is_healthy() && !record.is_resting(now) && (!only_fresh || fresh(record)))
-                .map(|(slot, record)| Candidate {
-                    slot,
-                    record,
-                    limit: record.limit(now, request.slots_limit, settings),
-                })
-                .filter(|candidate| candidate.record.outstanding < candidate.limit)
-                .collect()
-        };
-        let mut found = candidates(true);
-        if found.is_empty() && !request.tried.is_empty() {
-            found = candidates(false);
-        }
-        if let Some(chosen) = pick(now, &found, random, settings) {
-            return Some(EndpointHandle { slot: chosen.slot, serial: chosen.record.serial });
-        }
-        if self.present_counts(now, request.service).0 == 0 {
-            return probe().map(|(slot, record)| EndpointHandle { slot, serial: record.serial });
-        }
-        None
-    }
-
     pub(crate) fn address(&self, handle: EndpointHandle) -> Option<EndpointAddress> {
         self.get(handle).map(|record| record.address)
     }
 
     /// Returns the present endpoints of a service: the healthy ones and the ejected ones.
     pub(crate) fn present_counts(&self, now: MonotonicTime, service: usize) -> (usize, usize) {
-        let healthy = self.present(now, service).filter(|(_, record)| record.is_healthy()).count();
-        (healthy, self.present(now, service).count() - healthy)
+        self.present(now, service).fold((0, 0), |(healthy, ejected), (_, record)| {
+            if record.is_healthy() { (healthy + 1, ejected) } else { (healthy, ejected + 1) }
+        })
     }
 
-    /// Returns how many requests this entry may have in progress at the service's healthy endpoints.
+    /// Returns what the service's endpoints can take from this entry.
     pub(crate) fn capacity(
         &self,
         now: MonotonicTime,
         service: usize,
         slots_limit: u32,
         settings: &RouterSettings,
-    ) -> u32 {
-        self.present(now, service)
-            .filter(|(_, record)| record.is_healthy())
-            .map(|(_, record)| record.limit(now, slots_limit, settings))
-            .sum()
+    ) -> ServiceCapacity {
+        let (healthy, ejected) = self.present_counts(now, service);
+        let records = self.present(now, service).filter(|(_, record)| record.is_healthy());
+        let slots = records.map(|(_, record)| record.limit(now, slots_limit, settings)).sum();
+        ServiceCapacity { computed_at: now, endpoints: healthy + ejected, slots }
     }
 
     pub(crate) fn records_of(&self, service: usize) -> impl Iterator<Item = &EndpointRecord> {
@@ -291,7 +259,7 @@
         slots.iter().filter_map(|&slot| self.records[slot].as_ref())
     }
 
-    fn present(&self, now: MonotonicTime, service: usize) -> impl Iterator<Item = (usize, &EndpointRecord)> {
+    pub(crate) fn present(&self, now: MonotonicTime, service: usize) -> impl Iterator<Item = (usize, &EndpointRecord)> {
         let slots = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         slots
             .iter()
@@ -304,55 +272,6 @@
     }
 }
 
-/// What an endpoint is chosen for.
-#[derive(Debug)]
-pub(crate) struct ChoiceRequest<'a> {
-    pub(crate) service: usize,
-    pub(crate) slots_limit: u32,
-    pub(crate) repeatable: bool,
-    pub(crate) tried: &'a [EndpointHandle],
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Candidate<'a> {
-    slot: usize,
-    record: &'a EndpointRecord,
-    limit: u32,
-}
-
-fn pick<'a>(
-    now: MonotonicTime,
-    candidates: &[Candidate<'a>],
-    random: &mut Pcg64Mcg,
-    settings: &RouterSettings,
-) -> Option<Candidate<'a>> {
-    if candidates.is_empty() {
-        return None;
-    }
-    let start = random.random_range(0..candidates.len());
-    if settings.balance == BalanceMethod::PowerOfTwo {
-        let (first, second) = (candidates[start], candidates[random.random_range(0..candidates.len())]);
-        let load = |candidate: &Candidate<'_>| estimated_load(now, candidate, settings);
-        return Some(if load(&second) < load(&first) { second } else { first });
-    }
-    // The random start breaks ties, so that entries do not all choose the same endpoint.
-    let rotated = candidates[start..].iter().chain(&candidates[..start]);
-    rotated.min_by(|left, right| use_of(left).total_cmp(&use_of(right))).copied()
-}
-
-/// The share of its limit that an endpoint would use with one more request.
-fn use_of(candidate: &Candidate<'_>) -> f64 {
-    f64::from(candidate.record.outstanding + 1) / f64::from(candidate.limit)
-}
-
-/// The share of its slots that an endpoint would use with one more request, over all entries.
-fn estimated_load(now: MonotonicTime, candidate: &Candidate<'_>, settings: &RouterSettings) -> f64 {
-    let own = candidate.record.outstanding;
-    let foreign = candidate.record.foreign_load(now, settings);
-    let load = foreign.unwrap_or(own.saturating_mul(settings.zone_entries.saturating_sub(1))) + own + 1;
-    f64::from(load) / f64::from(candidate.limit)
-}
-
 fn effect(was_leaving: bool, leaving: bool) -> AnnounceEffect {
     if leaving && !was_leaving { AnnounceEffect::Leaving } else { AnnounceEffect::Present }
 }
--- a/crates/parsleywalk-routing/src/lib.rs
+++ b/crates/parsleywalk-routing/src/lib.rs
@@ -64,6 +64,7 @@
 mod claim_register;
 mod dispatching;
 mod ending;
+mod endpoint_choice;
 mod endpoint_record;
 mod endpoint_table;
 mod flight;
--- a/crates/parsleywalk-routing/src/service_state.rs
+++ b/crates/parsleywalk-routing/src/service_state.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use parsleywalk_units::{MonotonicTime, ServiceName, TaskClass};
+use parsleywalk_units::{ServiceName, TaskClass};
 
+use crate::endpoint_table::ServiceCapacity;
 use crate::service_health::ServiceHealth;
 use crate::{AdmissionQueue, RetryBudget, ServiceRoute};
 
@@ -25,8 +26,8 @@
     pub(crate) outstanding: u32,
     /// Whether it had an endpoint at any time.
     pub(crate) seen_endpoint: bool,
-    /// The capacity and when it was computed.
-    pub(crate) capacity: Option<(MonotonicTime, u32)>,
+    /// What its endpoints can take, until that changes.
+    pub(crate) capacity: Option<ServiceCapacity>,
     latency: Option<Duration>,
 }
 
