Hand a waiting request to the endpoint that has just got room

Cause: with requests waiting, each result searched all endpoints for the one that it had freed itself, and each timer walked the queues. Kept, since the search is saved and nothing is lost; the gain is not proved.

--- a/crates/parsleywalk-routing/src/dispatching.rs
+++ b/crates/parsleywalk-routing/src/dispatching.rs
@@ -21,8 +21,14 @@
         self.timers.clear(record.lost_at, TimerKind::Lost(dispatch));
         self.account(now, &record, &result);
         let service = record.service;
+        // While requests wait, the endpoint that this result came from is most likely the only one with room.
+        self.freed = match record.target {
+            DispatchTarget::Endpoint(handle) if !self.services[service].queue.is_empty() => Some(handle),
+            _ => None,
+        };
         self.conclude(now, dispatch, &record, result, &mut actions);
         self.pump(now, service, &mut actions);
+        self.freed = None;
         // The limit may have held up other services, batch services from three quarters of it on.
         if self.dispatches.len() + 1 >= self.settings.dispatch_limit * 3 / 4 {
             self.pump_all(now, &mut actions);
@@ -210,6 +216,7 @@
             slots_limit: self.services[flight.service].slots_limit(),
             repeatable: flight.repeatable,
             tried: &flight.tried,
+            freed: self.freed.take(),
         };
         let Some(handle) = self.endpoints.choose(now, &choice, &mut self.random, &self.settings) else { return false };
         let Some(endpoint) = self.endpoints.address(handle) else { return false };
--- a/crates/parsleywalk-routing/src/endpoint_choice.rs
+++ b/crates/parsleywalk-routing/src/endpoint_choice.rs
@@ -19,6 +19,8 @@
     pub(crate) slots_limit: u32,
     pub(crate) repeatable: bool,
     pub(crate) tried: &'a [EndpointHandle],
+    /// An endpoint that has just got room while others waited for some.
+    pub(crate) freed: Option<EndpointHandle>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -38,6 +40,11 @@
         random: &mut Pcg64Mcg,
         settings: &RouterSettings,
     ) -> Option<EndpointHandle> {
+        if let Some(freed) = request.freed
+            && self.has_room(now, request, freed, settings)
+        {
+            return Some(freed);
+        }
         let chosen = match settings.balance {
             BalanceMethod::LeastOutstanding | BalanceMethod::SlotShares => {
                 self.scan(now, request, COMPARED, random, settings)
@@ -51,6 +58,22 @@
         chosen.map(|candidate| candidate.handle)
     }
 
+    fn has_room(
+        &self,
+        now: MonotonicTime,
+        request: &ChoiceRequest<'_>,
+        handle: EndpointHandle,
+        settings: &RouterSettings,
+    ) -> bool {
+        self.get(handle).is_some_and(|record| {
+            record.is_present(now)
+                && record.is_healthy()
+                && !record.is_resting(now)
+                && !request.tried.contains(&handle)
+                && record.outstanding < record.limit(now, request.slots_limit, settings)
+        })
+    }
+
     /// Returns the best of the first `compared` endpoints with room, from a random one on.
     fn scan(
         &self,
--- a/crates/parsleywalk-routing/src/endpoint_table.rs
+++ b/crates/parsleywalk-routing/src/endpoint_table.rs
@@ -267,7 +267,7 @@
             .filter(move |(_, record)| record.is_present(now))
     }
 
-    fn get(&self, handle: EndpointHandle) -> Option<&EndpointRecord> {
+    pub(crate) fn get(&self, handle: EndpointHandle) -> Option<&EndpointRecord> {
         self.records.get(handle.slot)?.as_ref().filter(|record| record.serial == handle.serial)
     }
 }
--- a/crates/parsleywalk-routing/src/request_router.rs
+++ b/crates/parsleywalk-routing/src/request_router.rs
@@ -59,12 +59,15 @@
     pub(crate) timers: TimerQueue,
     pub(crate) zones: ZoneChoice,
     pub(crate) next_dispatch: DispatchId,
+    /// The endpoint of the result that is being handled, if requests of its service wait.
+    pub(crate) freed: Option<EndpointHandle>,
     pub(crate) draining: bool,
     pub(crate) forwards: usize,
     pub(crate) claiming: usize,
     pub(crate) queued: usize,
     pub(crate) counters: RouterCounters,
     next_sweep: MonotonicTime,
+    next_pass: MonotonicTime,
     last_tick: MonotonicTime,
 }
 
@@ -91,12 +94,14 @@
             timers: TimerQueue::default(),
             zones: ZoneChoice::default(),
             next_dispatch,
+            freed: None,
             draining: false,
             forwards: 0,
             claiming: 0,
             queued: 0,
             counters: RouterCounters::default(),
             next_sweep: MonotonicTime::ZERO,
+            next_pass: MonotonicTime::ZERO,
             last_tick: MonotonicTime::ZERO,
         }
     }
@@ -176,7 +181,10 @@
             self.sweep(now);
         }
         self.last_tick = now;
-        self.pump_all(now, &mut actions);
+        if now >= self.next_pass {
+            self.next_pass = now + QUEUE_INTERVAL;
+            self.pump_all(now, &mut actions);
+        }
         actions
     }
 
@@ -233,7 +241,7 @@
     /// Returns when [`tick`](Self::tick) is to be called next at the latest.
     #[must_use]
     pub fn next_deadline(&self) -> MonotonicTime {
-        let queue = if self.queued > 0 { self.last_tick + QUEUE_INTERVAL } else { MonotonicTime::NEVER };
+        let queue = if self.queued > 0 { self.next_pass } else { MonotonicTime::NEVER };
         self.timers.next().min(self.next_sweep).min(queue)
     }
 
