--- a/crates/parsleywalk-routing/src/dispatching.rs
+++ b/crates/parsleywalk-routing/src/dispatching.rs
@@ -4,7 +4,7 @@
 
 use parsleywalk_units::{DispatchId, MonotonicTime, RequestId};
 
-use crate::endpoint_table::ChoiceRequest;
+use crate::endpoint_choice::ChoiceRequest;
 use crate::flight::FlightState;
 use crate::request_router::{DispatchRecord, DispatchTarget};
 use crate::timer_queue::TimerKind;
@@ -21,8 +21,14 @@
         self.timers.clear(record.lost_at, TimerKind::Lost(dispatch));
         self.account(now, &record, &result);
         let service = record.service;
+        // While requests wait, the endpoint that this result came from is most likely the only one with room.
+        self.freed = match record.target {
+            DispatchTarget::Endpoint(handle) if !self.services[service].queue.is_empty() => Some(handle),
+            _ => None,
+        };
         self.conclude(now, dispatch, &record, result, &mut actions);
         self.pump(now, service, &mut actions);
+        self.freed = None;
         // The limit may have held up other services, batch services from three quarters of it on.
         if self.dispatches.len() + 1 >= self.settings.dispatch_limit * 3 / 4 {
             self.pump_all(now, &mut actions);
@@ -166,7 +172,7 @@
         if self.services[service].queue.is_empty() {
             return;
         }
-        if self.endpoints.present_counts(now, service) == (0, 0) {
+        if self.capacity(now, service).endpoints == 0 {
             return self.spill(now, service, actions);
         }
         while self.dispatches.len() < self.dispatch_limit(service)
@@ -210,6 +216,7 @@
             slots_limit: self.services[flight.service].slots_limit(),
             repeatable: flight.repeatable,
             tried: &flight.tried,
+            freed: self.freed.take(),
         };
         let Some(handle) = self.endpoints.choose(now, &choice, &mut self.random, &self.settings) else { return false };
         let Some(endpoint) = self.endpoints.address(handle) else { return false };
