--- a/crates/parsleywalk-scheduler/src/room.rs
+++ b/crates/parsleywalk-scheduler/src/room.rs
@@ -18,10 +18,16 @@
 /// Workers of each zone that are looked at when room is made.
 const ROOM_CANDIDATES: usize = 8;
 
+fn eviction_cause(priority: QueuePriority) -> EvictionCause {
+    if priority == QueuePriority::Critical { EvictionCause::ServiceInstance } else { EvictionCause::UrgentWork }
+}
+
 /// A task that may be evicted.
 #[derive(Debug, Clone, Copy)]
 struct EvictionChoice {
     urgent: bool,
+    /// Whether its eviction was proposed before; it may already be stopping.
+    asked: bool,
     loss: f64,
     task: TaskId,
     size: ResourceSize,
@@ -42,7 +48,9 @@
             let record = &self.workers[worker as usize];
             let usable = self.takes_starts(worker) && !self.quarantine.is_quarantined(worker);
             if usable && record.hold.is_some_and(|hold| hold.task == task && now < hold.until) {
-                return WaitReason::Held { worker: record.id.clone() };
+                let reason = WaitReason::Held { worker: record.id.clone() };
+                self.repeat_evictions(now, task, worker, priority, decisions);
+                return reason;
             }
             self.drop_hold(task);
         }
@@ -92,10 +100,7 @@
         priority: QueuePriority,
         decisions: &mut Vec<PolicyDecision>,
     ) -> Option<WaitReason> {
-        let cause = match priority {
-            QueuePriority::Critical => EvictionCause::ServiceInstance,
-            _ => EvictionCause::UrgentWork,
-        };
+        let cause = eviction_cause(priority);
         let mut best: Option<(f64, u32, Vec<TaskId>)> = None;
         for worker in self.room_candidates(now, task, &size) {
             let Some((loss, victims)) = self.victims(now, worker, &size, priority) else { continue };
@@ -117,6 +122,27 @@
         Some(self.hold_worker(task, worker, WorkerHold { task, size, ready_at: now, until }))
     }
 
+    /// Proposes the evictions on a held worker again that were refused or lost.
+    fn repeat_evictions(
+        &mut self,
+        now: MonotonicTime,
+        task: TaskId,
+        worker: u32,
+        priority: QueuePriority,
+        decisions: &mut Vec<PolicyDecision>,
+    ) {
+        let size = self.workers[worker as usize].hold.map(|hold| hold.size);
+        let Some(size) = size.filter(|_| priority != QueuePriority::Batch) else { return };
+        let cause = eviction_cause(priority);
+        let Some((_, victims)) = self.victims(now, worker, &size, priority) else {
+            self.drop_hold(task);
+            return;
+        };
+        for victim in victims {
+            decisions.extend(self.propose_eviction(now, victim, cause));
+        }
+    }
+
     fn hold_worker(&mut self, task: TaskId, worker: u32, hold: WorkerHold) -> WaitReason {
         self.holds.insert(task, worker);
         let record = &mut self.workers[worker as usize];
@@ -149,11 +175,19 @@
                     let newest = 1e9 - held.get() as f64;
                     newest
                 };
-                choices.push(EvictionChoice { urgent: task.urgent, loss, task: *held, size: task.size, usage });
+                choices.push(EvictionChoice {
+                    urgent: task.urgent,
+                    asked: task.evicting.is_some(),
+                    loss,
+                    task: *held,
+                    size: task.size,
+                    usage,
+                });
             }
         }
         choices.sort_by(|one, other| {
-            one.urgent.cmp(&other.urgent).then(one.loss.total_cmp(&other.loss)).then(one.task.cmp(&other.task))
+            let rank = |choice: &EvictionChoice| (choice.urgent, !choice.asked);
+            rank(one).cmp(&rank(other)).then(one.loss.total_cmp(&other.loss)).then(one.task.cmp(&other.task))
         });
         let fits = |committed: &ResourceSize, used: &ResourceSize| {
             size.fits_within(&record.capacity.saturating_sub(&committed.max_each(used)))
