Keep the rack reserve free by the weight of service latency

Evictions of non-urgent batch give the same room within seconds, so the share of the reserve that is kept free is now the latency weight.

--- a/crates/parsleywalk-scheduler/src/placement.rs
+++ b/crates/parsleywalk-scheduler/src/placement.rs
@@ -217,7 +217,10 @@
             let together = if self.settings.together { TOGETHER * self.batch_share(worker) } else { 0.0 };
             return Some(crowding + INSTANCE_SLOWDOWN * slowdown + together + leftover);
         }
-        if self.settings.rack_reserve && self.open_racks >= 3 && !self.reserve.permits(worker, &left) {
+        if self.settings.rack_reserve
+            && self.open_racks >= 3
+            && !self.reserve.permits(worker, &left, self.weights.latency_share())
+        {
             refuse(refusal, CandidateRefusal::Reserve);
             return None;
         }
--- a/crates/parsleywalk-scheduler/src/spread.rs
+++ b/crates/parsleywalk-scheduler/src/spread.rs
@@ -146,10 +146,15 @@
         self.change(rack, |room| room.instances = room.instances.saturating_sub(1));
     }
 
-    /// Tells whether room for any one rack's instances remains once a worker's free capacity shrinks to `after`.
-    pub(crate) fn permits(&self, worker: u32, after: &ResourceSize) -> bool {
+    /// Tells whether room for a share of any one rack's instances remains once a worker's free capacity shrinks to
+    /// `after`.
+    pub(crate) fn permits(&self, worker: u32, after: &ResourceSize, share: f64) -> bool {
         let before = self.worker_slots.get(worker as usize).copied().unwrap_or_default();
         let lost = before.saturating_sub(slots(after, &self.unit));
-        lost == 0 || self.demand.last_key_value().is_none_or(|(demand, _)| self.total >= demand + lost)
+        lost == 0
+            || self
+                .demand
+                .last_key_value()
+                .is_none_or(|(demand, _)| f64::from(self.total) >= f64::from(*demand) * share + f64::from(lost))
     }
 }
