Let guards act later

One change: the limit goes from 0.3 to 0.9 at a latency weight of 0 and from 0.05 to 0 at 1, never below 0.05.

--- a/crates/parsleywalk-scheduler/src/guarding.rs
+++ b/crates/parsleywalk-scheduler/src/guarding.rs
@@ -7,7 +7,9 @@
 use crate::{EvictionCause, PolicyDecision};
 
 /// The slow-down above which guards act, for a latency weight of 0 and of 1.
-const GUARD_LIMITS: (f64, f64) = (0.3, 0.05);
+const GUARD_LIMITS: (f64, f64) = (0.9, 0.0);
+/// Below this a guard would act on the noise of reports.
+const SMALLEST_LIMIT: f64 = 0.05;
 /// The expected slow-down above which batch tasks do not start, for a latency weight of 0 and of 1.
 const PLACEMENT_LIMITS: (f64, f64) = (0.5, 0.1);
 /// The share of the expected slow-down below which a task is not worth throttling.
@@ -53,7 +55,7 @@
 impl SchedulerPolicy {
     pub(crate) fn guard_limits(&self) -> GuardLimits {
         GuardLimits {
-            limit: between(GUARD_LIMITS, self.weights.latency_share()),
+            limit: between(GUARD_LIMITS, self.weights.latency_share()).max(SMALLEST_LIMIT),
             waits: self.settings.guard_waits,
             effect: self.settings.guard_effect,
             release: self.settings.guard_release,
