--- a/crates/parsleywalk-scheduler/examples/policy_bench/traffic.rs
+++ b/crates/parsleywalk-scheduler/examples/policy_bench/traffic.rs
@@ -167,9 +167,9 @@
         }
     }
 
-    /// What batch tasks could do in this second: the present capacity of zones in service less the instances.
+    /// What batch tasks could do in this second: the present capacity of sound workers in service less the instances.
     fn allowed(&self) -> f64 {
-        let open = |worker: &BenchWorker| worker.present && !(self.zone_out && worker.zone == 1);
+        let open = |worker: &BenchWorker| worker.present && !worker.broken && !(self.zone_out && worker.zone == 1);
         #[expect(clippy::cast_precision_loss, reason = "a small count")]
         let workers = self.workers.iter().filter(|worker| open(worker)).count() as f64;
         #[expect(clippy::cast_precision_loss, reason = "a small count")]
