--- a/crates/parsleywalk-coordinator/src/coordinator.rs
+++ b/crates/parsleywalk-coordinator/src/coordinator.rs
@@ -17,7 +17,8 @@
 use crate::progress::ProgressTable;
 use crate::proposals::{ProposalKind, ProposalTable};
 use crate::{
-    CoordinatorAction, CoordinatorEvent, CoordinatorMessage, CoordinatorRecord, LeaderCall, LeaderReply, report, view,
+    CoordinatorAction, CoordinatorEvent, CoordinatorMessage, CoordinatorRecord, CoordinatorSettings, LeaderCall,
+    LeaderReply, report, view,
 };
 
 /// The wait between reports of how far this daemon has applied the log.
@@ -33,6 +34,7 @@
     pub(crate) duties: Option<LeaderDuties>,
     progress: ProgressTable,
     next_progress: MonotonicTime,
+    settings: CoordinatorSettings,
     seed: u64,
     /// Actions of the step in progress.
     actions: Vec<CoordinatorAction>,
@@ -42,6 +44,17 @@
     /// Starts with an opened log. `daemons` are the VMs of all daemons; `seed` drives the policy's randomness.
     #[must_use]
     pub fn new(node: ConsensusNode, daemons: impl Iterator<Item = VmNumber>, seed: u64) -> Self {
+        Self::with_settings(node, daemons, seed, CoordinatorSettings::default())
+    }
+
+    /// Starts as [`DaemonCoordinator::new`] does, with other settings than the default.
+    #[must_use]
+    pub fn with_settings(
+        node: ConsensusNode,
+        daemons: impl Iterator<Item = VmNumber>,
+        seed: u64,
+        settings: CoordinatorSettings,
+    ) -> Self {
         let own = node.id().vm;
         Self {
             progress: ProgressTable::new(daemons.filter(|vm| *vm != own)),
@@ -52,6 +65,7 @@
             proposals: ProposalTable::default(),
             duties: None,
             next_progress: MonotonicTime::ZERO,
+            settings,
             seed,
             actions: Vec::new(),
         }
@@ -168,7 +182,7 @@
         if role != ReplicaRole::Leader {
             self.duties = None;
         } else if self.duties.as_ref().is_none_or(|duties| duties.term != term) {
-            self.duties = Some(LeaderDuties::new(term, self.seed ^ term.get()));
+            self.duties = Some(LeaderDuties::new(&self.settings, term, self.seed ^ term.get()));
         }
         self.calls.retry_all(now);
     }
@@ -386,7 +400,7 @@
             self.reply(now, reply_to, LeaderReply::Refused("malformed report".to_owned()));
             return;
         };
-        let outcome = report::handle(now, at, &self.state, duties, &parsed, entries);
+        let outcome = report::handle(now, at, &self.state, duties, &parsed, entries, self.settings.lease.lease);
         let reply = LeaderReply::Json(serde_json::to_vec(&outcome.reply).unwrap_or_default());
         self.record(CoordinatorRecord::ReportAnswered);
         self.reply(now, reply_to, reply);
--- a/crates/parsleywalk-coordinator/src/leader.rs
+++ b/crates/parsleywalk-coordinator/src/leader.rs
@@ -3,14 +3,12 @@
 use std::time::Duration;
 
 use parsleywalk_consensus::{LogIndex, LogTerm};
-use parsleywalk_control::{
-    ControlCommand, ControlReply, ControlState, EvictionReason, LeaseSettings, LeaseTable, StateChange,
-};
-use parsleywalk_scheduler::{EvictionCause, PolicyDecision, PolicySettings, SchedulerPolicy};
+use parsleywalk_control::{ControlCommand, ControlReply, ControlState, EvictionReason, LeaseTable, StateChange};
+use parsleywalk_scheduler::{EvictionCause, PolicyDecision, SchedulerPolicy};
 use parsleywalk_units::{AttemptNumber, MonotonicTime, StateTime, TaskId, ThrottleLevel, WorkerId};
 
 use crate::call_table::ReplyTo;
-use crate::feed;
+use crate::{CoordinatorSettings, feed};
 
 /// The wait between two rounds of decisions.
 const DECISION_INTERVAL: Duration = Duration::from_millis(20);
@@ -60,12 +58,12 @@
 }
 
 impl LeaderDuties {
-    pub(crate) fn new(term: LogTerm, seed: u64) -> Self {
+    pub(crate) fn new(settings: &CoordinatorSettings, term: LogTerm, seed: u64) -> Self {
         Self {
             term,
             ready: false,
-            policy: SchedulerPolicy::new(PolicySettings::default(), seed),
-            leases: LeaseTable::new(LeaseSettings::default()),
+            policy: SchedulerPolicy::new(settings.policy.clone(), seed),
+            leases: LeaseTable::new(settings.lease),
             operations: Vec::new(),
             next_decision: MonotonicTime::ZERO,
             throttles: Vec::new(),
--- a/crates/parsleywalk-coordinator/src/lib.rs
+++ b/crates/parsleywalk-coordinator/src/lib.rs
@@ -52,9 +52,11 @@
 mod progress;
 mod proposals;
 mod report;
+mod settings;
 mod view;
 
 pub use call::{CallFailure, LeaderCall, LeaderReply};
 pub use coordinator::DaemonCoordinator;
 pub use event::{CallToken, CoordinatorAction, CoordinatorEvent, CoordinatorRecord};
 pub use message::CoordinatorMessage;
+pub use settings::CoordinatorSettings;
--- a/crates/parsleywalk-coordinator/src/report.rs
+++ b/crates/parsleywalk-coordinator/src/report.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use parsleywalk_api::{TaskReport, WorkerOrder, WorkerReply, WorkerReport};
-use parsleywalk_control::{ControlCommand, ControlState, LeaseSettings, plan_report};
+use parsleywalk_control::{ControlCommand, ControlState, plan_report};
 use parsleywalk_scheduler::{PolicyEvent, TaskUsage};
 use parsleywalk_units::{MonotonicTime, StateTime, TimeSpan};
 
@@ -37,6 +37,7 @@
     duties: &mut LeaderDuties,
     report: &WorkerReport,
     entries: Vec<SocketAddr>,
+    lease: Duration,
 ) -> ReportOutcome {
     let plan = plan_report(state, at, report);
     let mut orders = plan.orders;
@@ -53,7 +54,7 @@
     let reply = WorkerReply {
         sequence: report.sequence,
         revision: state.revision(),
-        lease: renewed.then(|| span(LeaseSettings::default().lease)),
+        lease: renewed.then(|| span(lease)),
         start_within: START_WITHIN,
         report_every: report_interval(state.workers().count()),
         orders,
