Tell followers the committed index itself in heartbeats

A heartbeat named at most what the receiver was known to hold, so a lagging replica or observer that got heartbeats and no entries counted as caught up. A receiver now applies up to the last entry that it has verified in the term.

Every change of the term resets it now.

--- a/crates/parsleywalk-consensus/src/message.rs
+++ b/crates/parsleywalk-consensus/src/message.rs
@@ -13,7 +13,7 @@
         term: LogTerm,
         /// Counts the leader's heartbeats; echoed, so that the lease is measured from the sending.
         round: u64,
-        /// What the receiver may apply: the committed index, or what the receiver is known to hold if that is less.
+        /// The leader's committed index. The receiver applies what it knows to equal the leader's log.
         commit: LogIndex,
     },
     /// Answers a heartbeat.
--- a/crates/parsleywalk-consensus/src/node.rs
+++ b/crates/parsleywalk-consensus/src/node.rs
@@ -81,6 +81,8 @@
     leader_heard: Option<MonotonicTime>,
     /// The committed index that the leader last reported.
     leader_commit: LogIndex,
+    /// The last index up to which the log is known to equal that of the current term's leader.
+    verified: LogIndex,
     join_at: MonotonicTime,
     contacts: Vec<VmNumber>,
     founders: Vec<VmNumber>,
--- a/crates/parsleywalk-consensus/src/node/election.rs
+++ b/crates/parsleywalk-consensus/src/node/election.rs
@@ -42,10 +42,7 @@
         }
         self.granted.clear();
         if newer {
-            self.term = term;
-            self.vote = None;
-            self.leader = None;
-            self.incoming = None;
+            self.enter_term(term, None);
             self.persist_hard_state(Vec::new());
         }
         if leader.is_some() {
@@ -55,6 +52,15 @@
         self.settle_role();
     }
 
+    /// Forgets what only held in the previous term.
+    pub(super) fn enter_term(&mut self, term: LogTerm, vote: Option<ReplicaId>) {
+        self.term = term;
+        self.vote = vote;
+        self.leader = None;
+        self.incoming = None;
+        self.verified = self.commit;
+    }
+
     /// Gives up the leadership. Proposals that wait are reported, since only a later leader decides on them.
     pub(super) fn step_down(&mut self) {
         self.role = ReplicaRole::Follower;
@@ -104,10 +110,8 @@
 
     fn start_term(&mut self) {
         self.asking = false;
-        self.term = self.term.next();
-        self.vote = Some(self.id);
+        self.enter_term(self.term.next(), Some(self.id));
         self.granted.clear();
-        self.incoming = None;
         self.reset_election();
         self.persist_hard_state(vec![DeferredStep::Campaign { term: self.term }]);
     }
--- a/crates/parsleywalk-consensus/src/node/follower.rs
+++ b/crates/parsleywalk-consensus/src/node/follower.rs
@@ -21,8 +21,7 @@
             return;
         }
         self.leader_commit = self.leader_commit.max(commit);
-        // The leader names no index beyond what this replica is known to hold in this term.
-        self.advance_commit(commit.min(self.log.last_index()));
+        self.advance_commit(commit.min(self.verified));
         self.send_after_hard_state(from, ConsensusMessage::HeartbeatReply { term, round });
     }
 
@@ -40,7 +39,8 @@
         }
         let base = self.log.base_index();
         self.store_entries(entries.into_iter().filter(|entry| entry.index > base).collect());
-        self.advance_commit(commit.min(last));
+        self.verified = self.verified.max(last);
+        self.advance_commit(commit.min(self.verified));
         self.send_after_writes(from, ConsensusMessage::Appended { term, matched: last });
     }
 
@@ -83,6 +83,7 @@
 
     fn truncate_from(&mut self, index: LogIndex) {
         assert!(index > self.commit, "a committed entry cannot be overwritten");
+        assert!(index > self.verified, "an entry that the same leader sent cannot be overwritten");
         assert!(self.role != ReplicaRole::Leader, "a leader does not overwrite its log");
         self.log.truncate_from(index);
         self.history.truncate_from(index);
--- a/crates/parsleywalk-consensus/src/node/leader.rs
+++ b/crates/parsleywalk-consensus/src/node/leader.rs
@@ -128,9 +128,9 @@
             self.rounds.pop_front();
         }
         for position in 0..self.peers.len() {
-            let peer = &self.peers[position];
-            let (to, commit) = (peer.id, peer.matched.min(self.commit));
-            self.send(to, ConsensusMessage::Heartbeat { term: self.term, round: self.round, commit });
+            let to = self.peers[position].id;
+            let (term, round, commit) = (self.term, self.round, self.commit);
+            self.send(to, ConsensusMessage::Heartbeat { term, round, commit });
         }
     }
 
--- a/crates/parsleywalk-consensus/src/node/membership.rs
+++ b/crates/parsleywalk-consensus/src/node/membership.rs
@@ -3,8 +3,8 @@
 use super::{ConsensusNode, DeferredStep};
 use crate::progress::PeerProgress;
 use crate::{
-    ConsensusMessage, EntryPayload, LogEntry, LogIndex, LogTerm, LogWrite, MembershipChange, ProposalId,
-    ProposalRefusal, ReplicaId, ReplicaRole, ReplicaSet,
+    ConsensusMessage, EntryPayload, LogEntry, LogIndex, LogWrite, MembershipChange, ProposalId, ProposalRefusal,
+    ReplicaId, ReplicaRole, ReplicaSet,
 };
 use parsleywalk_units::VmNumber;
 
@@ -73,8 +73,7 @@
                 _ => return,
             }
         }
-        self.term = LogTerm::new(1).max(self.term.next());
-        self.vote = Some(self.id);
+        self.enter_term(self.term.next(), Some(self.id));
         let payload = EntryPayload::Membership(ReplicaSet::new(members));
         let entry = LogEntry { index: LogIndex::new(1), term: self.term, payload };
         self.append_entry(entry.clone());
--- a/crates/parsleywalk-consensus/src/node/open.rs
+++ b/crates/parsleywalk-consensus/src/node/open.rs
@@ -52,6 +52,7 @@
         }
         node.snapshot = snapshot;
         node.commit = node.commit.max(hard_state.commit);
+        node.verified = node.commit;
         node.history.set_commit(node.commit);
         // The promise of the vote withheld for a leader is not on disk, so a restarted replica renews it.
         if !node.settings.disabled.restart_withholding {
@@ -109,6 +110,7 @@
             election_at: MonotonicTime::NEVER,
             leader_heard: None,
             leader_commit: LogIndex::ZERO,
+            verified: LogIndex::ZERO,
             join_at: now,
             contacts,
             founders: Vec::new(),
--- a/crates/parsleywalk-consensus/src/node/snapshot.rs
+++ b/crates/parsleywalk-consensus/src/node/snapshot.rs
@@ -125,6 +125,7 @@
             return self.send(from, ConsensusMessage::SnapshotWanted { term, index, offset: held });
         }
         let payload = self.incoming.take().map(|incoming| incoming.payload).unwrap_or_default();
+        self.verified = self.verified.max(index);
         self.install(LogSnapshot { index, term: index_term, members, payload: Arc::new(payload) });
         self.send_after_writes(from, ConsensusMessage::Appended { term, matched: index });
     }
--- a/crates/parsleywalk-consensus/tests/scenarios.rs
+++ b/crates/parsleywalk-consensus/tests/scenarios.rs
@@ -198,6 +198,9 @@
         assert!(!cluster.node(3).is_caught_up());
         cluster.cuts.clear();
         cluster.start(late);
+        // Restarted and observing replicas must not take the first message of the leader for all there is.
+        cluster.run_until("first contact", LIMIT, |cluster| cluster.node(late).leader().is_some());
+        assert!(!cluster.node(late).is_caught_up());
         let target = cluster.oracle.last_committed();
         assert!(target > 1000);
         let applied =
