--- a/crates/parsleywalk-coordinator/src/lib.rs
+++ b/crates/parsleywalk-coordinator/src/lib.rs
@@ -53,6 +53,7 @@
 mod proposals;
 mod report;
 mod report_digest;
+mod settings;
 mod view;
 
 pub use call::{CallFailure, LeaderCall, LeaderReply};
@@ -60,3 +61,4 @@
 pub use event::{CallToken, CoordinatorAction, CoordinatorEvent, CoordinatorRecord};
 pub use message::CoordinatorMessage;
 pub use report_digest::ReportDigest;
+pub use settings::CoordinatorSettings;
