Let a removed leader end its change

A leader that was to be removed had committed the change and was cut off before the second entry reached anyone; meanwhile a disk was lost. The others did not know of the commit and needed a majority of the outgoing voters, the removed leader among them. It refused, since its log was the longest, and did not ask for votes itself, since it was no voter.

A replica of the outgoing set may now lead until it knows that the change has ended. The status lists the outgoing voters for as long.

--- a/crates/parsleywalk-consensus/src/history.rs
+++ b/crates/parsleywalk-consensus/src/history.rs
@@ -65,6 +65,24 @@
         (!self.is_pending() && !confirmed).then(|| self.newest())
     }
 
+    /// Returns the set that a change replaces until the change is known to have ended, with the commit of its second
+    /// entry.
+    pub(crate) fn leaving(&self) -> Option<&ReplicaSet> {
+        let last = self.sets.len() - 1;
+        let first = match last.checked_sub(1) {
+            Some(before) if self.sets[before].1 == self.sets[last].1 => before,
+            _ => last,
+        };
+        let ended = !self.is_pending() && self.is_confirmed(last);
+        let before = first.checked_sub(1).filter(|_| !ended)?;
+        Some(&self.sets[before].1)
+    }
+
+    /// Tells whether the replica may lead: as a voter, or to end the change that removes it.
+    pub(crate) fn may_lead(&self, replica: ReplicaId) -> bool {
+        self.is_voter(replica) || self.leaving().is_some_and(|set| set.contains(replica))
+    }
+
     fn is_confirmed(&self, position: usize) -> bool {
         match position.checked_sub(1) {
             Some(before) => {
--- a/crates/parsleywalk-consensus/src/node/election.rs
+++ b/crates/parsleywalk-consensus/src/node/election.rs
@@ -21,7 +21,9 @@
         if matches!(self.role, ReplicaRole::Observer | ReplicaRole::Leader) {
             return;
         }
-        let voter = self.history.is_voter(self.id);
+        // A removed replica may be the only one that knows of the commit and hold the longest log, so that the others
+        // cannot elect a leader without its help before the change has ended.
+        let voter = self.history.may_lead(self.id);
         match (self.role, voter) {
             (ReplicaRole::Candidate, true) => {}
             (_, true) => self.role = ReplicaRole::Follower,
@@ -86,7 +88,7 @@
     }
 
     pub(super) fn start_election(&mut self) {
-        if !self.history.is_voter(self.id) {
+        if !self.history.may_lead(self.id) {
             self.settle_role();
             return;
         }
--- a/crates/parsleywalk-consensus/src/node/query.rs
+++ b/crates/parsleywalk-consensus/src/node/query.rs
@@ -58,6 +58,13 @@
         self.history.newest().voters()
     }
 
+    /// Tells whether a membership change has begun and is not known to have ended. The loss of a further disk may cost the
+    /// leader for good before the end.
+    #[must_use]
+    pub fn is_changing(&self) -> bool {
+        self.history.is_pending() || self.history.leaving().is_some()
+    }
+
     /// Tells whether this replica leads and has committed an entry of its own term, so that everything that earlier
     /// leaders committed is applied.
     #[must_use]
@@ -100,7 +107,7 @@
             applied: self.applied,
             snapshot: self.snapshot_index,
             voters: self.voters().to_vec(),
-            outgoing: self.history.outgoing().map(|set| set.voters().to_vec()).unwrap_or_default(),
+            outgoing: self.history.leaving().map(|set| set.voters().to_vec()).unwrap_or_default(),
             unsynced_writes: self.pending.len(),
             open_proposals: self.proposals.len(),
             peers: self.peers.iter().map(|peer| self.peer_status(peer)).collect(),
--- a/crates/parsleywalk-consensus/src/status.rs
+++ b/crates/parsleywalk-consensus/src/status.rs
@@ -31,7 +31,7 @@
     pub snapshot: LogIndex,
     /// The voters.
     pub voters: Vec<ReplicaId>,
-    /// The voters that a pending membership change replaces.
+    /// The voters that a membership change replaces, until it has ended.
     pub outgoing: Vec<ReplicaId>,
     /// Writes that are not synced yet.
     pub unsynced_writes: usize,
--- a/crates/parsleywalk-consensus/tests/scenarios.rs
+++ b/crates/parsleywalk-consensus/tests/scenarios.rs
@@ -167,6 +167,29 @@
     assert_eq!(cluster.node((leader + 1) % 3).role(), ReplicaRole::Learner);
 }
 
+/// Guards against a set without a leader after a removed leader was cut off while it alone knew of the commit, and a disk
+/// was lost meanwhile: the others need its vote, and its log is the longest.
+#[test]
+fn a_removed_leader_ends_its_change() {
+    for seed in 0..20 {
+        let (mut cluster, leader) = started(seed, Plan { voters: 4, ..Plan::default() });
+        cluster.run_for(Duration::from_secs(1));
+        let id = cluster.machines[leader].id;
+        cluster.change(leader, MembershipChange::Remove { vm: id.vm });
+        for other in (1..=4).map(vm).filter(|other| *other != id.vm) {
+            cluster.cuts.insert((id.vm, other));
+        }
+        cluster.run_until("commit of the removal", LIMIT, |cluster| !cluster.oracle.voters().contains(&id));
+        let lost = (leader + 1) % 4;
+        cluster.lose_disk(lost);
+        cluster.start(lost);
+        cluster.isolate(leader);
+        cluster.run_for(Duration::from_secs(3));
+        chaos::settle(&mut cluster);
+        assert_eq!(cluster.node(leader).role(), ReplicaRole::Learner);
+    }
+}
+
 /// Guards against a change that could never be committed, because it would leave a majority of silent voters.
 #[test]
 fn changes_need_reachable_voters() {
