--- a/crates/parsleywalk-control/src/job_table.rs
+++ b/crates/parsleywalk-control/src/job_table.rs
@@ -151,6 +151,10 @@
         self.records.iter().map(|(number, record)| (*number, record.as_ref()))
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.records.len() + self.cancels.len()
+    }
+
     pub(crate) fn waiting_cancels(&self) -> usize {
         self.cancels.len()
     }
--- a/crates/parsleywalk-control/src/state.rs
+++ b/crates/parsleywalk-control/src/state.rs
@@ -160,9 +160,12 @@
 
     #[cfg(debug_assertions)]
     fn assert_invariants(&self) {
-        /// Above this number of tasks a debug build checks only every 64th command, so that large tests finish.
-        const CHECKED_EACH_TIME: usize = 2000;
-        if (self.tasks.len() <= CHECKED_EACH_TIME || self.revision.is_multiple_of(64))
+        /// Below this number of records every command is checked; above it the checks get rarer with the square, so
+        /// that large tests finish.
+        const CHECKED_EACH_TIME: usize = 500;
+        let records = self.tasks.len() + self.jobs.len() + self.claims.len() + self.operations.len();
+        let interval = 1 + ((records / CHECKED_EACH_TIME) as u64).pow(2);
+        if self.revision.is_multiple_of(interval)
             && let Err(error) = self.check_invariants()
         {
             panic!("after revision {}: {error}", self.revision);
