--- a/crates/parsleywalk-control/src/plan.rs
+++ b/crates/parsleywalk-control/src/plan.rs
@@ -6,6 +6,7 @@
 use parsleywalk_units::StateTime;
 
 use crate::record::proves_absence;
+use crate::task::{RESULT_LIMIT, shorten};
 use crate::{AttemptChange, AttemptEnd, ControlCommand, ControlState, TaskOwner, TaskRecord, WorkerRecord};
 
 /// The commands to propose and the orders for the answer.
@@ -126,7 +127,7 @@
         };
         match (held, end) {
             (Some(record), None) => self.plan_running(record, item),
-            (Some(_), Some(end)) => self.changes.push(ended(item, end)),
+            (Some(record), Some(end)) => self.changes.push(ended(record, item, end)),
             // The state has moved past this attempt, so its end is committed or was not needed.
             (None, None) => self.orders.push(WorkerOrder::Stop { task, attempt }),
             (None, Some(end)) => match self.late_change(item, end) {
@@ -146,8 +147,8 @@
             return None;
         }
         match (end, &item.checkpoint) {
-            (AttemptEnd::Done, _) if record.owner() != TaskOwner::Service => Some(ended(item, end)),
-            (AttemptEnd::Stopped | AttemptEnd::Failed, Some(reference)) if record.checkpoint() != Some(reference) => {
+            (AttemptEnd::Done, _) if record.owner() != TaskOwner::Service => Some(ended(record, item, end)),
+            (AttemptEnd::Stopped | AttemptEnd::Failed, Some(reference)) if record.takes_checkpoint(reference) => {
                 Some(checkpoint(item, reference))
             }
             _ => None,
@@ -162,7 +163,7 @@
             _ => {}
         }
         if let Some(reference) = &item.checkpoint
-            && record.checkpoint() != Some(reference)
+            && record.takes_checkpoint(reference)
         {
             self.changes.push(checkpoint(item, reference));
         }
@@ -193,14 +194,14 @@
     }
 }
 
-fn ended(item: &TaskReport, end: AttemptEnd) -> AttemptChange {
+fn ended(record: &TaskRecord, item: &TaskReport, end: AttemptEnd) -> AttemptChange {
     AttemptChange::Ended {
         task: item.task,
         attempt: item.attempt,
         end,
-        checkpoint: item.checkpoint.clone(),
+        checkpoint: item.checkpoint.clone().filter(|reference| record.takes_checkpoint(reference)),
         since: item.since_checkpoint,
-        text: item.text.clone(),
+        text: shorten(&item.text, RESULT_LIMIT).to_owned(),
     }
 }
 
--- a/crates/parsleywalk-control/src/record.rs
+++ b/crates/parsleywalk-control/src/record.rs
@@ -4,15 +4,12 @@
 use parsleywalk_units::TaskId;
 
 use crate::state::{Effects, Outcome};
-use crate::task::shorten;
+use crate::task::{RESULT_LIMIT, shorten};
 use crate::{
     AttemptChange, AttemptEnd, AttemptOutcome, CommandRefusal, ControlReply, ControlState, StateChange, TaskOwner,
     TaskRecord, WorkerNumber,
 };
 
-/// The longest result of a task, in bytes; what is beyond is cut off.
-const RESULT_LIMIT: usize = 4096;
-
 /// Commands.
 impl ControlState {
     pub(crate) fn record_report(
@@ -52,14 +49,14 @@
         match change {
             AttemptChange::Running { .. } => return self.confirm_start(task, effects),
             AttemptChange::Checkpoint { reference, since, .. } => {
-                if record.checkpoint() == Some(reference) {
+                if !record.takes_checkpoint(reference) {
                     return false;
                 }
                 record.record_checkpoint(self.now, reference, *since);
             }
             AttemptChange::Ended { end, checkpoint, since, text, .. } => {
                 if let Some(reference) = checkpoint
-                    && record.checkpoint() != Some(reference)
+                    && record.takes_checkpoint(reference)
                 {
                     record.record_checkpoint(self.now, reference, *since);
                 }
@@ -87,7 +84,7 @@
         match change {
             // No attempt has been made, so there is nothing to save.
             _ if record.attempt.get() == 0 => false,
-            AttemptChange::Checkpoint { reference, since, .. } if record.checkpoint() != Some(reference) => {
+            AttemptChange::Checkpoint { reference, since, .. } if record.takes_checkpoint(reference) => {
                 record.record_checkpoint(now, reference, *since);
                 true
             }
--- a/crates/parsleywalk-control/src/task.rs
+++ b/crates/parsleywalk-control/src/task.rs
@@ -10,6 +10,10 @@
 const FAILURE_LIMIT: usize = 4;
 /// The longest reason of failure that is kept, in bytes.
 pub(crate) const REASON_LIMIT: usize = 256;
+/// The longest reference of a checkpoint, in bytes; a longer one is ignored, since a part of it would be of no use.
+const CHECKPOINT_LIMIT: usize = 256;
+/// The longest result of a task, in bytes; what is beyond is cut off.
+pub(crate) const RESULT_LIMIT: usize = 4096;
 
 /// Why an attempt was ordered to stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -94,6 +98,11 @@
         }
     }
 
+    /// Tells whether a reference is another one than the recorded.
+    pub(crate) fn takes_checkpoint(&self, reference: &str) -> bool {
+        !reference.is_empty() && reference.len() <= CHECKPOINT_LIMIT && self.checkpoint() != Some(reference)
+    }
+
     pub(crate) fn record_checkpoint(&mut self, now: StateTime, reference: &str, since: TimeSpan) {
         let worked = match self.phase {
             TaskPhase::Running | TaskPhase::Stopping if self.running_since != StateTime::default() => {
@@ -104,7 +113,7 @@
         let history = self.history.get_or_insert_default();
         let saved = history.resumed.as_millis().saturating_add(worked.saturating_sub(since.as_millis()));
         history.saved = history.saved.max(TimeSpan::from_millis(saved));
-        history.checkpoint = Some(shorten(reference, REASON_LIMIT).into());
+        history.checkpoint = Some(reference.into());
     }
 
     pub(crate) fn record_failure(&mut self, reason: &str) {
--- a/crates/parsleywalk-control/src/transition.rs
+++ b/crates/parsleywalk-control/src/transition.rs
@@ -4,6 +4,7 @@
 use parsleywalk_units::{AttemptNumber, ResourceSize, StateTime, TaskId};
 
 use crate::state::{Effects, Outcome};
+use crate::task::{REASON_LIMIT, shorten};
 use crate::{
     AttemptOutcome, CommandRefusal, ControlReply, ControlState, EvictionReason, StateChange, StopReason, TaskEnd,
     TaskOwner, TaskRecord, WorkerNumber,
@@ -99,7 +100,7 @@
             return Err(CommandRefusal::WrongPhase { task, phase: record.phase });
         }
         let mut reasons: Vec<_> = record.reasons().collect();
-        reasons.push(reason);
+        reasons.push(shorten(reason, REASON_LIMIT));
         let text = reasons.join("; ");
         let attempt = record.attempt.next();
         effects.changes.push(StateChange::TaskEnded {
--- a/crates/parsleywalk-control/tests/leader.rs
+++ b/crates/parsleywalk-control/tests/leader.rs
@@ -23,6 +23,9 @@
     assert_eq!(report(&mut state, &message).commands.len(), 1);
     message.sequence += 1;
     assert!(report(&mut state, &message).commands.is_empty());
+    // A reference above the limit would be recorded in part and seem new in every report.
+    message.tasks[0].checkpoint = Some("c".repeat(257));
+    assert!(report(&mut state, &message).commands.is_empty());
 }
 
 /// Guards against a start that is lost with its answer, and a start order after an eviction.
