Keep queues within their limit also while dispatches are at theirs

Fuzzing with the bounds checked after each step found 13 queued requests with a limit of 12: requests were queued without looking at the limit while endpoints had free slots, although the limit on dispatches kept these from being used, and requests sent again were never counted.

--- a/crates/parsleywalk-routing/src/admission.rs
+++ b/crates/parsleywalk-routing/src/admission.rs
@@ -277,17 +277,18 @@
         if capacity.endpoints == 0 {
             return Err(RouteReason::NoEndpoint);
         }
+        let dispatch_limit = self.dispatch_limit(service);
         // Where all endpoints are ejected, one request may wait for a probe.
-        let capacity = capacity.slots.max(1);
+        let capacity = capacity.slots.clamp(1, u32::try_from(dispatch_limit).unwrap_or(u32::MAX).max(1));
         let state = &self.services[service];
         let ahead = state.queue.ahead_of(caller);
         let waiting = u32::try_from(state.queue.len()).unwrap_or(u32::MAX);
-        if state.outstanding.saturating_add(waiting) < capacity {
+        let full = self.queued >= self.settings.queue_limit;
+        let free = self.dispatches.len() < dispatch_limit && state.outstanding.saturating_add(waiting) < capacity;
+        if free && (!full || waiting == 0) {
             return Ok(());
         }
-        if self.queued >= self.settings.queue_limit
-            && self.displaceable(service, state.queue.len_of(caller) + 1).is_none()
-        {
+        if full && self.displaceable(service, state.queue.len_of(caller) + 1).is_none() {
             return Err(RouteReason::Overloaded);
         }
         let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
@@ -305,14 +306,17 @@
     }
 
     /// Displaces a request from the queues if one that was found to have a better right to its place made them too long.
-    fn keep_queue_limit(&mut self, now: MonotonicTime, request: RequestId, actions: &mut Vec<RouteAction>) {
+    pub(crate) fn keep_queue_limit(&mut self, now: MonotonicTime, request: RequestId, actions: &mut Vec<RouteAction>) {
         let Some(flight) = self.flights.get(&request) else { return };
         let (service, caller) = (flight.service, flight.caller.clone());
-        if self.queued <= self.settings.queue_limit {
+        if self.queued <= self.settings.queue_limit || !self.is_in_state(request, FlightState::Queued) {
             return;
         }
         let own = self.services[service].queue.len_of(&caller);
-        let Some((crowded, fewer_than)) = self.displaceable(service, own) else { return };
+        let Some((crowded, fewer_than)) = self.displaceable(service, own) else {
+            let retry_after = self.retry_after(service);
+            return self.end_failed(now, request, &RouteReason::Overloaded, Some(retry_after), actions);
+        };
         if let Some(displaced) = self.services[crowded].queue.displace(fewer_than) {
             self.queued -= 1;
             let retry_after = self.retry_after(crowded);
--- a/crates/parsleywalk-routing/src/dispatching.rs
+++ b/crates/parsleywalk-routing/src/dispatching.rs
@@ -128,6 +128,7 @@
         }
         self.enqueue(record.flight, true);
         self.pump(now, record.service, actions);
+        self.keep_queue_limit(now, record.flight, actions);
     }
 
     pub(crate) fn enqueue(&mut self, request: RequestId, first: bool) {
@@ -311,7 +312,7 @@
         }
     }
 
-    fn dispatch_limit(&self, service: usize) -> usize {
+    pub(crate) fn dispatch_limit(&self, service: usize) -> usize {
         let limit = self.settings.dispatch_limit;
         // Batch requests leave room, so that a latency-critical one never waits for a batch request to end.
         if self.services[service].is_latency_critical() { limit } else { (limit * 3 / 4).max(1) }
--- a/crates/parsleywalk-routing/tests/endpoints.rs
+++ b/crates/parsleywalk-routing/tests/endpoints.rs
@@ -164,6 +164,15 @@
     assert_eq!(dispatches(&fixture.admit(repeatable(3, &fixture))).len(), 1, "it has recovered");
 }
 
+/// Guards against queues that grow without bound while endpoints have free slots that the limit on dispatches keeps from
+/// being used; found by fuzzing.
+#[test]
+fn queues_are_bounded_when_the_dispatch_limit_is_reached() {
+    let mut fixture = Fixture::new(RouterSettings { queue_limit: 5, dispatch_limit: 3, ..settings() }, 4, 8);
+    assert_eq!(admit_many(&mut fixture, 1..50).len(), 3);
+    assert!(fixture.router.status().queued <= 5);
+}
+
 /// Guards against batch requests that fill the queues before latency-critical ones, and against displacing one for a
 /// request that is dispatched at once.
 #[test]
--- a/crates/parsleywalk-routing/tests/model/world.rs
+++ b/crates/parsleywalk-routing/tests/model/world.rs
@@ -153,6 +153,20 @@
             StepKind::Reconfigure => self.reconfigure(pick % 3, !value.is_multiple_of(4)),
             StepKind::Deliver | StepKind::Lose => {}
         }
+        self.check_bounds();
+    }
+
+    /// Queues, claims, dispatches and kept answers stay within the settings.
+    fn check_bounds(&self) {
+        let limits = settings();
+        for router in &self.routers {
+            let status = router.status();
+            assert!(status.queued <= limits.queue_limit, "{} requests are queued", status.queued);
+            assert!(status.claiming <= limits.claim_limit, "{} claims are under way", status.claiming);
+            assert!(status.dispatches <= limits.dispatch_limit, "{} dispatches are open", status.dispatches);
+            assert!(status.forwards <= limits.forward_limit, "{} forwards are open", status.forwards);
+            assert!(status.kept_bytes <= limits.cache_bytes, "{} bytes are kept", status.kept_bytes);
+        }
     }
 
     /// Lets everything in progress end, and checks that nothing was lost.
