Follow memory peaks less closely

Cause, from the trace: memory was what kept batch tasks waiting in the zone's absence, and the estimate stood above what a worker's tasks need together. One change: steps of the memory estimate from (0.3, 0.01) to (0.1, 0.02).

--- a/crates/parsleywalk-scheduler/src/usage.rs
+++ b/crates/parsleywalk-scheduler/src/usage.rs
@@ -8,7 +8,7 @@
 const ENOUGH: u32 = 5;
 /// Steps towards larger and smaller samples. Memory follows its peaks closely, since too little of it ends the task;
 /// processors follow the upper quarter, since a shortage of them only slows it.
-const MEMORY_STEPS: (f64, f64) = (0.3, 0.01);
+const MEMORY_STEPS: (f64, f64) = (0.1, 0.02);
 const CORE_STEPS: (f64, f64) = (0.06, 0.02);
 const TIME_STEP: f64 = 0.2;
 /// Estimates are rounded up to this grain, so that small changes do not change the committed size.
