Tighten two tests that passed with their mechanism switched off

The tests of quarantine and of least loss passed with the mechanism off, since too few tasks were queued and the newest task was also the cheapest.

--- a/crates/parsleywalk-scheduler/tests/failures.rs
+++ b/crates/parsleywalk-scheduler/tests/failures.rs
@@ -129,7 +129,7 @@
     let mut state = fleet();
     let mut failures = 0;
     for round in 0..600 {
-        if state.queued().len() < 10 {
+        while state.queued().len() < 40 {
             state.batch("4c/16GB/0a");
         }
         state.step(SECOND);
@@ -176,14 +176,17 @@
 #[test]
 fn urgent_work_evicts_what_loses_least() {
     let mut state = FakeState::with_fleet(PolicySettings::default(), 3, 1, "8c/32GB/0a");
-    let early: Vec<TaskId> = (0..3).map(|_| state.batch("4c/8GB/0a")).collect();
-    state.step(Duration::from_mins(10));
-    let late: Vec<TaskId> = (0..3).map(|_| state.batch("4c/8GB/0a")).collect();
+    let saved = state.batch("8c/8GB/0a");
     state.step(SECOND);
+    let unsaved = [state.batch("8c/8GB/0a"), state.batch("8c/8GB/0a")];
+    state.step(Duration::from_mins(2));
+    // Only the oldest task is known to have a recent checkpoint.
+    let worker = state.tasks[&saved].worker.clone();
+    state.report(&worker, SECOND, Duration::ZERO);
     let urgent = state.submit("resurvey", "planning", TaskClass::Batch, "4c/8GB/0a", true);
     let lost = evictions(&state.decide(100));
     assert_eq!(lost.len(), 1);
-    assert!(late.contains(&lost[0].0) && !early.contains(&lost[0].0));
+    assert!(lost[0].0 == saved && !unsaved.contains(&lost[0].0));
     assert_eq!(lost[0].1, EvictionCause::UrgentWork);
     for _ in 0..5 {
         state.pass(SECOND);
