--- a/crates/parsleywalk-scheduler/examples/policy_bench/traffic.rs
+++ b/crates/parsleywalk-scheduler/examples/policy_bench/traffic.rs
@@ -12,8 +12,8 @@
 
 use crate::truth::{CRITICAL, WORKERS};
 use crate::world::{
-    BenchTask, BenchWorker, COLD_START, INSTANCES, LOST_PROPOSAL, Phase, STOP_DELAY, World, cores_of, instance_size,
-    kept, memory_of, worker_size,
+    BenchTask, BenchWorker, COLD_START, INSTANCES, LOST_PROPOSAL, Phase, RESTORE, STOP_DELAY, World, cores_of,
+    instance_size, kept, memory_of, worker_size,
 };
 
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "small positive numbers")]
@@ -176,8 +176,11 @@
         let instances = INSTANCES.iter().sum::<usize>() as f64;
         let cores = workers * cores_of(&worker_size()) - instances * cores_of(&instance_size());
         let memory = workers * memory_of(&worker_size()) - instances * memory_of(&instance_size());
-        // The mix of services is given, so the memory that it needs for each core bounds the work as well.
-        cores.min(memory / self.truth.memory_per_core())
+        // The mix of services is given, so the memory that it needs for each core bounds the work as well, and every
+        // task restores its state once.
+        #[expect(clippy::cast_precision_loss, reason = "seconds")]
+        let restore = RESTORE as f64;
+        cores.min(memory / self.truth.memory_per_core()) * self.truth.useful_share(restore)
     }
 
     fn apply(&mut self, decision: &PolicyDecision) {
--- a/crates/parsleywalk-scheduler/examples/policy_bench/truth.rs
+++ b/crates/parsleywalk-scheduler/examples/policy_bench/truth.rs
@@ -158,6 +158,17 @@
         sums.0 / sums.1
     }
 
+    /// The share of the time of undisturbed tasks that is not spent on restoring their state.
+    pub(crate) fn useful_share(&self, restore: f64) -> f64 {
+        let mut sums = (0.0, 0.0);
+        for batch in &self.batch {
+            let cores = f64::from(batch.declared.cores.get()) * batch.cores.max(1.0);
+            sums.0 += cores * batch.run_time * batch.time;
+            sums.1 += cores * (batch.run_time * batch.time + restore);
+        }
+        sums.0 / sums.1
+    }
+
     pub(crate) fn noise(&self, batch: usize, tick: u64) -> f64 {
         let (from, to) = self.batch[batch].noisy;
         if (from..to).contains(&tick) { 3.0 } else { 1.0 }
