--- a/crates/parsleywalkd/src/router/handle.rs
+++ b/crates/parsleywalkd/src/router/handle.rs
@@ -67,8 +67,9 @@
         let request = self.allocate();
         let (sender, answer) = flume::bounded(1);
         let sink = AnswerSink::Waiter(sender);
+        let keyed = call.key.is_some();
         if self.events.try_send(RouterEvent::Serve { request, call, sink }).is_err() {
-            return overloaded();
+            return overloaded(keyed);
         }
         let mut guard = AbandonGuard { events: &self.events, request, answered: false };
         let answer = answer.recv_async().await;
@@ -82,7 +83,8 @@
         if let Err(flume::TrySendError::Full(RouterEvent::Serve { sink, .. })) =
             self.events.try_send(RouterEvent::Serve { request, call, sink })
         {
-            sink.answer(overloaded());
+            // The forwarding entry asks about its own forward only.
+            sink.answer(overloaded(false));
         }
     }
 
@@ -136,8 +138,13 @@
     }
 }
 
-fn overloaded() -> RouteAnswer {
-    RouteAnswer::NotRun { reason: RouteReason::Overloaded, retry_after: Some(OVERLOAD_RETRY) }
+/// Another entry may run a copy of a keyed request, so that "not run" would not be proved.
+fn overloaded(keyed: bool) -> RouteAnswer {
+    let reason = RouteReason::Overloaded;
+    if keyed {
+        return RouteAnswer::Unknown { reason };
+    }
+    RouteAnswer::NotRun { reason, retry_after: Some(OVERLOAD_RETRY) }
 }
 
 /// Tells the router that a caller left when its request is dropped unanswered.
--- a/crates/parsleywalkd/src/router/thread.rs
+++ b/crates/parsleywalkd/src/router/thread.rs
@@ -11,7 +11,7 @@
 use parsleywalk_peer::{PeerLane, PeerNetwork};
 use parsleywalk_routing::{
     BodyDigest, ClaimDecision, DispatchResult, EndpointAnnouncement, HeldState, RequestArrival, RequestRouter,
-    RouteAction, RouteAnswer, RouteReason, RouterSettings, RouterStatus, ServiceRoute,
+    RouteAction, RouterSettings, RouterStatus, ServiceRoute,
 };
 use parsleywalk_units::{
     ClaimId, ClaimOutcome, DispatchId, MonotonicTime, RequestId, RequestKey, StateTime, TimeSpan, VmNumber,
@@ -40,6 +40,9 @@
 /// How long the end of a claim is offered to the leader.
 const SETTLE_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// The deadline of a request to a service that has no route; it is refused at once.
+const UNROUTED_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The largest answer of an endpoint in bytes.
 const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
 
@@ -187,13 +190,12 @@
         call: RequestCall,
         sink: AnswerSink,
     ) -> Vec<RouteAction> {
-        let Some(route) = self.routes.iter().find(|route| route.service == call.service) else {
-            let reason = RouteReason::UnknownService;
-            sink.answer(RouteAnswer::NotRun { reason, retry_after: None });
-            return Vec::new();
-        };
-        let repeatable = call.repeatable.unwrap_or(route.repeatable);
-        let deadline = now + call.deadline.unwrap_or(route.deadline);
+        // The router refuses a service without a route. It knows that another entry may run a copy of a keyed request,
+        // for which an entry that has no configuration yet must not answer "not run".
+        let route = self.routes.iter().find(|route| route.service == call.service);
+        let repeatable = call.repeatable.or(route.map(|route| route.repeatable)).unwrap_or(false);
+        let timeout = call.deadline.or(route.map(|route| route.deadline)).unwrap_or(UNROUTED_TIMEOUT);
+        let deadline = now + timeout;
         let arrival = RequestArrival {
             request,
             service: call.service.clone(),
