Count as caught up only by the word of a leader that holds its lease

A heartbeat now says whether its sender holds the lease, and only such a heartbeat counts. Ruled out: the commit named in heartbeats, fixed before.

--- a/crates/parsleywalk-consensus/src/message.rs
+++ b/crates/parsleywalk-consensus/src/message.rs
@@ -15,6 +15,8 @@
         round: u64,
         /// The leader's committed index. The receiver applies what it knows to equal the leader's log.
         commit: LogIndex,
+        /// Whether the leader held its lease when it sent this, so that nobody had committed more.
+        lease: bool,
     },
     /// Answers a heartbeat.
     HeartbeatReply {
--- a/crates/parsleywalk-consensus/src/node.rs
+++ b/crates/parsleywalk-consensus/src/node.rs
@@ -77,8 +77,8 @@
     /// Votes are withheld until then.
     withhold_until: MonotonicTime,
     election_at: MonotonicTime,
-    /// When a leader was last heard from.
-    leader_heard: Option<MonotonicTime>,
+    /// When a leader that held its lease last named the committed index in this term.
+    commit_heard: Option<MonotonicTime>,
     /// The committed index that the leader last reported.
     leader_commit: LogIndex,
     /// The last index up to which the log is known to equal that of the current term's leader.
@@ -151,7 +151,9 @@
             peer.heard = now;
         }
         match message {
-            ConsensusMessage::Heartbeat { term, round, commit } => self.on_heartbeat(from, term, round, commit),
+            ConsensusMessage::Heartbeat { term, round, commit, lease } => {
+                self.on_heartbeat(from, term, round, commit, lease);
+            }
             ConsensusMessage::HeartbeatReply { term, round } => self.on_heartbeat_reply(from, term, round),
             ConsensusMessage::PreVote { term, last_index, last_term } => {
                 self.on_pre_vote(from, term, last_index, last_term);
--- a/crates/parsleywalk-consensus/src/node/election.rs
+++ b/crates/parsleywalk-consensus/src/node/election.rs
@@ -59,6 +59,7 @@
         self.leader = None;
         self.incoming = None;
         self.verified = self.commit;
+        self.commit_heard = None;
     }
 
     /// Gives up the leadership. Proposals that wait are reported, since only a later leader decides on them.
@@ -79,7 +80,6 @@
 
     /// Notes that the leader of the current term was heard from.
     pub(super) fn hear_leader(&mut self) {
-        self.leader_heard = Some(self.now);
         self.withhold_until = self.withhold_until.max(self.now + self.settings.leader_lease);
         self.join_at = self.now + self.settings.election_timeout_min;
         self.reset_election();
--- a/crates/parsleywalk-consensus/src/node/follower.rs
+++ b/crates/parsleywalk-consensus/src/node/follower.rs
@@ -16,11 +16,14 @@
         true
     }
 
-    pub(super) fn on_heartbeat(&mut self, from: ReplicaId, term: LogTerm, round: u64, commit: LogIndex) {
+    pub(super) fn on_heartbeat(&mut self, from: ReplicaId, term: LogTerm, round: u64, commit: LogIndex, lease: bool) {
         if !self.accept_leader(from, term) {
             return;
         }
         self.leader_commit = self.leader_commit.max(commit);
+        if lease {
+            self.commit_heard = Some(self.now);
+        }
         self.advance_commit(commit.min(self.verified));
         self.send_after_hard_state(from, ConsensusMessage::HeartbeatReply { term, round });
     }
--- a/crates/parsleywalk-consensus/src/node/leader.rs
+++ b/crates/parsleywalk-consensus/src/node/leader.rs
@@ -127,10 +127,11 @@
         if self.rounds.len() > REMEMBERED_ROUNDS {
             self.rounds.pop_front();
         }
+        let lease = self.has_leader_lease(self.now);
         for position in 0..self.peers.len() {
             let to = self.peers[position].id;
             let (term, round, commit) = (self.term, self.round, self.commit);
-            self.send(to, ConsensusMessage::Heartbeat { term, round, commit });
+            self.send(to, ConsensusMessage::Heartbeat { term, round, commit, lease });
         }
     }
 
--- a/crates/parsleywalk-consensus/src/node/open.rs
+++ b/crates/parsleywalk-consensus/src/node/open.rs
@@ -108,7 +108,7 @@
             applied: LogIndex::ZERO,
             withhold_until: now,
             election_at: MonotonicTime::NEVER,
-            leader_heard: None,
+            commit_heard: None,
             leader_commit: LogIndex::ZERO,
             verified: LogIndex::ZERO,
             join_at: now,
--- a/crates/parsleywalk-consensus/src/node/query.rs
+++ b/crates/parsleywalk-consensus/src/node/query.rs
@@ -72,13 +72,14 @@
     }
 
     /// Tells whether this replica has handed over everything that the leader had reported as committed, and has heard
-    /// from the leader within the lease period.
+    /// so from a leader that held its lease, within the lease period. Neither a snapshot nor a deposed leader's word
+    /// says how much is committed.
     #[must_use]
     pub fn is_caught_up(&self) -> bool {
         if self.role == ReplicaRole::Leader {
             return self.has_leader_lease(self.now);
         }
-        let recent = self.leader_heard.is_some_and(|heard| self.now < heard + self.settings.leader_lease);
+        let recent = self.commit_heard.is_some_and(|heard| self.now < heard + self.settings.leader_lease);
         // Only a leader that has committed an entry of its own term knows how far its predecessors committed.
         let ready = self.log.term_at(self.applied) == Some(self.term);
         recent && ready && self.applied >= self.leader_commit
