Tell a daemon's calls from those of its earlier processes

Call tokens started at 1 in every process, and a leader answers operations up to 4 s later, so that an answer to an earlier process ended another call of the present one. Ruled out: a log that differs, since all states are equal at equal indexes. Tokens in messages are now offset by a number drawn from the process' seed.

--- a/crates/parsleywalk-coordinator/src/coordinator.rs
+++ b/crates/parsleywalk-coordinator/src/coordinator.rs
@@ -17,8 +17,8 @@
 use crate::progress::ProgressTable;
 use crate::proposals::{ProposalKind, ProposalTable};
 use crate::{
-    CoordinatorAction, CoordinatorEvent, CoordinatorMessage, CoordinatorRecord, CoordinatorSettings, LeaderCall,
-    LeaderReply, report, view,
+    CallToken, CoordinatorAction, CoordinatorEvent, CoordinatorMessage, CoordinatorRecord, CoordinatorSettings,
+    LeaderCall, LeaderReply, report, view,
 };
 
 /// The wait between reports of how far this daemon has applied the log.
@@ -36,12 +36,16 @@
     next_progress: MonotonicTime,
     settings: CoordinatorSettings,
     seed: u64,
+    /// Added to the tokens of calls in messages, so that a late answer to a call of an earlier process on this VM is
+    /// not taken as the answer to a call of this one.
+    call_offset: u64,
     /// Actions of the step in progress.
     actions: Vec<CoordinatorAction>,
 }
 
 impl DaemonCoordinator {
-    /// Starts with an opened log. `daemons` are the VMs of all daemons; `seed` drives the policy's randomness.
+    /// Starts with an opened log. `daemons` are the VMs of all daemons; `seed` drives the policy's randomness and tells
+    /// this process' calls from those of earlier ones, so each start needs another.
     #[must_use]
     pub fn new(node: ConsensusNode, daemons: impl Iterator<Item = VmNumber>, seed: u64) -> Self {
         Self::with_settings(node, daemons, seed, CoordinatorSettings::default())
@@ -67,6 +71,7 @@
             next_progress: MonotonicTime::ZERO,
             settings,
             seed,
+            call_offset: spread(seed),
             actions: Vec::new(),
         }
     }
@@ -116,6 +121,7 @@
             }
             CoordinatorMessage::Call { call, body } => self.serve_call(now, at, ReplyTo::Peer(vm, call), body),
             CoordinatorMessage::Reply { call, body } => {
+                let call = CallToken::new(call.get().wrapping_sub(self.call_offset));
                 let finished = self.calls.answer(now, call, body);
                 self.finish(finished);
             }
@@ -351,6 +357,7 @@
         for (call, body) in self.calls.due(now) {
             if leader != own {
                 self.calls.mark_sent(call);
+                let call = CallToken::new(call.get().wrapping_add(self.call_offset));
                 self.send(leader, CoordinatorMessage::Call { call, body });
                 continue;
             }
@@ -460,3 +467,10 @@
         self.applied
     }
 }
+
+/// Spreads close seeds far apart: the finalizer of `SplitMix64`.
+const fn spread(seed: u64) -> u64 {
+    let mixed = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
