--- a/crates/parsleywalk-soak/src/control.rs
+++ b/crates/parsleywalk-soak/src/control.rs
@@ -210,6 +210,7 @@
     fn record(&mut self, daemon: usize, record: &CoordinatorRecord) {
         match record {
             CoordinatorRecord::LeaderReady { .. } => self.totals.elections += 1,
+            CoordinatorRecord::WorkerLost { .. } if self.leader() == Some(daemon) => self.totals.lease_ends += 1,
             CoordinatorRecord::SnapshotInstalled { .. } => self.totals.snapshots += 1,
             CoordinatorRecord::CommandApplied { .. } | CoordinatorRecord::ReportAnswered => return,
             _ => {}
--- a/crates/parsleywalk-soak/src/operators.rs
+++ b/crates/parsleywalk-soak/src/operators.rs
@@ -123,8 +123,11 @@
         if result.is_err() {
             return;
         }
-        let again = !self.settling && self.random.random_ratio(1, 6);
-        self.operations[operation].heard = !again;
+        self.operations[operation].heard = true;
+        if !self.settling && self.random.random_ratio(1, 6) {
+            self.totals.operation_resends += 1;
+            self.send_operation(operation);
+        }
     }
 
     /// Checks an answer at the moment at which an entry gives it: committed, the same for every resend, in force.
--- a/crates/parsleywalk-soak/src/router.rs
+++ b/crates/parsleywalk-soak/src/router.rs
@@ -7,7 +7,7 @@
 use parsleywalk_coordinator::LeaderCall;
 use parsleywalk_routing::{
     BodyDigest, ClaimDecision, DispatchResult, EndpointAnnouncement, RequestArrival, RequestRouter, RouteAction,
-    RouteAnswer, RouteReason, ServiceRoute,
+    RouteAnswer, ServiceRoute,
 };
 use parsleywalk_units::{DispatchId, MonotonicTime, RequestId, StateTime, TimeSpan};
 
@@ -21,6 +21,9 @@
 /// How long the end of a claim is offered to the leader, as in the daemon.
 const SETTLE_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// The deadline of a request to a service that has no route, as in the daemon.
+const UNROUTED_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A request as it reaches an entry.
 pub(crate) struct EntryCall {
     pub(crate) logical: usize,
@@ -77,12 +80,10 @@
         let admitting = &mut self.daemons[daemon];
         let local = admitting.clock.read(self.now);
         let Some(process) = &mut admitting.process else { return };
-        let Some(route) = process.routes.iter().find(|route| route.service == service) else {
-            let answer = RouteAnswer::NotRun { reason: RouteReason::UnknownService, retry_after: None };
-            return self.answer_sink(daemon, sink, call.logical, answer);
-        };
-        let repeatable = call.repeatable.unwrap_or(route.repeatable);
-        let deadline = local + call.timeout.unwrap_or(route.deadline);
+        let route = process.routes.iter().find(|route| route.service == service);
+        let repeatable = call.repeatable.or(route.map(|route| route.repeatable)).unwrap_or(false);
+        let timeout = call.timeout.or(route.map(|route| route.deadline)).unwrap_or(UNROUTED_TIMEOUT);
+        let deadline = local + timeout;
         process.last_request += 1;
         let request = RequestId::new(process.last_request);
         let mut digest = [0; 32];
