Let operators take a zone out before its first worker registers

Cause: the replicated state knew only zones in which a worker had registered, and refused the others as misspelt; found by running the seven-daemon example, where 'zone out sierra-b' was refused right after the start. Ruled out: a list of zones in the configuration text, since the settings hold them already. The operator edge now refuses names that neither its settings nor the state know.

--- a/crates/parsleywalk-control/src/error.rs
+++ b/crates/parsleywalk-control/src/error.rs
@@ -55,10 +55,6 @@
         OperationReused { operation: OperationId } {
             display("operation {} was used for another command", operation)
         }
-        /// No worker has ever registered in the zone.
-        UnknownZone { zone: ZoneName, known: String } {
-            display("zone {} is unknown; known are {}", zone, known)
-        }
         /// Too many zones.
         TooManyZones { zone: ZoneName, limit: usize } {
             display("zone {} is one more than the permitted {}", zone, limit)
--- a/crates/parsleywalk-control/src/membership.rs
+++ b/crates/parsleywalk-control/src/membership.rs
@@ -10,7 +10,7 @@
 };
 
 /// The zones that are kept at most; the projected number is 11.
-const ZONE_LIMIT: usize = 64;
+pub(crate) const ZONE_LIMIT: usize = 64;
 
 /// Commands.
 impl ControlState {
--- a/crates/parsleywalk-control/src/operator.rs
+++ b/crates/parsleywalk-control/src/operator.rs
@@ -6,6 +6,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::job::ContentDigest;
+use crate::membership::ZONE_LIMIT;
 use crate::reconcile::dependency_order;
 use crate::state::{Effects, TASK_LIMIT};
 use crate::{
@@ -93,10 +94,12 @@
         effects: &mut Effects,
     ) -> Result<(), CommandRefusal> {
         let in_service = direction == ZoneDirection::In;
-        let Some(state) = self.zones.get_mut(zone) else {
-            let known: Vec<_> = self.zones.keys().map(ZoneName::as_str).collect();
-            return Err(CommandRefusal::UnknownZone { zone: zone.clone(), known: known.join(", ") });
-        };
+        // A zone may be taken out before its first worker registers. The operator edge refuses names that are neither in
+        // its settings nor known here; this bound holds against a faulty edge.
+        if !self.zones.contains_key(zone) && self.zones.len() >= ZONE_LIMIT {
+            return Err(CommandRefusal::TooManyZones { zone: zone.clone(), limit: ZONE_LIMIT });
+        }
+        let state = self.zones.entry(zone.clone()).or_default();
         if state.in_service == in_service {
             return Ok(());
         }
--- a/crates/parsleywalkd/src/control/thread.rs
+++ b/crates/parsleywalkd/src/control/thread.rs
@@ -11,7 +11,7 @@
     CallToken, CoordinatorAction, CoordinatorEvent, CoordinatorMessage, CoordinatorRecord, DaemonCoordinator,
 };
 use parsleywalk_peer::{PeerLane, PeerNetwork};
-use parsleywalk_units::VmNumber;
+use parsleywalk_units::{VmNumber, ZoneName};
 use serde_json::Value;
 
 use super::event::{CallDone, ControlEvent};
@@ -182,6 +182,11 @@
         self.coordinator.configuration_view()
     }
 
+    /// Whether a worker has registered in the zone, or an operator has moved it.
+    pub(crate) fn knows_zone(&self, zone: &ZoneName) -> bool {
+        self.coordinator.state().zones().any(|(known, _)| known == zone)
+    }
+
     pub(crate) fn sizes(&self) -> Vec<(&'static str, u64)> {
         let mut sizes = self.coordinator.sizes(self.links.clock.now());
         sizes.push(("peer_messages_dropped", self.links.network.dropped()));
--- a/crates/parsleywalkd/src/daemon.rs
+++ b/crates/parsleywalkd/src/daemon.rs
@@ -12,7 +12,7 @@
 use parsleywalk_coordinator::DaemonCoordinator;
 use parsleywalk_peer::{PeerAddress, PeerNetwork, PeerSettings, ReceivedMessage};
 use parsleywalk_storage::LogStore;
-use parsleywalk_units::{Incarnation, VmNumber};
+use parsleywalk_units::{Incarnation, VmNumber, ZoneName};
 
 use crate::clock::ProcessClock;
 use crate::control::{self, ControlEvent, ControlHandle, ControlLinks};
@@ -129,6 +129,7 @@
             metrics: metrics.clone(),
             token: operator_token,
             draining: Arc::clone(&draining),
+            zones: settings_zones(settings),
         };
         let operators = OperatorServer::start(own.operators, operator_context)?;
         let edge_context = EdgeContext {
@@ -275,6 +276,14 @@
     in_zone.map(|daemon| daemon.callers).filter(|address| address.port() != 0).collect()
 }
 
+/// The zones of the settings, sorted.
+fn settings_zones(settings: &DaemonSettings) -> Vec<ZoneName> {
+    let mut zones: Vec<ZoneName> = settings.daemons.iter().map(|daemon| daemon.zone.clone()).collect();
+    zones.sort();
+    zones.dedup();
+    zones
+}
+
 fn draw_number() -> u64 {
     let mut bytes = [0; 8];
     getrandom::fill(&mut bytes).expect("the operating system has random numbers");
--- a/crates/parsleywalkd/src/edge/operator.rs
+++ b/crates/parsleywalkd/src/edge/operator.rs
@@ -43,6 +43,8 @@
     pub(crate) metrics: DaemonMetrics,
     pub(crate) token: Option<String>,
     pub(crate) draining: Arc<AtomicBool>,
+    /// The zones of the settings.
+    pub(crate) zones: Vec<ZoneName>,
 }
 
 /// The running server.
@@ -209,6 +211,11 @@
         Err(error) => return refusal(400, &Refusal::not_run(format!("{error}"))),
     };
     match read_json::<ZoneCommand>(request) {
+        Ok(_) if !is_known_zone(context, &zone) => {
+            let known: Vec<&str> = context.zones.iter().map(ZoneName::as_str).collect();
+            let reason = format!("zone {zone} is unknown; the settings have {}", known.join(", "));
+            refusal(409, &Refusal::not_run(reason))
+        }
         Ok(ZoneCommand { operation, direction }) => {
             operate(context, ControlCommand::SetZone { at: StateTime::default(), operation, zone, direction })
         }
@@ -216,6 +223,15 @@
     }
 }
 
+/// Whether the settings or the state have the zone, so that a misspelt name is not taken for a zone that is out.
+fn is_known_zone(context: &OperatorContext, zone: &ZoneName) -> bool {
+    if context.zones.contains(zone) {
+        return true;
+    }
+    let zone = zone.clone();
+    context.control.query(move |thread| thread.knows_zone(&zone)).unwrap_or(false)
+}
+
 fn operate(context: &OperatorContext, command: ControlCommand) -> Response {
     match context.control.call_blocking(LeaderCall::Operation(Box::new(command)), OPERATION_TIMEOUT) {
         Ok(LeaderReply::Operation { reply: ControlReply::Operation(answer), in_force, not_heard }) => {
