Drop messages that were queued for a peer before its connection was opened

Ruled out: bytes in the kernel's buffers, which end with the old connection. The queue is now emptied once the new connection is open.

--- a/crates/parsleywalk-peer/src/outbound.rs
+++ b/crates/parsleywalk-peer/src/outbound.rs
@@ -42,9 +42,6 @@
                 warn!("event=peer_link_lost peer={} error={:?}", self.peer, error.to_string());
                 reported = true;
             }
-            // What was queued while the link was down is stale: its protocols repeat it.
-            self.control.drain();
-            self.bulk.drain();
             time::sleep(self.settings.reconnect_pause).await;
         }
     }
@@ -53,6 +50,10 @@
         let peer = self.peer;
         let opened = time::timeout(self.settings.connect_timeout, open(peer)).await;
         let (request, mut connection) = opened.map_err(|_| PeerError::Timeout { step: "connect", peer })??;
+        // What was queued while the link was down is stale, and its protocols repeat it. A restarted peer must not take a
+        // heartbeat from before its start for the present state of the log.
+        self.control.drain();
+        self.bulk.drain();
         let pings = connection.ping_pong().ok_or(PeerError::Closed { peer })?;
         let (interval, timeout) = (self.settings.ping_interval, self.settings.ping_timeout);
         let streams = async {
