--- a/crates/parsleywalk-storage/src/store.rs
+++ b/crates/parsleywalk-storage/src/store.rs
@@ -1,6 +1,7 @@
 //! The store.
 
 use std::fs::{self, File};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -107,11 +108,7 @@
         if length == 0 {
             return Err(StorageError::Damaged { file, detail: "the file is empty".to_owned() });
         }
-        // The database panics on some kinds of damage to its own bookkeeping.
-        let read = std::panic::catch_unwind(|| read_log(&file));
-        let (database, id, bounds, recovered) = read.unwrap_or_else(|_| {
-            Err(StorageError::Damaged { file: file.clone(), detail: "the database cannot read it".to_owned() })
-        })?;
+        let (database, id, bounds, recovered) = guard_panics(&file, || read_log(&file))?;
         Ok((Self { database, file, id, bounds, failed: false }, recovered))
     }
 
@@ -130,9 +127,12 @@
         if self.failed {
             return Err(StorageError::Failed);
         }
-        let outcome = self.commit(writes, None);
-        self.failed = outcome.is_err();
-        outcome
+        // Holds after a panic as well.
+        self.failed = true;
+        let file = self.file.clone();
+        guard_panics(&file, || self.commit(writes, None))?;
+        self.failed = false;
+        Ok(())
     }
 
     fn commit(&mut self, writes: &[LogWrite], header: Option<&Header>) -> Result<()> {
@@ -154,6 +154,12 @@
     }
 }
 
+/// Turns a panic into an error, since the database panics on some kinds of damage to its own bookkeeping.
+fn guard_panics<T>(file: &Path, step: impl FnOnce() -> Result<T>) -> Result<T> {
+    let damaged = |_| StorageError::Damaged { file: file.to_owned(), detail: "the database panicked".to_owned() };
+    catch_unwind(AssertUnwindSafe(step)).map_err(damaged)?
+}
+
 type Step<T> = std::result::Result<T, redb::Error>;
 
 fn put_meta<T>(transaction: &WriteTransaction, key: &str, value: &T) -> Step<()>
