Let a learner with the newest log lead until others hold it

A leader that was cut off had begun to add a VM; the next leader sent newer entries to that VM alone, as to any learner, and lost its disk. The cut off replica then needed the vote of the VM, which refused it for its older log and did not ask for votes itself, since its own log did not name it as a voter.

A learner that refuses a pre-vote because its own log is newer now asks for votes itself, among the voters that it knows. It steps down once its entry is committed.

--- a/crates/parsleywalk-consensus/src/history.rs
+++ b/crates/parsleywalk-consensus/src/history.rs
@@ -78,11 +78,6 @@
         Some(&self.sets[before].1)
     }
 
-    /// Tells whether the replica may lead: as a voter, or to end the change that removes it.
-    pub(crate) fn may_lead(&self, replica: ReplicaId) -> bool {
-        self.is_voter(replica) || self.leaving().is_some_and(|set| set.contains(replica))
-    }
-
     fn is_confirmed(&self, position: usize) -> bool {
         match position.checked_sub(1) {
             Some(before) => {
--- a/crates/parsleywalk-consensus/src/node/election.rs
+++ b/crates/parsleywalk-consensus/src/node/election.rs
@@ -21,9 +21,7 @@
         if matches!(self.role, ReplicaRole::Observer | ReplicaRole::Leader) {
             return;
         }
-        // A removed replica may be the only one that knows of the commit and hold the longest log, so that the others
-        // cannot elect a leader without its help before the change has ended.
-        let voter = self.history.may_lead(self.id);
+        let voter = self.history.is_voter(self.id);
         match (self.role, voter) {
             (ReplicaRole::Candidate, true) => {}
             (_, true) => self.role = ReplicaRole::Follower,
@@ -88,10 +86,14 @@
     }
 
     pub(super) fn start_election(&mut self) {
-        if !self.history.may_lead(self.id) {
+        if self.history.is_voter(self.id) {
+            self.ask_for_votes();
+        } else {
             self.settle_role();
-            return;
         }
+    }
+
+    fn ask_for_votes(&mut self) {
         self.reset_election();
         self.role = ReplicaRole::Candidate;
         self.leader = None;
@@ -161,9 +163,17 @@
         if self.role == ReplicaRole::Observer {
             return;
         }
-        let granted = term > self.term && !self.withholds_vote() && self.is_up_to_date(last_index, last_term);
-        let term = if granted { term } else { self.term };
-        self.send_after_hard_state(from, ConsensusMessage::PreVoteReply { term, granted });
+        let withheld = self.withholds_vote();
+        let behind = !self.is_up_to_date(last_index, last_term);
+        let granted = term > self.term && !withheld && !behind;
+        let reply = ConsensusMessage::PreVoteReply { term: if granted { term } else { self.term }, granted };
+        self.send_after_hard_state(from, reply);
+        if behind && !withheld && self.role == ReplicaRole::Learner {
+            // The sender counts this replica as a voter in a change that this replica does not know of, or knows to be
+            // committed. If the change needs its vote, nobody else can lead: it leads the voters that it knows until
+            // they hold its log, and then steps down.
+            self.ask_for_votes();
+        }
     }
 
     pub(super) fn on_pre_vote_reply(&mut self, from: ReplicaId, term: LogTerm, granted: bool) {
--- a/crates/parsleywalk-consensus/tests/scenarios.rs
+++ b/crates/parsleywalk-consensus/tests/scenarios.rs
@@ -190,6 +190,29 @@
     }
 }
 
+/// Guards against a set without a leader after a cut-off leader began to add a VM which then received newer entries from
+/// the next leader, whose disk was lost. The others need the vote of the VM, which knows nothing of its addition.
+#[test]
+fn a_learner_with_the_newest_log_hands_it_over() {
+    for seed in 0..20 {
+        let (mut cluster, first) = started(seed, Plan { spares: 1, observers: 0, ..Plan::default() });
+        cluster.run_for(Duration::from_secs(1));
+        cluster.isolate(first);
+        cluster.change(first, MembershipChange::Add { vm: vm(4) });
+        let others = [(first + 1) % 3, (first + 2) % 3];
+        let leads = |cluster: &Cluster, at: usize| cluster.node(at).role() == ReplicaRole::Leader;
+        cluster.run_until("next leader", LIMIT, |cluster| others.iter().any(|at| leads(cluster, *at)));
+        let [next, voter] = if leads(&cluster, others[0]) { others } else { [others[1], others[0]] };
+        // The only other voter misses the next leader's entries, the learner gets them.
+        cluster.crash(voter);
+        let last = cluster.node(next).status().last_index;
+        cluster.run_until("learner", LIMIT, |cluster| cluster.node(3).status().last_index >= last);
+        cluster.run_for(Duration::from_millis(50));
+        cluster.lose_disk(next);
+        chaos::settle(&mut cluster);
+    }
+}
+
 /// Guards against a change that could never be committed, because it would leave a majority of silent voters.
 #[test]
 fn changes_need_reachable_voters() {
