Probe quarantined workers at least every 4 minutes

Cause: after a few failed probes the pause was 32 minutes, so a mended worker stayed out long after. One change: the pause doubles up to 8 times instead of 64 times.

--- a/crates/parsleywalk-scheduler/src/quarantine.rs
+++ b/crates/parsleywalk-scheduler/src/quarantine.rs
@@ -105,7 +105,7 @@
                 health.probe = None;
                 let step = failures + 1;
                 health.quarantined = Some(step);
-                health.due = now + pause * (1 << step.min(6));
+                health.due = now + pause * (1 << step.min(3));
                 let due = health.due;
                 self.waiting.insert((due, worker));
             }
--- a/crates/parsleywalk-scheduler/src/settings.rs
+++ b/crates/parsleywalk-scheduler/src/settings.rs
@@ -50,7 +50,7 @@
     pub quarantine: bool,
     /// Distinct healthy workers on which a task fails before it is ended.
     pub failures: usize,
-    /// The first pause between probes of a quarantined worker; doubles up to 64 times.
+    /// The first pause between probes of a quarantined worker; doubles up to 8 times.
     pub probe_pause: Duration,
     /// A zone that returns takes starts gradually.
     pub zone_ramp: bool,
