Let the blame of workers decay

Cause: a task killed for memory counts as failed, and such rare failures added up on sound workers without end. One change: blame halves in 2 minutes.

--- a/crates/parsleywalk-scheduler/src/quarantine.rs
+++ b/crates/parsleywalk-scheduler/src/quarantine.rs
@@ -7,6 +7,8 @@
 
 /// Blame since the last success at which a worker is quarantined.
 const BLAME_LIMIT: f64 = 2.0;
+/// Seconds. A worker that fails everything fails again within seconds; rare failures of sound workers must not add up.
+const BLAME_HALF_LIFE: f64 = 120.0;
 /// A task that fails this often is ended even where there are too few distinct workers.
 const FAILURE_LIMIT: usize = 8;
 /// How long a task avoids a worker after its first failure; doubles up to 16 times with each further one.
@@ -19,6 +21,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct WorkerHealth {
     blame: f64,
+    blamed_at: MonotonicTime,
     /// The task that failed last, so that one task alone cannot condemn a worker.
     last_task: Option<TaskId>,
     distinct: u32,
@@ -111,7 +114,8 @@
             }
             return;
         }
-        health.blame += share;
+        health.blame = health.blame * 0.5_f64.powf(now.since(health.blamed_at).as_secs_f64() / BLAME_HALF_LIFE) + share;
+        health.blamed_at = now;
         if health.last_task != Some(task) {
             health.distinct += 1;
             health.last_task = Some(task);
