--- a/crates/parsleywalk-testkit/src/lib.rs
+++ b/crates/parsleywalk-testkit/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for endpoints and workers.
+//! Stand-ins for endpoints, workers and the network between daemons.
 //!
 //! They speak the HTTP interface towards the daemons and record what ran, so that a test can assert that nothing ran
 //! twice. They run as threads of the test's process, on loopback, and take their time from the process's clock.
@@ -27,6 +27,7 @@
 mod endpoint;
 mod endpoint_settings;
 mod error;
+mod faulty_link;
 mod held_task;
 mod run_log;
 mod worker;
@@ -36,6 +37,7 @@
 pub use endpoint::{FakeEndpoint, RanRequest};
 pub use endpoint_settings::{EndpointBehaviour, EndpointSettings};
 pub use error::{Result, TestkitError};
+pub use faulty_link::{FaultyLink, LinkCut};
 pub use run_log::{RunLog, RunRecord};
 pub use worker::FakeWorker;
 pub use worker_settings::WorkerSettings;
--- a/crates/parsleywalkd/tests/common/mod.rs
+++ b/crates/parsleywalkd/tests/common/mod.rs
@@ -2,16 +2,19 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod caller;
+
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, Output, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use parsleywalk_api::{
     ConfigurationApply, JobStatus, JobSubmission, OperationReply, Refusal, SystemStatus, ZoneCommand,
 };
+use parsleywalk_testkit::{FakeWorker, FaultyLink, LinkCut, RunLog, WorkerSettings};
 use parsleywalk_units::{OperationId, ZoneDirection};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -41,11 +44,34 @@
     ip: String,
 }
 
+/// The link over which one daemon reaches another.
+#[derive(Debug)]
+struct PeerLink {
+    from: u16,
+    to: u16,
+    link: FaultyLink,
+}
+
 /// The daemons of one deployment, and their folder.
 #[derive(Debug)]
 pub(crate) struct Deployment {
     pub(crate) folder: TempDir,
     pub(crate) processes: Vec<Process>,
+    links: Vec<PeerLink>,
+}
+
+/// What a deployment is made of.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct DeploymentPlan<'a> {
+    /// Must differ between the tests of one process, since each gets addresses of its own.
+    pub(crate) place: u8,
+    /// The zone of each daemon.
+    pub(crate) zones: &'a [&'a str],
+    pub(crate) replicas: &'a [u16],
+    /// Further lines of every settings file.
+    pub(crate) extra: &'a str,
+    /// Whether daemons reach one another over links that can be cut.
+    pub(crate) linked: bool,
 }
 
 impl Deployment {
@@ -65,29 +91,44 @@
 
     /// Writes settings and initialises the replicas.
     pub(crate) fn prepare(place: u8, zones: &[&str], replicas: &[u16]) -> Self {
+        Self::prepare_plan(&DeploymentPlan { place, zones, replicas, ..DeploymentPlan::default() })
+    }
+
+    /// Writes the plan's settings, initialises the replicas and starts every daemon.
+    pub(crate) fn start_plan(plan: &DeploymentPlan) -> Self {
+        Self::prepare_plan(plan).started()
+    }
+
+    /// Writes the plan's settings and initialises the replicas.
+    pub(crate) fn prepare_plan(plan: &DeploymentPlan) -> Self {
+        let DeploymentPlan { place, zones, replicas, extra, linked } = plan.clone();
         let folder = TempDir::new().expect("a temporary folder");
         fs::write(folder.path().join("peer.token"), "peer").expect("a token file");
         let pid = std::process::id();
         let prefix = format!("127.{}.{}", 16 + (pid >> 8) % 200, pid & 0xff);
         let ip = |vm: u16| format!("{prefix}.{}", u16::from(place) * 8 + vm);
-        let daemons: Vec<String> = (1..)
-            .zip(zones)
-            .map(|(vm, zone)| {
-                let ip = ip(vm);
-                format!("  - {{ vm: {vm}, zone: {zone}, callers: \"{ip}:7000\", operators: \"{ip}:7001\", peers: \"{ip}:7002\" }}\n")
-            })
-            .collect();
+        let links = if linked { peer_links(zones.len(), &ip) } else { Vec::new() };
         let processes = (1..).zip(zones).map(|(vm, zone)| {
+            let daemons: Vec<String> = (1..)
+                .zip(zones)
+                .map(|(peer, zone)| {
+                    let ip = ip(peer);
+                    let link = links.iter().find(|link| (link.from, link.to) == (vm, peer));
+                    let peers = link.map_or_else(|| format!("{ip}:7002"), |link| link.link.address().to_string());
+                    format!("  - {{ vm: {peer}, zone: {zone}, callers: \"{ip}:7000\", operators: \"{ip}:7001\", peers: \"{peers}\" }}\n")
+                })
+                .collect();
             let disk = if replicas.contains(&vm) { format!("data_folder: data{vm}\n") } else { String::new() };
             let content = format!(
-                "vm: {vm}\n{disk}replicas: {replicas:?}\npeer_token_file: peer.token\ndaemons:\n{}log: {{ level: info, file: vm{vm}.log }}\n",
+                "vm: {vm}\n{disk}replicas: {replicas:?}\npeer_token_file: peer.token\ndaemons:\n{}log: {{ level: info, file: vm{vm}.log }}\n{extra}",
                 daemons.concat()
             );
             let settings = folder.path().join(format!("vm{vm}.yaml"));
             fs::write(&settings, content).expect("a settings file");
             Process { vm, zone: (*zone).to_owned(), settings, child: None, ip: ip(vm) }
         });
-        let deployment = Self { processes: processes.collect(), folder };
+        let processes = processes.collect();
+        let deployment = Self { processes, links, folder };
         for process in deployment.processes.iter().filter(|process| replicas.contains(&process.vm)) {
             process.initialise();
         }
@@ -156,6 +197,58 @@
         get(self.callers(vm), &format!("/v1/jobs/{job}")).ok()
     }
 
+    /// Cuts or heals everything that the daemon `from` sends to `to`, on connections of either.
+    pub(crate) fn cut(&self, from: u16, to: u16, cut: bool) {
+        for link in &self.links {
+            if (link.from, link.to) == (from, to) {
+                link.link.set_cut(if cut { LinkCut::Forward } else { LinkCut::None });
+            } else if (link.from, link.to) == (to, from) {
+                link.link.set_cut(if cut { LinkCut::Backward } else { LinkCut::None });
+            }
+        }
+    }
+
+    /// Cuts or heals the daemon off from all others, silently and in both directions.
+    pub(crate) fn isolate(&self, vm: u16, cut: bool) {
+        for link in self.links.iter().filter(|link| link.from == vm || link.to == vm) {
+            link.link.set_cut(if cut { LinkCut::Both } else { LinkCut::None });
+        }
+    }
+
+    /// The running daemon that leads, by its own word.
+    pub(crate) fn leading(&self) -> Option<u16> {
+        let running = self.processes.iter().filter(|process| process.child.is_some());
+        let mut statuses = running.filter_map(|process| self.status(process.vm));
+        statuses.find(|status| status.role == "leader").map(|status| status.vm.get())
+    }
+
+    /// Waits until one of the daemons leads and returns it.
+    pub(crate) fn wait_leader(&self, among: &[u16]) -> u16 {
+        let mut leader = None;
+        wait_until("a leader", || {
+            leader = among.iter().copied().find(|vm| self.status(*vm).is_some_and(|status| status.role == "leader"));
+            leader.is_some()
+        });
+        leader.expect("a leader")
+    }
+
+    /// Starts a worker that reports to the entries of its zone and then to all others.
+    pub(crate) fn worker(&self, name: &str, zone: &str, run_time: Duration, log: &RunLog) -> FakeWorker {
+        let (own, others): (Vec<&Process>, Vec<&Process>) =
+            self.processes.iter().partition(|process| process.zone == zone);
+        let settings = WorkerSettings {
+            entries: own.into_iter().chain(others).map(|process| process.address(7000)).collect(),
+            endless: vec!["quotes".parse().expect("a service name")],
+            run_time: Some(run_time),
+            ..WorkerSettings::new(
+                name.parse().expect("a worker id"),
+                zone.parse().expect("a zone"),
+                "rack-1".parse().expect("a rack"),
+            )
+        };
+        FakeWorker::start(settings, log.clone())
+    }
+
     /// What the daemon on `vm` has logged.
     pub(crate) fn log(&self, vm: u16) -> String {
         fs::read_to_string(self.folder.path().join(format!("vm{vm}.log"))).unwrap_or_default()
@@ -178,6 +271,18 @@
         self.child = Some(self.command().spawn().expect("the daemon's binary"));
     }
 
+    /// Runs the binary with a command and returns how it ended; a process that runs on after 10 s is killed.
+    pub(crate) fn output(&self, arguments: &[&str]) -> Output {
+        let mut command = self.command();
+        let mut child = command.args(arguments).stderr(Stdio::piped()).spawn().expect("the daemon's binary");
+        let end = Instant::now() + Duration::from_secs(10);
+        while Instant::now() < end && child.try_wait().expect("a child process").is_none() {
+            thread::sleep(Duration::from_millis(20));
+        }
+        drop(child.kill());
+        child.wait_with_output().expect("a child process")
+    }
+
     /// Kills the process as a crash would.
     pub(crate) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -220,6 +325,18 @@
     }
 }
 
+/// A link for every ordered pair of daemons.
+fn peer_links(count: usize, ip: &dyn Fn(u16) -> String) -> Vec<PeerLink> {
+    let vms = 1..=u16::try_from(count).expect("a few daemons");
+    let pairs = vms.clone().flat_map(|from| vms.clone().map(move |to| (from, to))).filter(|(from, to)| from != to);
+    let links = pairs.map(|(from, to)| {
+        let target = format!("{}:7002", ip(to)).parse().expect("an address");
+        let link = FaultyLink::start("127.0.0.1".parse().expect("an address"), target).expect("a free port");
+        PeerLink { from, to, link }
+    });
+    links.collect()
+}
+
 pub(crate) fn id(text: &str) -> OperationId {
     text.parse().expect("an operation id")
 }
@@ -229,7 +346,7 @@
     let end = Instant::now() + PATIENCE;
     while !condition() {
         assert!(Instant::now() < end, "timed out waiting for {what}");
-        thread::sleep(Duration::from_millis(20));
+        thread::sleep(Duration::from_millis(5));
     }
 }
 
--- /dev/null
+++ b/crates/parsleywalkd/tests/partition.rs
@@ -0,0 +1,253 @@
+//! Silent cuts between daemons, and between a worker and its entry.
+
+mod common;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::caller::CallerRequest;
+use common::{CATALOG, Deployment, DeploymentPlan, post, wait_until};
+use parsleywalk_api::{JobPhase, OperationOutcome, RefusalOutcome, WorkerReply, WorkerReport};
+use parsleywalk_testkit::{EndpointSettings, FakeEndpoint, FakeWorker, FaultyLink, LinkCut, RunLog, WorkerSettings};
+use parsleywalk_units::{Incarnation, ZoneDirection};
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const ALL: [u16; 3] = [1, 2, 3];
+
+/// A leader's lease, with some time for a loaded machine. Without the lease it would answer until it steps down, at
+/// least 1.2 s after it last heard from the others.
+const LEASE_END: Duration = Duration::from_millis(900);
+
+/// The target for a zone out, counted from its acceptance.
+const ZONE_OUT: Duration = Duration::from_secs(2);
+
+fn start(place: u8) -> Deployment {
+    let plan = DeploymentPlan { place, zones: &ZONES, replicas: &ALL, linked: true, ..DeploymentPlan::default() };
+    let deployment = Deployment::start_plan(&plan);
+    deployment.wait_ready();
+    deployment.apply(1, "first", CATALOG);
+    deployment
+}
+
+fn others(vm: u16) -> Vec<u16> {
+    ALL.into_iter().filter(|other| *other != vm).collect()
+}
+
+fn zone_of(vm: u16) -> &'static str {
+    ZONES[usize::from(vm) - 1]
+}
+
+fn worker_settings(deployment: &Deployment, name: &str, vm: u16) -> WorkerSettings {
+    WorkerSettings {
+        entries: vec![deployment.callers(vm)],
+        endless: vec!["quotes".parse().unwrap()],
+        run_time: Some(Duration::from_millis(300)),
+        ..WorkerSettings::new(name.parse().unwrap(), zone_of(vm).parse().unwrap(), "rack-1".parse().unwrap())
+    }
+}
+
+fn endpoint(deployment: &Deployment, vm: u16) -> FakeEndpoint {
+    let settings = EndpointSettings {
+        entries: vec![deployment.callers(vm)],
+        ..EndpointSettings::new(format!("quotes-{vm}").parse().unwrap(), "quotes".parse().unwrap())
+    };
+    let endpoint = FakeEndpoint::start(settings).unwrap();
+    wait_until("the announcement", || deployment.status(vm).is_some_and(|status| status.endpoints == 1));
+    endpoint
+}
+
+/// Guards against an isolated leader that goes on to lead: it answers no reports once its lease has ended, the others
+/// elect a new one, and a zone that they take out stays out.
+#[test]
+fn an_isolated_leader_gives_no_orders_and_is_replaced() {
+    let deployment = start(0);
+    let old = deployment.wait_leader(&ALL);
+    let rest = others(old);
+    let (log, base) = (RunLog::new(), Instant::now());
+    let _workers = ALL.map(|vm| FakeWorker::start(worker_settings(&deployment, &format!("w-{vm}"), vm), log.clone()));
+    deployment.submit(rest[0], "planning/long", 300).unwrap();
+    let starts = |vm: u16, after: Duration| {
+        let name = format!("w-{vm}");
+        log.records().into_iter().filter(|record| record.worker.as_str() == name && record.start > after).count()
+    };
+    wait_until("running tasks", || ALL.iter().all(|vm| starts(*vm, Duration::ZERO) > 10));
+
+    let report = WorkerReport {
+        worker: "probe".parse().unwrap(),
+        incarnation: Incarnation::new(1),
+        zone: zone_of(old).parse().unwrap(),
+        rack: "rack-2".parse().unwrap(),
+        capacity: worker_settings(&deployment, "probe", old).capacity,
+        sequence: 1,
+        echo: 0,
+        lag: parsleywalk_units::TimeSpan::from_millis(0),
+        tasks: Vec::new(),
+    };
+    assert!(post::<_, WorkerReply>(deployment.callers(old), "/v1/workers/report", &report).is_ok());
+    deployment.isolate(old, true);
+    let cut = Instant::now();
+    let mut answered = Duration::ZERO;
+    for sequence in 2.. {
+        let sent = cut.elapsed();
+        let report = WorkerReport { sequence, ..report.clone() };
+        if post::<_, WorkerReply>(deployment.callers(old), "/v1/workers/report", &report).is_ok() {
+            answered = sent;
+        }
+        if sent > LEASE_END * 3 {
+            break;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    println!("the isolated leader answered a report for the last time {answered:?} after the cut");
+    assert!(answered < LEASE_END, "an isolated leader answered a report {answered:?} after the cut");
+    assert_ne!(deployment.status(old).unwrap().role, "leader", "an isolated leader steps down");
+    deployment.wait_leader(&rest);
+
+    let reply = deployment.zone(rest[0], "drain", zone_of(old), ZoneDirection::Out);
+    assert_eq!(reply.outcome, OperationOutcome::Accepted);
+    let accepted = base.elapsed();
+    thread::sleep(ZONE_OUT);
+    deployment.isolate(old, false);
+    wait_until("the isolated daemon's view", || {
+        let status = deployment.status(old).expect("a status");
+        status.zones.iter().any(|zone| zone.zone.as_str() == zone_of(old) && !zone.in_service)
+    });
+    thread::sleep(Duration::from_millis(700));
+    assert_eq!(starts(old, accepted + ZONE_OUT), 0, "no task starts in a zone that is out");
+    wait_until("the job's end", || {
+        deployment.job(rest[0], "planning/long").is_some_and(|job| job.phase == JobPhase::Done)
+    });
+    log.check().unwrap();
+}
+
+/// Guards against a cut zone that gives up its running tasks or its requests, starts something on its own, or has its
+/// tasks given to others while it may still run them.
+#[test]
+fn a_zone_that_is_cut_off_keeps_running_and_starts_nothing() {
+    let deployment = start(1);
+    let (log, base) = (RunLog::new(), Instant::now());
+    let leader = deployment.wait_leader(&ALL);
+    let cut = others(leader)[0];
+    let endpoint = endpoint(&deployment, cut);
+    let _workers = ALL.map(|vm| {
+        let settings = WorkerSettings {
+            run_time: Some(Duration::from_millis(2500)),
+            ..worker_settings(&deployment, &format!("w-{vm}"), vm)
+        };
+        FakeWorker::start(settings, log.clone())
+    });
+    let in_cut = || {
+        let name = format!("w-{cut}");
+        log.records().into_iter().filter(|record| record.worker.as_str() == name).collect::<Vec<_>>()
+    };
+    deployment.submit(leader, "planning/long", 60).unwrap();
+    wait_until("running tasks", || in_cut().len() > 8);
+    deployment.isolate(cut, true);
+    // Orders that were under way are valid for a second.
+    thread::sleep(Duration::from_millis(1200));
+    let (held, from) = (in_cut().len(), base.elapsed());
+    let entry = deployment.callers(cut);
+    CallerRequest::new(entry, "repeatable").expect_whole();
+    CallerRequest { repeatable: false, ..CallerRequest::new(entry, "unkeyed") }.expect_whole();
+    let keyed = CallerRequest::once(entry, "order-1", "an order").send().unwrap();
+    assert_eq!(keyed.refusal().outcome, RefusalOutcome::NotRun);
+    assert_eq!(endpoint.ran_count(b"an order"), 0);
+    thread::sleep(Duration::from_secs(3).saturating_sub(base.elapsed().saturating_sub(from)));
+    let now = in_cut();
+    assert_eq!(now.len(), held, "a zone that is cut off starts nothing");
+    let stopped =
+        now.iter().filter(|record| record.phase.is_some_and(|phase| phase != parsleywalk_api::ReportedPhase::Done));
+    assert_eq!(stopped.count(), 0, "running tasks go on to their end");
+    assert!(deployment.job(leader, "planning/long").is_some_and(|job| job.phase != JobPhase::Done));
+    deployment.isolate(cut, false);
+    wait_until("the job's end", || {
+        deployment.job(leader, "planning/long").is_some_and(|job| job.phase == JobPhase::Done)
+    });
+    log.check().unwrap();
+    let done = log.records().into_iter().filter(|record| record.phase == Some(parsleywalk_api::ReportedPhase::Done));
+    assert_eq!(done.count(), 60, "every task was done once");
+    CallerRequest::once(entry, "order-1", "an order").expect_whole();
+    assert_eq!(endpoint.ran_count(b"an order"), 1);
+}
+
+/// Guards against cuts of one direction that leave the deployment without a leader, or with one that can't commit.
+#[test]
+fn one_way_cuts_leave_a_leader_that_commits() {
+    let deployment = start(2);
+    let leader = deployment.wait_leader(&ALL);
+    let rest = others(leader);
+    let apply = |vm: u16, version: u64| {
+        let text = CATALOG.replace("version: 1", &format!("version: {version}"));
+        let started = Instant::now();
+        let reply = deployment.apply(vm, &format!("change-{version}"), &text);
+        println!("change {version} accepted after {:?}", started.elapsed());
+        assert_eq!(reply.outcome, OperationOutcome::Accepted);
+    };
+    for vm in &rest {
+        deployment.cut(leader, *vm, true);
+    }
+    deployment.wait_leader(&rest);
+    apply(rest[0], 2);
+    for vm in &rest {
+        deployment.cut(leader, *vm, false);
+    }
+    let leader = deployment.wait_leader(&ALL);
+    let rest = others(leader);
+    for vm in &rest {
+        deployment.cut(*vm, leader, true);
+    }
+    deployment.wait_leader(&rest);
+    apply(rest[1], 3);
+    for vm in &rest {
+        deployment.cut(*vm, leader, false);
+    }
+    // One follower that hears nobody must not unseat the leader again and again.
+    let leader = deployment.wait_leader(&ALL);
+    let rest = others(leader);
+    deployment.cut(leader, rest[0], true);
+    deployment.cut(rest[1], rest[0], true);
+    apply(rest[1], 4);
+    thread::sleep(Duration::from_millis(1500));
+    assert_eq!(deployment.status(leader).unwrap().role, "leader");
+    deployment.cut(leader, rest[0], false);
+    deployment.cut(rest[1], rest[0], false);
+    wait_until("the follower", || {
+        deployment.status(rest[0]).and_then(|status| status.configuration).is_some_and(|version| version.get() == 4)
+    });
+}
+
+/// Guards against a start order that arrives late: the answer to a report is held back until the zone is out.
+#[test]
+fn a_start_order_that_was_held_back_is_not_carried_out() {
+    let deployment = start(3);
+    let (log, base) = (RunLog::new(), Instant::now());
+    let link = FaultyLink::start("127.0.0.1".parse().unwrap(), deployment.callers(1)).unwrap();
+    let settings = WorkerSettings {
+        entries: vec![link.address()],
+        report_timeout: Duration::from_secs(30),
+        ..worker_settings(&deployment, "w-1", 1)
+    };
+    let worker = FakeWorker::start(settings, log.clone());
+    wait_until("the worker", || deployment.status(2).is_some_and(|status| status.zones.len() == 1));
+    wait_until("the instances", || worker.running().len() == 2);
+    // The worker learns its entries from answers; from here on it goes on over the link only.
+    worker.set_entries(vec![link.address()]);
+    link.set_cut(LinkCut::Both);
+    deployment.submit(2, "planning/held", 10).unwrap();
+    wait_until("placed tasks", || deployment.status(2).is_some_and(|status| status.tasks.starting == 10));
+    let before = log.records().len();
+    link.set_cut(LinkCut::Backward);
+    thread::sleep(Duration::from_millis(700));
+    let reply = deployment.zone(2, "drain", "a", ZoneDirection::Out);
+    assert_eq!(reply.outcome, OperationOutcome::Accepted);
+    let accepted = base.elapsed();
+    thread::sleep(ZONE_OUT + Duration::from_millis(200));
+    link.set_cut(LinkCut::None);
+    wait_until("the end of the starts", || deployment.status(2).is_some_and(|status| status.tasks.queued >= 10));
+    let late: Vec<_> = log.records().into_iter().filter(|record| record.start > accepted + ZONE_OUT).collect();
+    assert!(late.is_empty(), "started {:?} after the acceptance", late[0].start.saturating_sub(accepted));
+    assert_eq!(log.records().len(), before);
+    let _other = FakeWorker::start(worker_settings(&deployment, "w-2", 2), log.clone());
+    wait_until("the job's end", || deployment.job(2, "planning/held").is_some_and(|job| job.phase == JobPhase::Done));
+    log.check().unwrap();
+}
