--- a/crates/parsleywalk-soak/src/control.rs
+++ b/crates/parsleywalk-soak/src/control.rs
@@ -150,7 +150,7 @@
                 CoordinatorAction::Send { to, message } => {
                     let to = place_of(to);
                     let message = Box::new(PeerMessage::Coordinator(message));
-                    let event = Event::Peer { from: daemon, daemon: to, message };
+                    let event = Event::Peer { from: daemon, daemon: to, message, sent: self.now };
                     self.send(Party::Daemon(daemon), Party::Daemon(to), Delivery::Any, event);
                 }
                 CoordinatorAction::Persist { ticket, write } => {
--- a/crates/parsleywalk-soak/src/event.rs
+++ b/crates/parsleywalk-soak/src/event.rs
@@ -52,6 +52,8 @@
         from: usize,
         daemon: usize,
         message: Box<PeerMessage>,
+        /// When it was sent.
+        sent: u64,
     },
     Request {
         daemon: usize,
--- a/crates/parsleywalk-soak/src/router.rs
+++ b/crates/parsleywalk-soak/src/router.rs
@@ -268,7 +268,7 @@
         process.forwards.insert(dispatch, deadline);
         self.totals.forwards += 1;
         let message = Box::new(PeerMessage::Forward { call: dispatch, request: forwarded });
-        let event = Event::Peer { from: daemon, daemon: to, message };
+        let event = Event::Peer { from: daemon, daemon: to, message, sent: self.now };
         self.send(Party::Daemon(daemon), Party::Daemon(to), Delivery::AtMostOnce, event);
         None
     }
@@ -277,7 +277,7 @@
         let zone = self.daemons[daemon].zone;
         for to in (0..DAEMON_ZONES.len()).filter(|to| *to != daemon && DAEMON_ZONES[*to] == zone) {
             let message = Box::new(PeerMessage::Announce(announcement.clone()));
-            let event = Event::Peer { from: daemon, daemon: to, message };
+            let event = Event::Peer { from: daemon, daemon: to, message, sent: self.now };
             let peer = &self.daemons[to];
             let (life, reachable) = (peer.life, peer.process.is_some() && peer.frozen_until <= self.now);
             if self.send(Party::Daemon(daemon), Party::Daemon(to), Delivery::Any, event) && reachable {
@@ -297,7 +297,7 @@
                     RouteAnswer::Unknown { reason } => DispatchResult::Broken { reason: reason.to_string() },
                 };
                 let message = Box::new(PeerMessage::ForwardReply { call, result });
-                let event = Event::Peer { from: daemon, daemon: to, message };
+                let event = Event::Peer { from: daemon, daemon: to, message, sent: self.now };
                 self.send(Party::Daemon(daemon), Party::Daemon(to), Delivery::Any, event);
             }
         }
--- a/crates/parsleywalk-soak/src/world.rs
+++ b/crates/parsleywalk-soak/src/world.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 use std::fmt::Display;
 
+use parsleywalk_consensus::ConsensusMessage;
+use parsleywalk_coordinator::CoordinatorMessage;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -10,7 +12,7 @@
 use crate::clock::DriftingClock;
 use crate::daemon::{DAEMON_ZONES, Daemon};
 use crate::endpoints::Endpoint;
-use crate::event::{Event, Party, Scheduled};
+use crate::event::{Event, Party, PeerMessage, Scheduled};
 use crate::jobs::Job;
 use crate::operators::Operation;
 use crate::oracle::Oracle;
@@ -151,10 +153,13 @@
     }
 
     fn handle(&mut self, event: Event) {
+        if self.is_stale_heartbeat(&event) {
+            return;
+        }
         match event {
             Event::WakeDaemon { daemon, life } => self.wake_daemon(daemon, life),
             Event::Synced { daemon, life, ticket } => self.synced(daemon, life, ticket),
-            Event::Peer { from, daemon, message } => self.receive(from, daemon, *message),
+            Event::Peer { from, daemon, message, .. } => self.receive(from, daemon, *message),
             Event::Request { daemon, copy } => self.admit_copy(daemon, copy),
             Event::Job { daemon, job, cancel } => self.call_job(daemon, job, cancel),
             Event::Operate { daemon, operation } => self.call_operation(daemon, operation),
@@ -175,6 +180,13 @@
         }
     }
 
+    /// A heartbeat to an earlier process of its receiver ends with the connection that carried it.
+    fn is_stale_heartbeat(&self, event: &Event) -> bool {
+        let Event::Peer { daemon, message, sent, .. } = event else { return false };
+        let PeerMessage::Coordinator(CoordinatorMessage::Log { message, .. }) = message.as_ref() else { return false };
+        matches!(message, ConsensusMessage::Heartbeat { .. }) && self.daemons[*daemon].started > *sent
+    }
+
     pub(crate) fn schedule(&mut self, at: u64, event: Event) {
         self.scheduled += 1;
         self.queue.push(Scheduled { at: at.max(self.now), number: self.scheduled, event });
