--- a/crates/parsleywalk-control/src/invariant.rs
+++ b/crates/parsleywalk-control/src/invariant.rs
@@ -59,6 +59,8 @@
             TaskOwner::Job(number) => {
                 let job = self.jobs.get(number);
                 ensure(job.is_some_and(|job| job.ended_at.is_none()), "a task's job has not ended", detail)?;
+                let agrees = job.is_some_and(|job| job.service == record.service);
+                ensure(agrees, "a task and its job are of one service", detail)?;
                 let is_going = !matches!(record.phase, TaskPhase::Stopping);
                 let cancelled = job.is_some_and(|job| job.cancelled);
                 ensure(!(cancelled && is_going), "a cancel reaches every task of the job", detail)
--- a/crates/parsleywalk-control/src/lease.rs
+++ b/crates/parsleywalk-control/src/lease.rs
@@ -60,6 +60,9 @@
     }
 
     /// Starts over as the leader: every lease may run from now.
+    ///
+    /// Must follow the application of every entry of earlier terms, so that a `LoseWorker` of an earlier leader is either
+    /// in force before the first renewal or will never be.
     pub fn take_office(&mut self, now: MonotonicTime, workers: impl Iterator<Item = WorkerId>) {
         self.entries = workers.map(|worker| (worker, LeaseEntry { renewed: now, ended: false })).collect();
     }
--- a/crates/parsleywalk-control/src/plan.rs
+++ b/crates/parsleywalk-control/src/plan.rs
@@ -18,13 +18,18 @@
     pub orders: Vec<WorkerOrder>,
     /// Whether the answer may renew leases: the report is of the registered incarnation and this state is not behind it.
     pub renews: bool,
+    /// The revision from which the plan was made, which the answer carries.
+    pub revision: u64,
 }
 
 /// Plans the answer to a worker's report.
 ///
-/// The orders may be sent only under the leader lease, together with the revision of `state`. A report without a durable
-/// change gives no command. The plan is empty when this state is behind the one that the worker has heard from, or when a
-/// newer incarnation or report is known.
+/// The orders may be sent only under the leader lease, with the plan's revision, and only in an answer that renews: the
+/// lease of an attempt that an order starts is the one that the same answer grants. Where [`LeaseTable::renew`] refuses,
+/// the answer carries neither. A report without a durable change gives no command. The plan holds nothing when this state
+/// is behind the one that the worker has heard from, or when a newer incarnation or report is known.
+///
+/// [`LeaseTable::renew`]: crate::LeaseTable::renew
 ///
 /// ```
 /// use parsleywalk_api::WorkerReport;
@@ -41,32 +46,30 @@
 /// ```
 #[must_use]
 pub fn plan_report(state: &ControlState, at: StateTime, report: &WorkerReport) -> ReportPlan {
+    let nothing = ReportPlan { revision: state.revision(), ..ReportPlan::default() };
     if report.echo > state.revision() {
-        return ReportPlan::default();
+        return nothing;
     }
     let Some(worker) = state.worker(&report.worker) else {
-        return registration(at, report);
+        return ReportPlan { commands: vec![registration(at, report)], ..nothing };
     };
     match report.incarnation.cmp(&worker.incarnation()) {
-        Ordering::Less => ReportPlan::default(),
-        Ordering::Greater => registration(at, report),
-        Ordering::Equal if worker.sequence().is_some_and(|recorded| report.sequence < recorded) => {
-            ReportPlan::default()
-        }
+        Ordering::Less => nothing,
+        Ordering::Greater => ReportPlan { commands: vec![registration(at, report)], ..nothing },
+        Ordering::Equal if worker.sequence().is_some_and(|recorded| report.sequence < recorded) => nothing,
         Ordering::Equal => ReportPlanner::new(state, worker, report).plan(at),
     }
 }
 
-fn registration(at: StateTime, report: &WorkerReport) -> ReportPlan {
-    let command = ControlCommand::RegisterWorker {
+fn registration(at: StateTime, report: &WorkerReport) -> ControlCommand {
+    ControlCommand::RegisterWorker {
         at,
         worker: report.worker.clone(),
         incarnation: report.incarnation,
         zone: report.zone.clone(),
         rack: report.rack.clone(),
         capacity: report.capacity,
-    };
-    ReportPlan { commands: vec![command], ..ReportPlan::default() }
+    }
 }
 
 struct ReportPlanner<'a> {
@@ -104,7 +107,7 @@
                 changes: self.changes,
             });
         }
-        ReportPlan { commands, orders: self.orders, renews: true }
+        ReportPlan { commands, orders: self.orders, renews: true, revision: self.state.revision() }
     }
 
     fn listed(&self) -> Vec<(parsleywalk_units::TaskId, parsleywalk_units::AttemptNumber)> {
--- a/crates/parsleywalk-control/src/query.rs
+++ b/crates/parsleywalk-control/src/query.rs
@@ -140,6 +140,12 @@
         self.jobs.get(number)
     }
 
+    /// Returns the number of jobs that are kept, and of cancels that wait for theirs.
+    #[must_use]
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
     /// Returns the number of cancels that wait for their job.
     #[must_use]
     pub fn waiting_cancels(&self) -> usize {
--- a/crates/parsleywalk-control/src/state.rs
+++ b/crates/parsleywalk-control/src/state.rs
@@ -163,7 +163,7 @@
         /// Below this number of records every command is checked; above it the checks get rarer with the square, so
         /// that large tests finish.
         const CHECKED_EACH_TIME: usize = 500;
-        let records = self.tasks.len() + self.jobs.len() + self.claims.len() + self.operations.len();
+        let records = self.tasks.len() + self.job_count() + self.claims.len() + self.operations.len();
         let interval = 1 + ((records / CHECKED_EACH_TIME) as u64).pow(2);
         if self.revision.is_multiple_of(interval)
             && let Err(error) = self.check_invariants()
--- a/crates/parsleywalk-control/src/task.rs
+++ b/crates/parsleywalk-control/src/task.rs
@@ -1,5 +1,7 @@
 //! Records of tasks.
 
+use std::sync::LazyLock;
+
 use parsleywalk_api::TaskPhase;
 use parsleywalk_units::{AttemptNumber, ResourceSize, ServiceName, StateTime, TaskId, TimeSpan};
 use serde::{Deserialize, Serialize};
@@ -44,6 +46,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRecord {
     pub(crate) id: TaskId,
+    /// Not in a snapshot, which names the service once for all its tasks.
+    #[serde(skip, default = "unnamed_service")]
     pub(crate) service: ServiceName,
     pub(crate) owner: TaskOwner,
     pub(crate) attempt: AttemptNumber,
@@ -59,6 +63,12 @@
     pub(crate) history: Option<Box<TaskHistory>>,
 }
 
+/// The service of a decoded record until the snapshot's own names are filled in; shared, so that it costs no memory.
+fn unnamed_service() -> ServiceName {
+    static UNNAMED: LazyLock<ServiceName> = LazyLock::new(|| "-".parse().expect("the text is a valid name"));
+    UNNAMED.clone()
+}
+
 /// What the earlier attempts of a task left behind.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TaskHistory {
--- a/crates/parsleywalk-control/tests/leader.rs
+++ b/crates/parsleywalk-control/tests/leader.rs
@@ -17,7 +17,9 @@
     start_running(&mut state, 1, "w0");
     let mut message = listing("w0", 90, state.revision(), &[(1, 1, ReportedPhase::Running)]);
     message.tasks[0].cores = MilliCores::new(700);
-    assert_eq!(report(&mut state, &message), ReportPlan { renews: true, ..ReportPlan::default() });
+    let revision = state.revision();
+    let expected = ReportPlan { renews: true, revision, ..ReportPlan::default() };
+    assert_eq!(report(&mut state, &message), expected);
     message.tasks[0].checkpoint = Some("c1".to_owned());
     message.sequence += 1;
     assert_eq!(report(&mut state, &message).commands.len(), 1);
@@ -55,19 +57,23 @@
     assert_eq!(phase(&state, 3), expected);
 }
 
+fn is_empty(plan: &ReportPlan) -> bool {
+    plan.commands.is_empty() && plan.orders.is_empty() && !plan.renews
+}
+
 /// Guards against orders of a leader that is behind, and to an incarnation that is gone.
 #[test]
 fn nothing_is_planned_for_reports_from_another_time() {
     let mut state = ready();
     start_running(&mut state, 1, "w0");
     let ahead = listing("w0", 90, state.revision() + 1, &[]);
-    assert_eq!(plan_report(&state, state.now(), &ahead), ReportPlan::default());
+    assert!(is_empty(&plan_report(&state, state.now(), &ahead)));
     let mut newer = listing("w0", 1, 0, &[]);
     newer.incarnation = Incarnation::new(2);
     let plan = plan_report(&state, state.now(), &newer);
     assert!(matches!(plan.commands[..], [ControlCommand::RegisterWorker { .. }]) && !plan.renews);
     state.apply(&register(3, "w0", 2, "a", 6));
-    assert_eq!(plan_report(&state, state.now(), &listing("w0", 91, 0, &[])), ReportPlan::default());
+    assert!(is_empty(&plan_report(&state, state.now(), &listing("w0", 91, 0, &[]))));
 }
 
 /// Guards against an earlier report that arrives late and takes back a newer checkpoint.
@@ -83,7 +89,7 @@
     let planned = plan_report(&state, state.now(), &earlier);
     report(&mut state, &message);
     assert!(state.apply(&planned.commands[0]).reply.refusal().is_some());
-    assert_eq!(plan_report(&state, state.now(), &earlier), ReportPlan::default());
+    assert!(is_empty(&plan_report(&state, state.now(), &earlier)));
     assert_eq!(state.task(TaskId::new(1)).unwrap().checkpoint(), Some("c2"));
 }
 
--- a/crates/parsleywalk-control/tests/report_fuzz.rs
+++ b/crates/parsleywalk-control/tests/report_fuzz.rs
@@ -223,7 +223,7 @@
         self.pending.extend(plan.commands);
         let reply = WorkerReply {
             sequence: report.sequence,
-            revision: self.state.revision(),
+            revision: plan.revision,
             lease: renews.then_some(TimeSpan::from_millis(LEASE)),
             start_within: TimeSpan::from_millis(START_WITHIN),
             report_every: TimeSpan::from_secs(1),
