--- a/crates/parsleywalk-control/tests/report_fuzz.rs
+++ b/crates/parsleywalk-control/tests/report_fuzz.rs
@@ -80,6 +80,7 @@
         1 => choice.clone().prop_map(Step::DropReport),
         1 => choice.prop_map(Step::DropAnswer),
         2 => (0..200_u64).prop_map(Step::Wait),
+        1 => (0..1100_u64).prop_map(Step::Wait),
     ]
 }
 
@@ -91,7 +92,7 @@
         20 => Just(Step::CommitAll),
         4 => Just(Step::Commit),
         1 => choice.prop_map(Step::Replace),
-        1 => (0..2_usize, any::<bool>()).prop_map(|(zone, out)| Step::SetZone(zone, out)),
+        3 => (0..2_usize, any::<bool>()).prop_map(|(zone, out)| Step::SetZone(zone, out)),
         3 => (0..2 * jobs).prop_map(Step::Submit),
         1 => (0..jobs).prop_map(Step::Cancel),
         1 => Just(Step::LoseEnded),
@@ -438,7 +439,7 @@
 
 proptest! {
     #![proptest_config(Config {
-        cases: u32::try_from(number_from("FUZZ_CASES", 600)).unwrap(),
+        cases: u32::try_from(number_from("FUZZ_CASES", 1000)).unwrap(),
         rng_seed: RngSeed::Fixed(number_from("FUZZ_SEED", 11)),
         failure_persistence: None,
         max_shrink_iters: 20_000,
