--- a/crates/parsleywalk-routing/tests/model/oracle.rs
+++ b/crates/parsleywalk-routing/tests/model/oracle.rs
@@ -93,8 +93,8 @@
         );
         if let Some(address) = address {
             let known = self.known[entry].get(&address);
-            let (slots, until) = *known.unwrap_or_else(|| panic!("{address} left or was replaced and got {request}"));
-            assert!(until > now, "the announcement of {address} expired and it got {request}");
+            let (slots, until) = *known.unwrap_or_else(|| panic!("{address} was never announced and got {request}"));
+            assert!(until > now, "{address} left, was replaced or expired, and got {request}");
             let used = self.open.iter().filter(|((at, _), open)| *at == entry && open.address == Some(address)).count();
             assert!(used < slots as usize, "entry {entry} uses {used} + 1 of {slots} slots of {address}");
         }
--- a/crates/parsleywalk-routing/tests/requests.rs
+++ b/crates/parsleywalk-routing/tests/requests.rs
@@ -219,3 +219,16 @@
     // The zone that refused is left alone for a while.
     assert!(forwards(&first.admit(arrival(2, first.now))).is_empty());
 }
+
+/// Guards against a forwarded request travelling on when the endpoints leave while it waits.
+#[test]
+fn a_forwarded_request_that_waits_is_not_forwarded_again() {
+    let settings = RouterSettings { other_zones: 1, ..RouterSettings::default() };
+    let mut fixture = Fixture::new(settings, 1, 1);
+    fixture.admit(arrival(1, fixture.now));
+    assert!(fixture.admit(RequestArrival { forwarded: true, ..arrival(2, fixture.now) }).is_empty());
+    let leaving = parsleywalk_routing::EndpointAnnouncement { leaving: true, ..announcement("orders", 1, 1) };
+    let actions = fixture.router.announce(fixture.now, leaving);
+    assert!(forwards(&actions).is_empty());
+    assert_eq!(answers(&actions), [(2, "not run: no usable endpoint".to_owned())]);
+}
