Propose throttle levels again

Cause: no event confirms a throttle, so a lost one was taken as in force; a lost release slowed a task until its end. Levels are now proposed again every 10 s, releases 3 times.

--- a/crates/parsleywalk-scheduler/examples/policy_bench/main.rs
+++ b/crates/parsleywalk-scheduler/examples/policy_bench/main.rs
@@ -1,6 +1,7 @@
 //! Measures the policy against baselines, with hidden true sizes, run times, load and interference.
 //!
 //! `policy_bench -- [--seeds A..B] [--users senderos,vihmavari] [--policies ours,first-fit]`; the seeds include both ends.
+//! With `POLICY_BENCH_TRACE` set, each run prints its state once a simulated minute to standard error.
 
 mod baseline;
 mod measure;
--- a/crates/parsleywalk-scheduler/src/guarding.rs
+++ b/crates/parsleywalk-scheduler/src/guarding.rs
@@ -1,5 +1,7 @@
 //! What the guards do to a worker's batch tasks.
 
+use std::time::Duration;
+
 use parsleywalk_units::{MonotonicTime, TaskId, ThrottleLevel};
 
 use crate::guard::{GuardLimits, GuardStep};
@@ -8,6 +10,10 @@
 
 /// The slow-down above which guards act, for a latency weight of 0 and of 1.
 const GUARD_LIMITS: (f64, f64) = (0.9, 0.0);
+/// How long until a throttle level is proposed again.
+const THROTTLE_AGAIN: Duration = Duration::from_secs(10);
+/// How often a release is proposed again.
+const RELEASE_REPEATS: u8 = 3;
 /// Below this a guard would act on the noise of reports.
 const SMALLEST_LIMIT: f64 = 0.05;
 /// The expected slow-down above which batch tasks do not start, for a latency weight of 0 and of 1.
@@ -71,6 +77,7 @@
         if !self.settings.guards {
             return;
         }
+        self.repeat_throttles(now, limit, decisions);
         let limits = self.guard_limits();
         while decisions.len() < limit
             && let Some(worker) = self.guards.next_reported()
@@ -124,7 +131,7 @@
             }
             if let Some(level) = harder(suspect.level) {
                 left -= suspect.slowdown * (kept(suspect.level) - kept(level));
-                self.propose_throttle(suspect.task, level, decisions);
+                self.propose_throttle(now, suspect.task, level, decisions);
                 acted = true;
             }
         }
@@ -144,17 +151,45 @@
         if let Some(suspect) = throttled
             && let Some(level) = lighter(suspect.level)
         {
-            self.propose_throttle(suspect.task, level, decisions);
+            self.propose_throttle(now, suspect.task, level, decisions);
             self.guards.acted(now, worker, true, limits);
         } else {
             self.guards.settle(worker);
         }
     }
 
-    fn propose_throttle(&mut self, task: TaskId, level: ThrottleLevel, decisions: &mut Vec<PolicyDecision>) {
+    fn propose_throttle(
+        &mut self,
+        now: MonotonicTime,
+        task: TaskId,
+        level: ThrottleLevel,
+        decisions: &mut Vec<PolicyDecision>,
+    ) {
+        let repeats = if level == ThrottleLevel::None { RELEASE_REPEATS } else { u8::MAX };
+        let due = now + THROTTLE_AGAIN;
         if let Some(record) = self.tasks.get_mut(&task) {
             record.throttle = level;
+            record.throttle_due = Some((due, repeats));
+            self.throttles.insert((due, task));
             decisions.push(PolicyDecision::Throttle { task, attempt: record.attempt, level });
         }
     }
+
+    /// Proposes the levels in force again: no event confirms them, and a lost release would slow a task for good.
+    fn repeat_throttles(&mut self, now: MonotonicTime, limit: usize, decisions: &mut Vec<PolicyDecision>) {
+        while decisions.len() < limit
+            && let Some(&(due, task)) = self.throttles.first()
+            && due <= now
+        {
+            self.throttles.pop_first();
+            let Some(record) = self.tasks.get_mut(&task).filter(|record| record.is_running()) else { continue };
+            let Some((_, left)) = record.throttle_due.filter(|(next, _)| *next == due) else { continue };
+            decisions.push(PolicyDecision::Throttle { task, attempt: record.attempt, level: record.throttle });
+            let endless = record.throttle != ThrottleLevel::None;
+            record.throttle_due = (endless || left > 1).then(|| (now + THROTTLE_AGAIN, left.saturating_sub(1)));
+            if let Some((next, _)) = record.throttle_due {
+                self.throttles.insert((next, task));
+            }
+        }
+    }
 }
--- a/crates/parsleywalk-scheduler/src/lifecycle.rs
+++ b/crates/parsleywalk-scheduler/src/lifecycle.rs
@@ -36,6 +36,7 @@
             class,
             urgent,
             throttle: ThrottleLevel::None,
+            throttle_due: None,
             phase: TaskPhase::Queued,
             declared: size,
             size,
@@ -174,6 +175,7 @@
         record.size = size;
         record.phase = phase;
         record.throttle = ThrottleLevel::None;
+        record.throttle_due = None;
         record.evicting = None;
         let (service, team, batch) = (record.service, record.team, record.is_batch());
         if self.settings.learned_sizes {
--- a/crates/parsleywalk-scheduler/src/policy.rs
+++ b/crates/parsleywalk-scheduler/src/policy.rs
@@ -86,6 +86,8 @@
     pub(crate) moves: BTreeSet<(MonotonicTime, bool, TaskId)>,
     /// Queued tasks to be ended as failed: when to propose it next.
     pub(crate) failing: BTreeSet<(MonotonicTime, TaskId)>,
+    /// Throttle levels to be proposed again, by time.
+    pub(crate) throttles: BTreeSet<(MonotonicTime, TaskId)>,
     /// The worker that is held for each task that has one.
     pub(crate) holds: HashMap<TaskId, u32>,
     pub(crate) evictions: u64,
@@ -121,6 +123,7 @@
             pending: VecDeque::new(),
             moves: BTreeSet::new(),
             failing: BTreeSet::new(),
+            throttles: BTreeSet::new(),
             holds: HashMap::new(),
             evictions: 0,
             found: Vec::new(),
--- a/crates/parsleywalk-scheduler/src/task.rs
+++ b/crates/parsleywalk-scheduler/src/task.rs
@@ -31,6 +31,8 @@
     pub(crate) class: TaskClass,
     pub(crate) urgent: bool,
     pub(crate) throttle: ThrottleLevel,
+    /// When its throttle level is proposed again, and how often still.
+    pub(crate) throttle_due: Option<(MonotonicTime, u8)>,
     pub(crate) phase: TaskPhase,
     pub(crate) declared: ResourceSize,
     pub(crate) size: ResourceSize,
--- a/crates/parsleywalk-scheduler/tests/failures.rs
+++ b/crates/parsleywalk-scheduler/tests/failures.rs
@@ -327,7 +327,9 @@
         for decision in state.step(Duration::from_secs(2)) {
             if let PolicyDecision::Throttle { level, task, .. } = decision {
                 assert_eq!(state.tasks[&task].worker, noisy[0]);
-                levels.push((state.now, level));
+                if levels.last().is_none_or(|(_, last)| *last != level) {
+                    levels.push((state.now, level));
+                }
             }
         }
         if round == 40 {
@@ -340,6 +342,40 @@
     assert!(levels[1].0.since(levels[0].0) >= Duration::from_secs(10), "{levels:?}");
 }
 
+/// No event confirms a throttle, so a lost one must be proposed again.
+#[test]
+fn lost_throttle_is_proposed_again() {
+    let mut state = FakeState::with_fleet(PolicySettings::default(), 3, 2, "32c/125GB/0a");
+    state.configure(&[], LATENCY);
+    for _ in 0..6 {
+        state.instance("4c/16GB/0a");
+    }
+    state.step(SECOND);
+    state.batch("20c/40GB/0a");
+    state.step(SECOND);
+    let workers: Vec<String> = state.workers.keys().cloned().collect();
+    let noisy = state.tasks.values().find(|task| task.class == TaskClass::Batch).unwrap().worker.clone();
+    let throttled = |decisions: Vec<PolicyDecision>| {
+        decisions.into_iter().find(|decision| matches!(decision, PolicyDecision::Throttle { .. }))
+    };
+    let mut lost = None;
+    for round in 0..30 {
+        for worker in &workers {
+            let slow = round > 5 && *worker == noisy;
+            state.report(worker, SECOND, Duration::from_millis(if slow { 30 } else { 10 }));
+        }
+        state.pass(SECOND);
+        lost = throttled(state.decide(100));
+        if lost.is_some() {
+            break;
+        }
+    }
+    assert!(lost.is_some());
+    // Without any further report.
+    state.pass(Duration::from_secs(10));
+    assert_eq!(throttled(state.decide(100)), lost);
+}
+
 /// Equal seeds and events must give equal decisions, or a failure cannot be repeated.
 #[test]
 fn decisions_repeat() {
