--- a/crates/parsleywalk-soak/src/jobs.rs
+++ b/crates/parsleywalk-soak/src/jobs.rs
@@ -76,7 +76,7 @@
         let number = self.jobs.len();
         let impossible = self.random.random_ratio(1, 40);
         let cores = if impossible { 30 } else { self.random.random_range(1..=4) };
-        let run = [200, 1500, 6000, 15_000][self.random.random_range(0..4)];
+        let run = [200, 800, 2500, 8000][self.random.random_range(0..4)];
         let spec = JobSpec {
             service: "survey".parse().expect("a service's name"),
             count: self.random.random_range(1..=3),
