--- a/crates/parsleywalk-control/src/job_table.rs
+++ b/crates/parsleywalk-control/src/job_table.rs
@@ -151,7 +151,6 @@
         self.records.iter().map(|(number, record)| (*number, record.as_ref()))
     }
 
-    #[cfg(debug_assertions)]
     pub(crate) fn len(&self) -> usize {
         self.records.len() + self.cancels.len()
     }
