--- a/crates/parsleywalk-routing/src/lib.rs
+++ b/crates/parsleywalk-routing/src/lib.rs
@@ -49,7 +49,7 @@
 //! # Ok::<(), parsleywalk_units::UnitError>(())
 //! ```
 //!
-//! - A request waits in the [`AdmissionQueue`] of its service, by caller in turn, until an endpoint has room.
+//! - A request waits in the [`AdmissionQueue`] of its service, served fairly by caller, until an endpoint has room.
 //! - A request with a key that is not repeatable is claimed before it is dispatched; [`ClaimRegister`] finds resends.
 //! - [`RetryBudget`] limits what is sent again; [`AnswerCache`] keeps answers for resends.
 //! - [`RouteAnswer::NotRun`] is given only where it is proved that nothing ran and nothing will run.
--- a/crates/parsleywalk-routing/src/settings.rs
+++ b/crates/parsleywalk-routing/src/settings.rs
@@ -77,7 +77,7 @@
     pub queue_wait_factor: f64,
     /// The expected wait up to which a latency-critical request is always queued.
     pub queue_wait_minimum: Duration,
-    /// Whether queues are served by caller in turn; otherwise in order of arrival.
+    /// Whether queues are served fairly by caller; otherwise in order of arrival.
     pub fair_queueing: bool,
     /// Retries as a share of recent requests.
     pub retry_ratio: f64,
