Let callers read refusals that come before they have sent everything

Found by caller_edge.rs. Cause: a connection beyond the limit and a body beyond the size limit were refused and closed with bytes unread, which resets the connection. A caller that sends its whole body before it reads the answer, as most clients do, saw a broken pipe instead of the refusal that says not_run.

Ruled out: a wrong length of the fixed refusal (callers with small bodies read it whole), and a body just beyond the limit (8 MiB + 1 byte was refused properly before as well, since the rest fits into the socket's buffers).

Before: 24 MiB body: broken pipe; 2 MiB body on a connection beyond the limit: broken pipe. After: 413 and 503 with not_run. Discarding is bounded by four times the body limit and the body's time-out, and by 1 s and 256 connections beyond the limit.

--- a/crates/parsleywalkd/src/edge/caller.rs
+++ b/crates/parsleywalkd/src/edge/caller.rs
@@ -13,7 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{Semaphore, watch};
@@ -27,6 +27,15 @@
 /// The wait after a failed accept, such as one for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// The longest that a connection beyond the limit is kept for its refusal.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Bytes that are discarded at a time.
+const DISCARD_BUFFER: usize = 16 * 1024;
+
+/// Refusals that may be under way; connections beyond these are closed at once, since each holds a socket.
+const REFUSAL_LIMIT: usize = 256;
+
 /// Sent to a connection beyond the limit. It is true: nothing of its request was read.
 const FULL_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\n\
 Connection: close\r\nContent-Length: 73\r\n\r\n\
@@ -96,6 +105,7 @@
     connections: Arc<Semaphore>,
     mut stopped: watch::Receiver<bool>,
 ) {
+    let refusals = Arc::new(Semaphore::new(REFUSAL_LIMIT));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -108,7 +118,12 @@
         };
         let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
             context.metrics.refusal("connections");
-            tokio::spawn(refuse(socket));
+            if let Ok(permit) = Arc::clone(&refusals).try_acquire_owned() {
+                tokio::spawn(async move {
+                    refuse(socket).await;
+                    drop(permit);
+                });
+            }
             continue;
         };
         let (context, stopped) = (Arc::clone(&context), stopped.clone());
@@ -124,10 +139,18 @@
     drop(stopped.wait_for(|stop| *stop).await);
 }
 
+/// Refuses a connection and then discards what its caller sends for a while. Closing a socket with unread bytes resets
+/// the connection, and a caller that is still sending would not get to read the refusal.
 async fn refuse(mut socket: TcpStream) {
-    if tokio::time::timeout(Duration::from_secs(1), socket.write_all(FULL_ANSWER)).await.is_ok() {
-        drop(socket.shutdown().await);
-    }
+    let refusal = async {
+        socket.write_all(FULL_ANSWER).await?;
+        socket.shutdown().await?;
+        let mut buffer = vec![0; DISCARD_BUFFER];
+        while socket.read(&mut buffer).await? > 0 {}
+        std::io::Result::Ok(())
+    };
+    // The caller may have left already, and one that sends on past the time is cut off.
+    drop(tokio::time::timeout(REFUSAL_TIMEOUT, refusal).await);
 }
 
 async fn serve(socket: TcpStream, peer: SocketAddr, context: Arc<EdgeContext>, mut stopped: watch::Receiver<bool>) {
--- a/crates/parsleywalkd/src/edge/routes.rs
+++ b/crates/parsleywalkd/src/edge/routes.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parsleywalk_api::{AnnounceReply, AnnounceRequest, JobSubmission, Refusal, WorkerReport, headers};
 use parsleywalk_control::{ControlCommand, ControlReply, JobSpec};
@@ -28,6 +28,9 @@
 /// The most bytes of a job's arguments.
 const ARGUMENTS_LIMIT: usize = 4096;
 
+/// How many times the largest body is read from a caller whose body is too large, before the connection is closed.
+const DISCARD_FACTOR: usize = 4;
+
 /// What the edge needs of the daemon.
 pub(crate) struct EdgeContext {
     pub(crate) control: ControlHandle,
@@ -62,10 +65,10 @@
 async fn read_body(context: &EdgeContext, request: Request<Incoming>) -> Result<(HeaderMap, Bytes), EdgeReply> {
     let (head, body) = request.into_parts();
     let limits = &context.limits;
-    let collected = Limited::new(body, limits.body_bytes).collect();
+    let collected = collect(body, limits.body_bytes);
     match tokio::time::timeout(limits.body_timeout.as_duration(), collected).await {
-        Ok(Ok(collected)) => Ok((head.headers, collected.to_bytes())),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+        Ok(Ok(Some(body))) => Ok((head.headers, body)),
+        Ok(Ok(None)) => {
             context.metrics.refusal("body_size");
             let reason = format!("the body is larger than {} bytes", limits.body_bytes);
             Err(reply::refusal(StatusCode::PAYLOAD_TOO_LARGE, &Refusal::not_run(reason)))
@@ -82,6 +85,28 @@
     }
 }
 
+/// Collects a body; `None` where it is larger than `limit`.
+///
+/// A body that is too large is read on and discarded, up to a multiple of the limit: most callers read the answer only
+/// after they have sent everything, and closing the connection earlier would reset it under them.
+async fn collect(mut body: Incoming, limit: usize) -> hyper::Result<Option<Bytes>> {
+    let mut received = 0;
+    let mut kept = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        received += data.len();
+        if received <= limit {
+            kept.extend_from_slice(&data);
+        } else {
+            kept = BytesMut::new();
+            if received > limit * DISCARD_FACTOR {
+                break;
+            }
+        }
+    }
+    Ok((received <= limit).then(|| kept.freeze()))
+}
+
 async fn read_json<T: DeserializeOwned>(context: &EdgeContext, request: Request<Incoming>) -> Result<T, EdgeReply> {
     let (_, body) = read_body(context, request).await?;
     serde_json::from_slice(&body).map_err(|error| {
--- a/crates/parsleywalkd/src/router/thread.rs
+++ b/crates/parsleywalkd/src/router/thread.rs
@@ -33,7 +33,7 @@
 /// The longest sleep of the thread.
 const LONGEST_SLEEP: Duration = Duration::from_millis(100);
 
-/// The longest wait for a claim; it is given up shortly before the request's deadline if that is earlier.
+/// The longest wait for a claim; it is given up at the request's deadline if that is earlier.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// How long the end of a claim is offered to the leader.
@@ -309,8 +309,6 @@
     fn claim(&self, now: MonotonicTime, request: RequestId, key: RequestKey, claim: ClaimId) {
         let deadline = self.requests.body(request).map_or(now, |body| body.deadline);
         let left = deadline.since(now);
-        // Given up before the deadline, so that the caller still hears that nothing ran.
-        let timeout = CLAIM_TIMEOUT.min(left - left / 8);
         let command = ControlCommand::Claim {
             at: StateTime::default(),
             key,
@@ -326,7 +324,7 @@
             }
         };
         let call = LeaderCall::Command(Box::new(command));
-        self.links.control.call_then(call, timeout, Box::new(done));
+        self.links.control.call_then(call, CLAIM_TIMEOUT.min(left), Box::new(done));
     }
 
     fn settle(&self, key: RequestKey, claim: ClaimId, outcome: ClaimOutcome) {
