--- a/crates/parsleywalk-soak/src/faults.rs
+++ b/crates/parsleywalk-soak/src/faults.rs
@@ -58,11 +58,9 @@
                 self.kill_daemon(daemon);
                 self.totals.kills += 1;
             }
-            (0..2, Some(_)) => {
-                if self.daemons[daemon].process.is_some() {
-                    self.kill_daemon(daemon);
-                    self.totals.kills += 1;
-                }
+            (0..2, Some(_)) if self.daemons[daemon].process.is_some() => {
+                self.kill_daemon(daemon);
+                self.totals.kills += 1;
             }
             (0..6, Some(stopped)) => self.start_daemon(stopped),
             (6..9, _) => {
--- a/crates/parsleywalk-soak/src/jobs.rs
+++ b/crates/parsleywalk-soak/src/jobs.rs
@@ -17,6 +17,7 @@
 
 /// One job.
 #[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each notes another event of the job's life")]
 pub(crate) struct Job {
     pub(crate) key: JobKey,
     spec: JobSpec,
--- a/crates/parsleywalk-soak/src/operators.rs
+++ b/crates/parsleywalk-soak/src/operators.rs
@@ -119,7 +119,7 @@
     }
 
     /// The operator hears an answer; now and then it asks again all the same.
-    pub(crate) fn operation_answered(&mut self, operation: usize, result: CallResult) {
+    pub(crate) fn operation_answered(&mut self, operation: usize, result: &CallResult) {
         if result.is_err() {
             return;
         }
@@ -159,7 +159,7 @@
             return;
         }
         self.totals.configurations += 1;
-        self.oracle.accept(version, text);
+        self.oracle.accept(version, &text);
         for vm in in_force {
             let daemon = place_of(*vm);
             let shown = self.daemons[daemon].process.as_ref().filter(|process| process.coordinator.is_ready());
--- a/crates/parsleywalk-soak/src/oracle.rs
+++ b/crates/parsleywalk-soak/src/oracle.rs
@@ -54,9 +54,9 @@
         *floor = version.max(*floor);
     }
 
-    pub(crate) fn accept(&mut self, version: u64, text: String) {
+    pub(crate) fn accept(&mut self, version: u64, text: &str) {
         self.accepted_version = self.accepted_version.max(version);
-        if *self.texts.entry(version).or_insert_with(|| text.clone()) != text {
+        if *self.texts.entry(version).or_insert_with(|| text.to_owned()) != text {
             self.violation.get_or_insert(format!("P10: version {version} is answered with two texts"));
         }
     }
--- a/crates/parsleywalk-soak/src/router.rs
+++ b/crates/parsleywalk-soak/src/router.rs
@@ -169,7 +169,7 @@
             RouteAction::Answer { request, answer } => {
                 let Some(process) = &mut self.daemons[daemon].process else { return Vec::new() };
                 match process.requests.remove(&request) {
-                    Some(held) => self.answer_sink(daemon, held.sink, held.logical, answer),
+                    Some(held) => self.answer_sink(daemon, &held.sink, held.logical, answer),
                     None => self.violate(format!("entry {daemon} answered request {request} twice")),
                 }
                 Vec::new()
@@ -226,7 +226,7 @@
         endpoint: parsleywalk_routing::EndpointAddress,
         timeout: Duration,
     ) -> Option<DispatchResult> {
-        let Some(held) = self.held(daemon, request) else { return not_sent("the caller left") };
+        let Some(held) = self.held(daemon, request) else { return Some(not_sent("the caller left")) };
         let logical = held.logical;
         let copy = match held.sink {
             RequestSink::Caller { copy } => Some(copy),
@@ -240,7 +240,7 @@
             process.dispatches.insert(dispatch);
         }
         self.schedule(overdue, Event::DispatchOverdue { daemon, life, dispatch });
-        let Some(place) = self.endpoint_at(endpoint) else { return not_sent("no such endpoint") };
+        let Some(place) = self.endpoint_at(endpoint) else { return Some(not_sent("no such endpoint")) };
         let event = Event::Dispatched { from: daemon, life, dispatch, logical, copy, address: endpoint.get() };
         self.send(Party::Daemon(daemon), Party::Endpoint(place), Delivery::AtMostOnce, event);
         None
@@ -254,7 +254,7 @@
         zone_choice: u32,
         timeout: Duration,
     ) -> Option<DispatchResult> {
-        let Some(held) = self.held(daemon, request) else { return not_sent("the caller left") };
+        let Some(held) = self.held(daemon, request) else { return Some(not_sent("the caller left")) };
         let forwarded = ForwardedRequest { logical: held.logical, repeatable: held.repeatable, timeout };
         let own = self.daemons[daemon].zone;
         let zone = (0..3).filter(|zone| *zone != own).nth(zone_choice as usize)?;
@@ -262,7 +262,7 @@
             DAEMON_ZONES.iter().enumerate().filter(|(_, of)| **of == zone).map(|(place, _)| place).collect();
         let sender = &mut self.daemons[daemon];
         let deadline = sender.clock.read(self.now) + timeout;
-        let Some(process) = &mut sender.process else { return not_sent("the process ends") };
+        let Some(process) = &mut sender.process else { return Some(not_sent("the process ends")) };
         process.next_entry += 1;
         let to = entries[process.next_entry % entries.len()];
         process.forwards.insert(dispatch, deadline);
@@ -286,8 +286,8 @@
         }
     }
 
-    fn answer_sink(&mut self, daemon: usize, sink: RequestSink, logical: usize, answer: RouteAnswer) {
-        match sink {
+    fn answer_sink(&mut self, daemon: usize, sink: &RequestSink, logical: usize, answer: RouteAnswer) {
+        match *sink {
             RequestSink::Caller { copy } => self.copy_answered(daemon, copy, &answer),
             RequestSink::Peer { daemon: to, call } => {
                 self.note(format_args!("entry {daemon} answers request {logical} forwarded by {to}: {answer:?}"));
@@ -304,8 +304,8 @@
     }
 }
 
-fn not_sent(reason: &str) -> Option<DispatchResult> {
-    Some(DispatchResult::NotSent { reason: reason.to_owned() })
+fn not_sent(reason: &str) -> DispatchResult {
+    DispatchResult::NotSent { reason: reason.to_owned() }
 }
 
 fn span(duration: Duration) -> TimeSpan {
--- a/crates/parsleywalk-soak/src/settle.rs
+++ b/crates/parsleywalk-soak/src/settle.rs
@@ -34,14 +34,18 @@
         if self.operations.iter().all(|operation| operation.heard) {
             let out: Vec<&str> =
                 ZONES.into_iter().filter(|zone| self.oracle.zones_out().any(|name| name.as_str() == *zone)).collect();
-            out.into_iter().for_each(|zone| self.begin_zone_change(zone, ZoneDirection::In));
+            for zone in out {
+                self.begin_zone_change(zone, ZoneDirection::In);
+            }
         }
     }
 
     fn cancel_impossible(&mut self) {
         let stuck: Vec<usize> =
             (0..self.jobs.len()).filter(|job| self.jobs[*job].impossible && !self.jobs[*job].cancelled).collect();
-        stuck.into_iter().for_each(|job| self.send_job(job, true, 0));
+        for job in stuck {
+            self.send_job(job, true, 0);
+        }
     }
 
     /// Says what has not ended yet.
@@ -88,7 +92,7 @@
         let digest = state_digest(state);
         let mut faults = Vec::new();
         for job in self.jobs.iter().filter(|job| job.accepted) {
-            match state.job(&job.key).map(|it| it.phase()) {
+            match state.job(&job.key).map(parsleywalk_control::JobRecord::phase) {
                 None => faults.push(format!("job {} was accepted and is lost", job.key)),
                 Some(JobPhase::Cancelled) if !job.cancel_sent => {
                     faults.push(format!("job {} is cancelled and nobody asked for it", job.key));
--- a/crates/parsleywalk-soak/src/workers.rs
+++ b/crates/parsleywalk-soak/src/workers.rs
@@ -17,7 +17,7 @@
 use crate::world::{Delivery, World};
 
 /// How long a worker waits for an answer before it reports to the next entry.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// The longest sleep of a worker.
 const LONGEST_SLEEP: u64 = 200_000;
 /// The work between checkpoints in microseconds.
--- a/crates/parsleywalk-soak/src/world.rs
+++ b/crates/parsleywalk-soak/src/world.rs
@@ -88,7 +88,7 @@
             settling: false,
             queue: BinaryHeap::new(),
             scheduled: 0,
-            process_numbers: plan.seed << 32 | 1000,
+            process_numbers: (plan.seed << 32) + 1000,
         };
         (0..world.daemons.len()).for_each(|daemon| world.start_daemon(daemon));
         (0..world.workers.len()).for_each(|worker| world.start_worker(worker));
@@ -163,7 +163,7 @@
             Event::Request { daemon, copy } => self.admit_copy(daemon, copy),
             Event::Job { daemon, job, cancel } => self.call_job(daemon, job, cancel),
             Event::Operate { daemon, operation } => self.call_operation(daemon, operation),
-            Event::OperationAnswered { operation, result } => self.operation_answered(operation, *result),
+            Event::OperationAnswered { operation, result } => self.operation_answered(operation, &result),
             Event::OperationOverdue { operation, attempt } => self.operation_overdue(operation, attempt),
             Event::Announce { daemon, endpoint, announcement } => self.announced(daemon, endpoint, announcement),
             Event::Report { daemon, worker, life, report } => self.call_report(daemon, worker, life, &report),
@@ -224,7 +224,8 @@
         if self.trace.len() == TRACE_LINES {
             self.trace.pop_front();
         }
-        self.trace.push_back(format!("{:>10.3} s {line}", self.now as f64 / 1e6));
+        let millis = self.now / 1000;
+        self.trace.push_back(format!("{:>6}.{:03} s {line}", millis / 1000, millis % 1000));
     }
 
     pub(crate) fn violate(&mut self, what: String) {
