--- a/crates/parsleywalk-consensus/tests/fuzz.rs
+++ b/crates/parsleywalk-consensus/tests/fuzz.rs
@@ -1,6 +1,6 @@
 //! Random faults against an oracle, with fixed seeds.
 //!
-//! `PARSLEYWALK_SEEDS=1000-1999` and `PARSLEYWALK_ROUNDS=300` run more and longer ones.
+//! `PARSLEYWALK_SEEDS=40000-49999` and `PARSLEYWALK_ROUNDS=150` run more and longer ones; use a release build for these.
 
 mod support;
 
