--- a/crates/parsleywalk-scheduler/src/policy.rs
+++ b/crates/parsleywalk-scheduler/src/policy.rs
@@ -153,8 +153,9 @@
         }
     }
 
-    /// Proposes at most `limit` decisions: first the ends of tasks that fail everywhere, then moves out of zones,
-    /// guards, and starts. A proposed start counts as held capacity until it is placed or its wait ends.
+    /// Proposes about `limit` decisions (those for one worker are not split, so its tasks may exceed it): first the ends
+    /// of tasks that fail everywhere, then moves out of zones, guards, and starts. A proposed start counts as held
+    /// capacity until it is placed or its wait ends.
     pub fn decide(&mut self, now: MonotonicTime, limit: usize) -> Vec<PolicyDecision> {
         let mut decisions = Vec::new();
         self.expire_pending(now);
