--- a/crates/parsleywalk-control/tests/common/commands.rs
+++ b/crates/parsleywalk-control/tests/common/commands.rs
@@ -1,5 +1,6 @@
 //! Random commands, most of them sensible in the oracle's present state and some of them faulty.
 
+use parsleywalk_api::TaskPhase;
 use parsleywalk_control::{AttemptChange, AttemptEnd, ControlCommand, EvictionReason, WorkerNumber};
 use parsleywalk_units::{
     AcceleratorCount, AttemptNumber, ClaimId, ClaimOutcome, Incarnation, RequestKey, ResourceSize, StateTime, TaskId,
@@ -7,7 +8,7 @@
 };
 use proptest::prelude::*;
 
-use super::oracle::{Oracle, is_live};
+use super::oracle::{Oracle, Task, is_live};
 use super::{configure, fuzz_catalog, register, size, spec, unit};
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -39,9 +40,19 @@
         .boxed()
 }
 
+/// A task that may run, where there is one.
+fn started_task(oracle: &Oracle) -> BoxedStrategy<(TaskId, u32)> {
+    let may_run = |it: &Task| matches!(it.phase, TaskPhase::Starting | TaskPhase::Running);
+    let started: Vec<_> =
+        oracle.tasks.iter().filter(|(_, it)| may_run(it)).map(|(id, it)| (TaskId::new(*id), it.attempt)).collect();
+    let any = task_and_attempt(oracle);
+    if started.is_empty() { any } else { prop_oneof![4 => prop::sample::select(started), 1 => any].boxed() }
+}
+
 fn worker_number(oracle: &Oracle) -> BoxedStrategy<u32> {
-    let known: Vec<_> = oracle.workers.keys().copied().chain([oracle.last_worker + 1]).collect();
-    prop_oneof![12 => prop::sample::select(known), 1 => 0..=oracle.last_worker].boxed()
+    let known: Vec<_> = oracle.workers.keys().copied().collect();
+    let any = 0..=oracle.last_worker + 1;
+    if known.is_empty() { any.boxed() } else { prop_oneof![9 => prop::sample::select(known), 1 => any].boxed() }
 }
 
 fn task_size() -> BoxedStrategy<ResourceSize> {
@@ -109,11 +120,11 @@
             worker: WorkerNumber::new(worker),
             size,
         });
-    let evict = task_and_attempt(oracle).prop_flat_map(|(task, last)| (Just(task), attempt(last))).prop_map(
+    let evict = started_task(oracle).prop_flat_map(|(task, last)| (Just(task), attempt(last))).prop_map(
         move |(task, attempt)| ControlCommand::EvictTask { at, task, attempt, reason: EvictionReason::Urgent },
     );
-    let replace = task_and_attempt(oracle).prop_map(move |(task, _)| ControlCommand::ReplaceInstance { at, task });
-    prop_oneof![8 => start, 1 => evict, 1 => replace].boxed()
+    let replace = started_task(oracle).prop_map(move |(task, _)| ControlCommand::ReplaceInstance { at, task });
+    prop_oneof![7 => start, 2 => evict, 2 => replace].boxed()
 }
 
 fn change(oracle: &Oracle, number: u32) -> BoxedStrategy<AttemptChange> {
