Test that a restarted replica gets ready while nothing changes

Without a change after its restart, a replica must learn from heartbeats how far its log is committed.

The truncated answers are larger than the stand-in's buffer, so that a part of them is sent.

--- a/crates/parsleywalkd/tests/partition.rs
+++ b/crates/parsleywalkd/tests/partition.rs
@@ -14,8 +14,8 @@
 const ZONES: [&str; 3] = ["a", "b", "c"];
 const ALL: [u16; 3] = [1, 2, 3];
 
-/// A leader's lease, with some time for a loaded machine. Without the lease it would answer until it steps down, at
-/// least 1.2 s after it last heard from the others.
+/// A leader's lease, with some time for a loaded machine. Without the lease it would answer until it steps down, about
+/// 1.2 s after it last heard from the others.
 const LEASE_END: Duration = Duration::from_millis(900);
 
 /// The target for a zone out, counted from its acceptance.
--- a/crates/parsleywalkd/tests/requests.rs
+++ b/crates/parsleywalkd/tests/requests.rs
@@ -101,7 +101,8 @@
     for (behaviour, expected) in cases {
         let endpoint = endpoint(&deployment, &format!("quotes-{behaviour:?}").to_lowercase(), behaviour);
         wait_until("the announcement", || {
-            let body = format!("first {behaviour:?}");
+            // Large enough that the stand-in sends a part of it before it breaks off.
+            let body = format!("first {behaviour:?} {}", "x".repeat(20_000));
             let request = CallerRequest {
                 repeatable: false,
                 deadline: Duration::from_millis(700),
--- a/crates/parsleywalkd/tests/storage_failure.rs
+++ b/crates/parsleywalkd/tests/storage_failure.rs
@@ -85,6 +85,26 @@
     assert_eq!(endpoint.ran_count(b"an order"), 1);
 }
 
+/// Guards against a restarted replica that learns only from the next change how far its log is committed: without one,
+/// it would never get ready.
+#[test]
+fn a_replica_gets_ready_after_its_restart_while_nothing_changes() {
+    let mut deployment = Deployment::start(4, &ZONES, &ALL);
+    deployment.wait_ready();
+    deployment.apply(1, "first", CATALOG);
+    let leader = deployment.wait_leader(&ALL);
+    let follower = ALL.into_iter().find(|vm| *vm != leader).unwrap();
+    for signal in ["TERM", "KILL"] {
+        deployment.process(follower).signal(signal);
+        deployment.process(follower).wait();
+        deployment.process(follower).start();
+        let started = Instant::now();
+        deployment.wait_ready();
+        println!("ready {:?} after the restart", started.elapsed());
+        assert_eq!(version(&deployment, follower), Some(ConfigurationVersion::new(1)));
+    }
+}
+
 /// Guards against a replica that loses or reverts configuration while it catches up with hundreds of changes, and
 /// against changes that are accepted and not in force.
 #[test]
