--- a/crates/parsleywalk-control/src/plan.rs
+++ b/crates/parsleywalk-control/src/plan.rs
@@ -34,15 +34,23 @@
 /// ```
 /// use parsleywalk_api::WorkerReport;
 /// use parsleywalk_control::{ControlCommand, ControlState, plan_report};
-/// use parsleywalk_units::StateTime;
+/// use parsleywalk_units::{Incarnation, StateTime, TimeSpan};
 ///
-/// let text = r#"{"worker": "w1", "incarnation": 1, "zone": "a", "rack": "r1", "sequence": 1, "tasks": [],
-///     "capacity": {"cores": "32", "memory": "125GB", "accelerators": 0}}"#;
-/// let report: WorkerReport = serde_json::from_str(text)?;
+/// let report = WorkerReport {
+///     worker: "w1".parse()?,
+///     incarnation: Incarnation::new(1),
+///     zone: "a".parse()?,
+///     rack: "r1".parse()?,
+///     capacity: "32c/125GB/0a".parse()?,
+///     sequence: 1,
+///     echo: 0,
+///     lag: TimeSpan::default(),
+///     tasks: Vec::new(),
+/// };
 /// let plan = plan_report(&ControlState::new(), StateTime::from_millis(5), &report);
 /// assert!(matches!(plan.commands[..], [ControlCommand::RegisterWorker { .. }]));
 /// assert!(plan.orders.is_empty() && !plan.renews);
-/// # Ok::<(), serde_json::Error>(())
+/// # Ok::<(), parsleywalk_units::UnitError>(())
 /// ```
 #[must_use]
 pub fn plan_report(state: &ControlState, at: StateTime, report: &WorkerReport) -> ReportPlan {
