Tell a restarted replica again where its log equals the leader's

Found by the process tests a_replica_gets_ready_after_its_restart_while_nothing_changes and a_damaged_log_ends_the_process (62 s each, timed out waiting for readiness). Cause: since heartbeats carry the committed index itself, a follower applies only what it verified since its start. The leader still knew the replica as matched, had nothing new to send and sent heartbeats only, so that the replica stayed at its old commit for ever. Ruled out: the peer links, since heartbeats were answered. A follower that verified less than the committed index now says so, and a leader with nothing under way to it sends the place again.

--- a/crates/parsleywalk-consensus/src/node/follower.rs
+++ b/crates/parsleywalk-consensus/src/node/follower.rs
@@ -26,6 +26,12 @@
         }
         self.advance_commit(commit.min(self.verified));
         self.send_after_hard_state(from, ConsensusMessage::HeartbeatReply { term, round });
+        if commit > self.verified {
+            // After a restart this replica does not know that its log equals the leader's, while the leader knows it
+            // and may have nothing more to send. This answer makes it send the place again.
+            let matched = self.verified;
+            self.send_after_writes(from, ConsensusMessage::Appended { term, matched });
+        }
     }
 
     pub(super) fn on_append(&mut self, from: ReplicaId, message: ConsensusMessage) {
--- a/crates/parsleywalk-consensus/src/node/leader.rs
+++ b/crates/parsleywalk-consensus/src/node/leader.rs
@@ -189,6 +189,13 @@
         }
         assert!(matched <= self.log.last_index(), "a follower cannot hold more of this term than its leader");
         if let Some(peer) = self.peer(from) {
+            let idle = matches!(&peer.mode, TransferMode::Stream { unanswered } if unanswered.is_empty());
+            if idle && matched < peer.matched {
+                // The peer restarted and has to be told again where its log equals this one.
+                let next = peer.matched.next();
+                peer.probe_from(next);
+                return;
+            }
             peer.acknowledge(matched);
             self.commit_by_quorum();
         }
