Test answers that are cut off in the middle

The endpoint's stand-in closes the connection before the head of a truncated answer is sent, so its case did not notice when the check of the answer's length was switched off. The new test answers by hand: a body shorter than its stated length, no length, and chunks without an end.

--- a/crates/parsleywalkd/tests/requests.rs
+++ b/crates/parsleywalkd/tests/requests.rs
@@ -3,15 +3,16 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use common::caller::CallerRequest;
 use common::{CATALOG, Deployment, wait_until};
-use parsleywalk_api::RefusalOutcome;
+use parsleywalk_api::{AnnounceReply, AnnounceRequest, RefusalOutcome, headers};
 use parsleywalk_testkit::{EndpointBehaviour, EndpointSettings, FakeEndpoint};
+use parsleywalk_units::{Incarnation, TimeSpan};
 
 const ZONES: [&str; 3] = ["a", "a", "b"];
 const ALL: [u16; 3] = [1, 2, 3];
@@ -101,8 +102,7 @@
     for (behaviour, expected) in cases {
         let endpoint = endpoint(&deployment, &format!("quotes-{behaviour:?}").to_lowercase(), behaviour);
         wait_until("the announcement", || {
-            // Large enough that the stand-in sends a part of it before it breaks off.
-            let body = format!("first {behaviour:?} {}", "x".repeat(20_000));
+            let body = format!("first {behaviour:?}");
             let request = CallerRequest {
                 repeatable: false,
                 deadline: Duration::from_millis(700),
@@ -146,6 +146,61 @@
     assert_eq!(refusal.outcome, RefusalOutcome::NotRun, "{refusal:?}");
 }
 
+/// Answers one request with a head that echoes its id, and with `rest`, and closes the connection.
+fn answer_partly(listener: &TcpListener, rest: &str) {
+    let (mut socket, _) = listener.accept().unwrap();
+    let mut request = Vec::new();
+    let mut buffer = [0; 4096];
+    // The body ends with a full stop.
+    while request.last() != Some(&b'.') {
+        let count = socket.read(&mut buffer).unwrap();
+        assert!(count > 0, "the whole request arrives");
+        request.extend_from_slice(&buffer[..count]);
+    }
+    let text = String::from_utf8_lossy(&request).into_owned();
+    let id = text.lines().find_map(|line| {
+        let (name, value) = line.split_once(": ")?;
+        name.eq_ignore_ascii_case(headers::REQUEST_ID).then_some(value)
+    });
+    let head = format!("HTTP/1.1 200 OK\r\n{}: {}\r\n", headers::REQUEST_ID, id.unwrap());
+    socket.write_all(format!("{head}{rest}").as_bytes()).unwrap();
+}
+
+/// Guards against an answer whose connection ended early and that is passed on as a whole one.
+#[test]
+fn an_answer_that_was_cut_off_is_never_passed_on() {
+    let deployment = start(6);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let announcement = AnnounceRequest {
+        endpoint: "quotes-raw".parse().unwrap(),
+        incarnation: Incarnation::new(1),
+        service: "quotes".parse().unwrap(),
+        address: listener.local_addr().unwrap(),
+        slots: 8,
+        ttl: TimeSpan::from_secs(60),
+        leaving: false,
+    };
+    let rests = [
+        "Content-Length: 100\r\n\r\nten bytes.",
+        "\r\nno length at all",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n50\r\nfirst",
+    ];
+    for (number, rest) in (1..).zip(rests) {
+        // A new incarnation, so that the entry forgets the endpoint's failures.
+        let announcement = AnnounceRequest { incarnation: Incarnation::new(number), ..announcement.clone() };
+        let announced = common::post::<_, AnnounceReply>(deployment.callers(1), "/v1/endpoints", &announcement);
+        assert!(announced.is_ok(), "{announced:?}");
+        let answer = thread::scope(|scope| {
+            scope.spawn(|| answer_partly(&listener, rest));
+            let entry = deployment.callers(1);
+            CallerRequest { repeatable: false, ..CallerRequest::new(entry, "a request.") }.send().unwrap()
+        });
+        assert_eq!(answer.status, 504, "{rest:?}: {}", String::from_utf8_lossy(&answer.body));
+        assert_eq!(answer.refusal().outcome, RefusalOutcome::Unknown, "{rest:?}");
+    }
+}
+
 /// Guards against requests that still go to an endpoint after its leave was answered, and against requests lost by it.
 #[test]
 fn an_endpoint_that_left_gets_nothing_new() {
