--- a/crates/parsleywalk-soak/src/faults.rs
+++ b/crates/parsleywalk-soak/src/faults.rs
@@ -19,13 +19,15 @@
             return;
         }
         loop {
-            match self.random.random_range(0..30) {
+            match self.random.random_range(0..32) {
                 0..10 => self.disturb_daemon(),
                 10..16 => self.disturb_network(),
                 16..23 => self.disturb_worker(),
                 23..27 => self.disturb_endpoint(),
                 27 => self.flood_cancels(),
                 28 => self.strand_zone(),
+                29 => self.race_starts(),
+                30 => self.cut_power(),
                 _ => self.end_faults(),
             }
             if !self.random.random_ratio(1, 4) {
@@ -195,7 +197,7 @@
         }
     }
 
-    /// Freezes the leader while workers of its zone reach nobody else, and takes the zone out meanwhile.
+    /// Freezes the leader, mostly cut off, while workers of its zone reach nobody else, and takes the zone out meanwhile.
     fn strand_zone(&mut self) {
         let Some(leader) = self.leader() else { return };
         let zone = DAEMON_ZONES[leader];
@@ -204,11 +206,58 @@
                 self.cut(Party::Worker(worker), Party::Daemon(daemon), true);
             }
         }
+        // Tasks that are placed and not started yet are what the old leader could still order.
+        self.submit_burst(leader);
+        if self.random.random_ratio(2, 3) {
+            // Nothing tells the old leader of a newer one before it handles the reports that wait.
+            (0..self.daemons.len()).for_each(|to| self.cut(Party::Daemon(leader), Party::Daemon(to), true));
+        }
         let millis = self.random.random_range(1500..12_000);
         self.freeze_daemon(leader, millis);
         self.begin_zone_change(ZONES[zone], ZoneDirection::Out);
     }
 
+    /// Submits jobs at a daemon and lets the leader place some of their tasks.
+    fn submit_burst(&mut self, daemon: usize) {
+        for _ in 0..6 {
+            let job = self.new_job();
+            self.schedule(self.now, Event::Job { daemon, job, cancel: false });
+        }
+        let span = self.random.random_range(30_000..400_000);
+        self.run_for(span);
+    }
+
+    /// Evicts tasks that are placed while the answers with their starts are under way on a slow network.
+    fn race_starts(&mut self) {
+        let Some(leader) = self.leader() else { return };
+        (self.delay, self.duplication) = (self.random.random_range(100_000..500_000), 300);
+        self.note("evictions race starts");
+        for _ in 0..3 {
+            self.submit_burst(leader);
+            self.evict_starting(leader);
+        }
+    }
+
+    /// Kills a majority at one moment while writes wait for their sync; they start again with the next faults.
+    fn cut_power(&mut self) {
+        self.sync = [3000, 50_000, 400_000][self.random.random_range(0..3)];
+        let span = self.random.random_range(0..600_000);
+        self.run_for(span);
+        self.note("power cut");
+        let spared = self.random.random_range(0..self.daemons.len() * 2);
+        for daemon in (0..self.daemons.len()).filter(|daemon| *daemon != spared) {
+            if self.daemons[daemon].process.is_some() {
+                self.kill_daemon(daemon);
+                self.totals.kills += 1;
+            }
+        }
+        for daemon in 0..self.daemons.len() {
+            if self.daemons[daemon].process.is_none() {
+                self.start_daemon(daemon);
+            }
+        }
+    }
+
     /// Ends most faults, so that the run meets the next ones from a sound state.
     pub(crate) fn end_faults(&mut self) {
         self.note("faults end");
--- a/crates/parsleywalk-soak/src/jobs.rs
+++ b/crates/parsleywalk-soak/src/jobs.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use parsleywalk_api::TaskPhase;
 use parsleywalk_control::{ControlCommand, ControlReply, EvictionReason, JobSpec};
 use parsleywalk_coordinator::{LeaderCall, LeaderReply};
 use parsleywalk_units::{JobKey, MemoryBytes, MilliCores, ResourceSize, StateTime, TaskId};
@@ -73,7 +74,7 @@
         }
     }
 
-    fn new_job(&mut self) -> usize {
+    pub(crate) fn new_job(&mut self) -> usize {
         let number = self.jobs.len();
         let impossible = self.random.random_ratio(1, 40);
         let cores = if impossible { 30 } else { self.random.random_range(1..=4) };
@@ -124,6 +125,20 @@
         }
     }
 
+    /// Evicts every task that a daemon knows as placed and not started.
+    pub(crate) fn evict_starting(&mut self, daemon: usize) {
+        let Some(process) = &self.daemons[daemon].process else { return };
+        let tasks = process.coordinator.state().tasks();
+        let starting = tasks.filter(|task| task.phase() == TaskPhase::Starting);
+        let starting: Vec<_> = starting.map(|task| (task.id(), task.attempt())).collect();
+        for (task, attempt) in starting {
+            let (at, reason) = (StateTime::default(), EvictionReason::Rebalance);
+            let command = Box::new(ControlCommand::EvictTask { at, task, attempt, reason });
+            self.totals.faulty_commands += 1;
+            self.call(daemon, LeaderCall::Command(command), Duration::from_secs(2), CallSink::Dropped);
+        }
+    }
+
     /// Sends a start or an eviction that the policy never decided: an overcommitment, a wrong attempt or zone.
     pub(crate) fn send_faulty_command(&mut self) {
         let daemon = self.any_entry();
--- a/crates/parsleywalk-soak/src/operators.rs
+++ b/crates/parsleywalk-soak/src/operators.rs
@@ -19,6 +19,9 @@
 /// How long an operator waits before a command is sent again to another daemon.
 const RESEND_AFTER: u64 = 3_000_000;
 
+/// The quota in cores once the faults have stopped: as much as all workers have.
+pub(crate) const SETTLED_QUOTA: u32 = 96;
+
 /// What an operator wants.
 #[derive(Debug, Clone)]
 pub(crate) enum OperationKind {
@@ -51,7 +54,8 @@
 
     fn configuration_text(&mut self, version: u64) -> String {
         let (web, lookup) = (self.random.random_range(1..=4), self.random.random_range(1..=3));
-        let quota = self.random.random_range(12..60);
+        // At the end operators lift the quota, so that a backlog which only the quota holds back is told from starvation.
+        let quota = if self.settling { SETTLED_QUOTA } else { self.random.random_range(12..60) };
         let number = self.operations.len();
         format!(
             "version: {version} # {number}\n\
--- a/crates/parsleywalk-soak/src/settle.rs
+++ b/crates/parsleywalk-soak/src/settle.rs
@@ -6,6 +6,7 @@
 use parsleywalk_units::ZoneDirection;
 
 use crate::daemon::ZONES;
+use crate::operators::SETTLED_QUOTA;
 use crate::oracle::state_digest;
 use crate::world::World;
 
@@ -20,6 +21,7 @@
         let end = self.now + u64::try_from(limit.as_micros()).unwrap_or(u64::MAX);
         while self.oracle.violation.is_none() {
             self.bring_zones_in();
+            self.lift_quota();
             self.cancel_impossible();
             self.run_for(LOOK_EVERY);
             let Some(left) = self.unfinished() else { return self.check_end() };
@@ -40,6 +42,16 @@
         }
     }
 
+    /// Proposes a configuration with the quota of the end, unless one is in force or under way.
+    fn lift_quota(&mut self) {
+        let wanted = format!("cores: {SETTLED_QUOTA},");
+        let text = self.newest_state().and_then(|state| state.configuration()).map(|it| it.text.as_str());
+        let is_lifted = text.is_none_or(|text| text.contains(&wanted));
+        if !is_lifted && self.operations.iter().all(|operation| operation.heard) {
+            self.propose_configuration();
+        }
+    }
+
     fn cancel_impossible(&mut self) {
         let stuck: Vec<usize> =
             (0..self.jobs.len()).filter(|job| self.jobs[*job].impossible && !self.jobs[*job].cancelled).collect();
--- a/crates/parsleywalk-soak/src/workers.rs
+++ b/crates/parsleywalk-soak/src/workers.rs
@@ -232,7 +232,7 @@
         let report = Box::new(reporter.report(local, Some(latency)));
         // Without an answer in time, the next entry gets the next report.
         reporter.next_report = local + ANSWER_TIMEOUT;
-        reporter.entry += 1;
+        reporter.entry = reporter.entry.wrapping_add(1);
         let entries: Vec<usize> = (0..DAEMON_ZONES.len()).filter(|it| DAEMON_ZONES[*it] == reporter.zone).collect();
         let daemon = entries[reporter.entry % entries.len()];
         let life = reporter.life;
--- a/crates/parsleywalk-soak/src/world.rs
+++ b/crates/parsleywalk-soak/src/world.rs
@@ -146,7 +146,9 @@
             Party::Endpoint(_) | Party::Client => 0,
         };
         if thaw > self.now {
-            return self.schedule(thaw, event);
+            // A thread handles the events that wait before it looks at its clock.
+            let looks_at_clock = matches!(event, Event::WakeDaemon { .. });
+            return self.schedule(thaw + if looks_at_clock { 50 } else { 0 }, event);
         }
         self.totals.events += 1;
         self.handle(event);
--- a/crates/parsleywalk-soak/tests/seeds.rs
+++ b/crates/parsleywalk-soak/tests/seeds.rs
@@ -4,6 +4,7 @@
 //! are meant to meet.
 
 use parsleywalk_soak::{SoakPlan, SoakTotals, run};
+use rstest::rstest;
 
 #[test]
 fn a_run_without_faults_ends() {
@@ -21,3 +22,13 @@
     }
     assert!(sum.elections > 4 && sum.kills > 0 && sum.cuts > 0 && sum.evictions > 0, "{sum}");
 }
+
+/// Guards against the faults that these seeds have found.
+#[rstest]
+#[case::keyed_request_denied_by_an_entry_without_a_configuration(3)]
+#[case::learner_ready_by_a_snapshot_alone(36)]
+#[case::observer_ready_by_a_deposed_leader(60)]
+#[case::answer_to_an_earlier_process_taken(41)]
+fn seeds_that_found_a_fault_pass(#[case] seed: u64) {
+    run(&SoakPlan { seed, steps: 1000, ..SoakPlan::default() }).unwrap_or_else(|failure| panic!("{failure}"));
+}
