--- a/crates/parsleywalkd/src/edge/caller.rs
+++ b/crates/parsleywalkd/src/edge/caller.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{Semaphore, watch};
 
@@ -24,6 +24,10 @@
 /// Threads of the edge's runtime; they parse and hand over, and do no work of their own.
 const EDGE_THREADS: usize = 2;
 
+/// Connections that wait to be accepted. With the library's 1,024 a burst of idle connections made other callers wait
+/// a second for the retransmission of their first packet.
+const BACKLOG: u32 = 4096;
+
 /// The wait after a failed accept, such as one for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -63,7 +67,10 @@
             address,
             reason: cause.to_string(),
         };
-        let listener = runtime.block_on(TcpListener::bind(address)).map_err(listen_error)?;
+        let listener = {
+            let _guard = runtime.enter();
+            listen(address).map_err(listen_error)?
+        };
         let address = listener.local_addr().map_err(listen_error)?;
         let (stop, stopped) = watch::channel(false);
         let limit = context.limits.connections;
@@ -99,6 +106,13 @@
     }
 }
 
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 async fn accept(
     listener: TcpListener,
     context: Arc<EdgeContext>,
