--- a/crates/parsleywalk-storage/tests/messages.rs
+++ b/crates/parsleywalk-storage/tests/messages.rs
@@ -27,7 +27,7 @@
 /// Guards against heartbeats and entries that outgrow the daemons' budget of bytes.
 #[test]
 fn messages_are_small() {
-    let beat = ConsensusMessage::Heartbeat { term: TERM, round: 10_000_000, commit: INDEX };
+    let beat = ConsensusMessage::Heartbeat { term: TERM, round: 10_000_000, commit: INDEX, lease: true };
     let reply = ConsensusMessage::HeartbeatReply { term: TERM, round: 10_000_000 };
     let (one, hundred) = (size(&append(1, 20)), size(&append(100, 20)));
     println!(
