Check leases twice a second and count workers in constant time

Ruled out: the apply of commands, whose number is the same. Leases last minutes, so that a look every 500 ms suffices.

One macro defines the numeric identifiers of all packages in place of four.

--- a/crates/parsleywalk-consensus/src/ids.rs
+++ b/crates/parsleywalk-consensus/src/ids.rs
@@ -3,80 +3,24 @@
 use std::fmt::{self, Display, Formatter};
 use std::str::FromStr;
 
-use parsleywalk_units::{Incarnation, UnitError, VmNumber};
+use parsleywalk_units::{Incarnation, UnitError, VmNumber, number_type};
 use serde::{Deserialize, Serialize};
 
-macro_rules! log_number {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-        #[serde(transparent)]
-        pub struct $name(u64);
-
-        impl $name {
-            /// Zero.
-            pub const ZERO: Self = Self(0);
-
-            /// Wraps a number.
-            #[must_use]
-            pub const fn new(value: u64) -> Self {
-                Self(value)
-            }
-
-            /// Returns the number.
-            #[must_use]
-            pub const fn get(self) -> u64 {
-                self.0
-            }
-
-            /// Returns the next number, saturating at the largest.
-            #[must_use]
-            pub const fn next(self) -> Self {
-                Self(self.0.saturating_add(1))
-            }
-
-            /// Returns the previous number, stopping at zero.
-            #[must_use]
-            pub const fn previous(self) -> Self {
-                Self(self.0.saturating_sub(1))
-            }
-        }
-
-        impl Display for $name {
-            fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-                Display::fmt(&self.0, formatter)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = UnitError;
-
-            fn from_str(text: &str) -> Result<Self, UnitError> {
-                text.parse().map(Self).map_err(|_| UnitError::Invalid {
-                    unit: stringify!($name),
-                    text: text.chars().take(64).collect(),
-                    expected: "a decimal number in range",
-                })
-            }
-        }
-    };
-}
-
-log_number! {
+number_type! {
     /// The position of an entry in the log; the first entry has index 1, and 0 stands before it.
-    LogIndex
+    LogIndex(u64)
 }
-log_number! {
+number_type! {
     /// The term of a leader; at most one leader exists in a term.
-    LogTerm
+    LogTerm(u64)
 }
-log_number! {
+number_type! {
     /// A proposal of the local process, drawn by it and returned in the answers.
-    ProposalId
+    ProposalId(u64)
 }
-log_number! {
+number_type! {
     /// A write handed to the storage thread; later writes have larger tickets.
-    WriteTicket
+    WriteTicket(u64)
 }
 
 /// One life of a VM's data folder, or one life of a diskless observer.
@@ -129,10 +73,6 @@
             let incarnation = u64::from_str_radix(incarnation, 16).ok()?;
             Some(Self::new(vm.parse().ok()?, Incarnation::new(incarnation)))
         };
-        parse().ok_or_else(|| UnitError::Invalid {
-            unit: "replica",
-            text: text.chars().take(64).collect(),
-            expected: "a VM and an incarnation such as vm3.7f2a",
-        })
+        parse().ok_or_else(|| UnitError::invalid("replica", text, "a VM and an incarnation such as vm3.7f2a"))
     }
 }
--- a/crates/parsleywalk-control/src/query.rs
+++ b/crates/parsleywalk-control/src/query.rs
@@ -101,7 +101,8 @@
     }
 
     /// Returns all workers, in the order of their registration.
-    pub fn workers(&self) -> impl Iterator<Item = &WorkerRecord> {
+    #[must_use]
+    pub fn workers(&self) -> impl ExactSizeIterator<Item = &WorkerRecord> {
         self.workers.values()
     }
 
--- a/crates/parsleywalk-coordinator/src/dump.rs
+++ b/crates/parsleywalk-coordinator/src/dump.rs
@@ -54,7 +54,7 @@
             ("applied_index", self.applied.get()),
             ("revision", self.state.revision()),
             ("configuration_version", self.state.version().get()),
-            ("workers", count(self.state.workers().count())),
+            ("workers", count(self.state.workers().len())),
             ("tasks_queued", tasks.queued.into()),
             ("tasks_starting", tasks.starting.into()),
             ("tasks_running", tasks.running.into()),
--- a/crates/parsleywalk-coordinator/src/event.rs
+++ b/crates/parsleywalk-coordinator/src/event.rs
@@ -4,28 +4,13 @@
 use std::time::Duration;
 
 use parsleywalk_consensus::{LogIndex, LogTerm, LogWrite, ReplicaId, ReplicaRole, WriteTicket};
-use parsleywalk_units::{ConfigurationVersion, VmNumber, WorkerId, ZoneName};
-use serde::{Deserialize, Serialize};
+use parsleywalk_units::{ConfigurationVersion, VmNumber, WorkerId, ZoneName, number_type};
 
 use crate::{CallFailure, CoordinatorMessage, LeaderCall, LeaderReply};
 
-/// Names a call within one daemon's process; later calls have larger tokens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct CallToken(u64);
-
-impl CallToken {
-    /// Wraps a number.
-    #[must_use]
-    pub const fn new(value: u64) -> Self {
-        Self(value)
-    }
-
-    /// Returns the number.
-    #[must_use]
-    pub const fn get(self) -> u64 {
-        self.0
-    }
+number_type! {
+    /// Names a call within one daemon's process; later calls have larger tokens.
+    CallToken(u64)
 }
 
 /// What a coordinator is told.
--- a/crates/parsleywalk-coordinator/src/leader.rs
+++ b/crates/parsleywalk-coordinator/src/leader.rs
@@ -13,6 +13,9 @@
 /// The wait between two rounds of decisions.
 const DECISION_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The wait between two looks at the leases. A look goes over all workers, and a lease lasts minutes.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The most decisions of one round; a round must stay well below the leader's heartbeat interval.
 const DECISION_LIMIT: usize = 256;
 
@@ -54,6 +57,7 @@
     pub(crate) leases: LeaseTable,
     pub(crate) operations: Vec<PendingOperation>,
     pub(crate) next_decision: MonotonicTime,
+    next_lease_check: MonotonicTime,
     throttles: Vec<TaskThrottle>,
 }
 
@@ -66,6 +70,7 @@
             leases: LeaseTable::new(settings.lease),
             operations: Vec::new(),
             next_decision: MonotonicTime::ZERO,
+            next_lease_check: MonotonicTime::ZERO,
             throttles: Vec::new(),
         }
     }
@@ -106,7 +111,10 @@
         let decisions = self.policy.decide(now, DECISION_LIMIT);
         let mut commands: Vec<ControlCommand> =
             decisions.into_iter().filter_map(|decision| self.command(at, state, decision)).collect();
-        commands.extend(self.lost_workers(now, at, state));
+        if now >= self.next_lease_check {
+            self.next_lease_check = now + LEASE_CHECK_INTERVAL;
+            commands.extend(self.lost_workers(now, at, state));
+        }
         commands
     }
 
--- a/crates/parsleywalk-coordinator/src/report.rs
+++ b/crates/parsleywalk-coordinator/src/report.rs
@@ -56,7 +56,7 @@
         revision: state.revision(),
         lease: renewed.then(|| span(lease)),
         start_within: START_WITHIN,
-        report_every: report_interval(state.workers().count()),
+        report_every: report_interval(state.workers().len()),
         orders,
         entries,
     };
--- a/crates/parsleywalk-units/src/error.rs
+++ b/crates/parsleywalk-units/src/error.rs
@@ -23,7 +23,9 @@
 }
 
 impl UnitError {
-    pub(crate) fn invalid(unit: &'static str, text: &str, expected: &'static str) -> Self {
+    /// An error of a text that does not match the format of its unit. The text is cut to 64 characters.
+    #[must_use]
+    pub fn invalid(unit: &'static str, text: &str, expected: &'static str) -> Self {
         // Bounds the error's size, since the text may come from a caller.
         Self::Invalid { unit, text: text.chars().take(64).collect(), expected }
     }
--- a/crates/parsleywalk-units/src/number.rs
+++ b/crates/parsleywalk-units/src/number.rs
@@ -1,5 +1,22 @@
 //! Numeric identifiers and counts.
 
+/// Defines an identifier or a count as a newtype over an unsigned integer.
+///
+/// The type wraps and returns its number by `new` and `get`, has `ZERO`, `next` and `previous`, and its `Display` and
+/// `FromStr` are the decimal number. The using package needs `serde` with its derive macros.
+///
+/// ```
+/// parsleywalk_units::number_type! {
+///     /// The position of a page.
+///     PageNumber(u32)
+/// }
+///
+/// let page: PageNumber = "7".parse()?;
+/// assert_eq!(page.next().to_string(), "8");
+/// assert_eq!(PageNumber::ZERO.previous(), PageNumber::new(0));
+/// # Ok::<(), parsleywalk_units::UnitError>(())
+/// ```
+#[macro_export]
 macro_rules! number_type {
     ($(#[$doc:meta])* $name:ident($inner:ty)) => {
         $(#[$doc])*
@@ -11,6 +28,9 @@
         pub struct $name($inner);
 
         impl $name {
+            /// Zero.
+            pub const ZERO: Self = Self(0);
+
             /// Wraps a number.
             #[must_use]
             pub const fn new(value: $inner) -> Self {
@@ -28,6 +48,12 @@
             pub const fn next(self) -> Self {
                 Self(self.0.saturating_add(1))
             }
+
+            /// Returns the previous number, stopping at zero.
+            #[must_use]
+            pub const fn previous(self) -> Self {
+                Self(self.0.saturating_sub(1))
+            }
         }
 
         impl std::fmt::Display for $name {
@@ -37,12 +63,12 @@
         }
 
         impl std::str::FromStr for $name {
-            type Err = crate::UnitError;
+            type Err = $crate::UnitError;
 
-            fn from_str(text: &str) -> crate::Result<Self> {
+            fn from_str(text: &str) -> $crate::Result<Self> {
                 text.parse()
                     .map(Self)
-                    .map_err(|_| crate::UnitError::invalid(stringify!($name), text, "a decimal number in range"))
+                    .map_err(|_| $crate::UnitError::invalid(stringify!($name), text, "a decimal number in range"))
             }
         }
     };
