Give no orders in an answer that renews no lease

Found by reading the control package's terms against report handling. Cause: the leader sent the plan's orders even when the lease table refused the renewal because the worker's lease was reported as ended. A start that arrives with such an answer would run while the loss of the worker is committed and the task's next attempt starts elsewhere. Ruled out as sufficient: the stand-in worker refuses starts without a lease, but a worker of the platform need not. Test an_ended_lease_gets_no_orders: before, the answer held a start without a lease; after, neither.

--- a/crates/parsleywalk-coordinator/src/report.rs
+++ b/crates/parsleywalk-coordinator/src/report.rs
@@ -40,10 +40,13 @@
     lease: Duration,
 ) -> ReportOutcome {
     let plan = plan_report(state, at, report);
-    let mut orders = plan.orders;
+    let mut orders = Vec::new();
     // Noted before the answer is written, so that the lease counted here never ends before the worker's.
     let renewed = plan.renews && duties.leases.renew(now, &report.worker);
+    // An answer that renews nothing carries no orders either: a `LoseWorker` may be on its way, and a start that arrived
+    // with it would run beside the attempt that follows.
     if renewed {
+        orders = plan.orders;
         duties.policy.observe(now, usage_event(now, report));
         orders.extend(duties.throttles(state, &report.worker).map(|(task, attempt, level)| WorkerOrder::Throttle {
             task,
@@ -53,7 +56,7 @@
     }
     let reply = WorkerReply {
         sequence: report.sequence,
-        revision: state.revision(),
+        revision: plan.revision,
         lease: renewed.then(|| span(lease)),
         start_within: START_WITHIN,
         report_every: report_interval(state.workers().len()),
--- /dev/null
+++ b/crates/parsleywalk-coordinator/tests/leases.rs
@@ -0,0 +1,122 @@
+//! A leader and a worker whose lease has ended.
+
+use std::time::Duration;
+
+use parsleywalk_api::{WorkerOrder, WorkerReply, WorkerReport};
+use parsleywalk_catalog::Catalog;
+use parsleywalk_consensus::{ConsensusNode, ConsensusSettings, RecoveredLog, ReplicaId, ReplicaSet, WriteTicket};
+use parsleywalk_control::{ControlCommand, JobSpec, LeaseSettings};
+use parsleywalk_coordinator::{
+    CallToken, CoordinatorAction, CoordinatorEvent, CoordinatorSettings, DaemonCoordinator, LeaderCall, LeaderReply,
+};
+use parsleywalk_units::{Incarnation, MonotonicTime, StateTime, VmNumber};
+
+const CATALOG: &str = "
+version: 1
+teams: [{ name: planning, weight: 1 }]
+services: [{ name: ledgers, class: batch, team: planning, size: { cores: 1, memory: 1GB } }]
+";
+
+/// A single replica whose syncs can be held back.
+struct Leader {
+    coordinator: DaemonCoordinator,
+    now: MonotonicTime,
+    calls: u64,
+    replies: Vec<LeaderReply>,
+    unsynced: Vec<WriteTicket>,
+    syncs: bool,
+}
+
+impl Leader {
+    fn start(lease: Duration) -> Self {
+        let vm = VmNumber::new(1);
+        let id = ReplicaId::new(vm, Incarnation::new(1));
+        let recovered = RecoveredLog::founded(ReplicaSet::new(vec![id]));
+        let node = ConsensusNode::open(ConsensusSettings::default(), id, recovered, 7, MonotonicTime::ZERO).unwrap();
+        let lease = LeaseSettings { lease, ..LeaseSettings::default() };
+        let settings = CoordinatorSettings { lease, ..CoordinatorSettings::default() };
+        let coordinator = DaemonCoordinator::with_settings(node, [vm].into_iter(), 7, settings);
+        let now = MonotonicTime::ZERO;
+        Self { coordinator, now, calls: 0, replies: Vec::new(), unsynced: Vec::new(), syncs: true }
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(10);
+            let actions = self.coordinator.tick(self.now, self.stamp());
+            self.carry_out(actions);
+        }
+    }
+
+    fn stamp(&self) -> StateTime {
+        StateTime::from_millis(self.now.as_micros() / 1000)
+    }
+
+    fn carry_out(&mut self, actions: Vec<CoordinatorAction>) {
+        for action in actions {
+            match action {
+                CoordinatorAction::Persist { ticket, .. } => self.unsynced.push(ticket),
+                CoordinatorAction::Finish { result, .. } => self.replies.push(result.unwrap()),
+                _ => {}
+            }
+        }
+        while self.syncs && !self.unsynced.is_empty() {
+            let ticket = self.unsynced.remove(0);
+            let actions = self.coordinator.step(self.now, self.stamp(), CoordinatorEvent::Persisted { ticket });
+            self.carry_out(actions);
+        }
+    }
+
+    fn call(&mut self, body: LeaderCall) {
+        self.calls += 1;
+        let (call, timeout) = (CallToken::new(self.calls), Duration::from_secs(5));
+        let actions = self.coordinator.step(self.now, self.stamp(), CoordinatorEvent::Call { call, body, timeout });
+        self.carry_out(actions);
+    }
+
+    fn command(&mut self, command: ControlCommand) {
+        self.call(LeaderCall::Command(Box::new(command)));
+    }
+
+    fn report(&mut self, sequence: u64, echo: u64) -> WorkerReply {
+        let text = format!(
+            r#"{{"worker": "w1", "incarnation": 1, "zone": "a", "rack": "r1", "sequence": {sequence}, "echo": {echo},
+            "tasks": [], "capacity": {{"cores": "8", "memory": "16GB", "accelerators": 0}}}}"#
+        );
+        let report: WorkerReport = serde_json::from_str(&text).unwrap();
+        self.call(LeaderCall::Report { report: Box::new(report.into()), entries: Vec::new() });
+        match self.replies.pop() {
+            Some(LeaderReply::Json(body)) => serde_json::from_slice(&body).unwrap(),
+            other => panic!("not an answer to a report: {other:?}"),
+        }
+    }
+}
+
+fn is_start(order: &WorkerOrder) -> bool {
+    matches!(order, WorkerOrder::Start { .. })
+}
+
+/// Guards against a start that is ordered while the loss of its worker is on its way into the log: the task would run
+/// there and, once the loss is committed, at another worker.
+#[test]
+fn an_ended_lease_gets_no_orders() {
+    let mut leader = Leader::start(Duration::from_secs(10));
+    leader.run(Duration::from_secs(3));
+    let (at, operation) = (StateTime::default(), "first".parse().unwrap());
+    let catalog = Catalog::parse(CATALOG).unwrap();
+    leader.command(ControlCommand::ApplyConfiguration { at, operation, catalog, text: CATALOG.to_owned() });
+    let echo = leader.report(1, 0).revision;
+    assert!(leader.report(2, echo).lease.is_some());
+    let job =
+        JobSpec { service: "ledgers".parse().unwrap(), count: 1, size: None, urgent: false, arguments: String::new() };
+    leader.command(ControlCommand::SubmitJob { at, key: "planning/job".parse().unwrap(), job });
+    leader.run(Duration::from_secs(1));
+    let answer = leader.report(3, echo);
+    assert!(answer.orders.iter().any(is_start), "the task was placed: {answer:?}");
+
+    leader.syncs = false;
+    leader.run(Duration::from_secs(12));
+    let answer = leader.report(4, echo);
+    assert_eq!((answer.lease, answer.orders), (None, Vec::new()));
+}
