--- a/crates/parsleywalk-consensus/src/node/open.rs
+++ b/crates/parsleywalk-consensus/src/node/open.rs
@@ -54,7 +54,7 @@
         node.commit = node.commit.max(hard_state.commit);
         node.verified = node.commit;
         node.history.set_commit(node.commit);
-        // The promise of the vote withheld for a leader is not on disk, so a restarted replica renews it.
+        // The withholding of votes for a leader is not on disk, so a restarted replica renews it.
         if !node.settings.disabled.restart_withholding {
             node.withhold_until = now + node.settings.leader_lease;
         }
--- a/crates/parsleywalk-consensus/src/settings.rs
+++ b/crates/parsleywalk-consensus/src/settings.rs
@@ -59,7 +59,7 @@
     pub pre_vote: bool,
     /// Grants votes while a leader has been heard from within the lease.
     pub vote_withholding: bool,
-    /// Votes right after a restart, although a leader may still rely on a promise from before it.
+    /// Votes right after a restart, although a leader may still rely on votes withheld before it.
     pub restart_withholding: bool,
     /// Acknowledges and counts writes before they are synced.
     pub persist_wait: bool,
--- a/crates/parsleywalk-control/src/claim.rs
+++ b/crates/parsleywalk-control/src/claim.rs
@@ -12,7 +12,7 @@
 const CLAIM_LIMIT: usize = 200_000;
 /// How long a claim is kept past its request's deadline.
 const KEPT_AFTER_DEADLINE: Duration = Duration::from_mins(10);
-/// The latest deadline that counts, so that a careless caller's claim does not stay for good.
+/// The latest deadline that counts, so that a misbehaving caller's claim does not stay for good.
 const DEADLINE_LIMIT: TimeSpan = TimeSpan::from_secs(3600);
 /// The expired claims that one command drops at most, so that no single command takes long.
 const DROPPED_PER_COMMAND: usize = 64;
--- a/crates/parsleywalk-control/tests/common/oracle.rs
+++ b/crates/parsleywalk-control/tests/common/oracle.rs
@@ -1,4 +1,4 @@
-//! What the control state promises, computed by scans over plain records.
+//! What the control state guarantees, computed by scans over plain records.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/parsleywalk-control/tests/state_fuzz.rs
+++ b/crates/parsleywalk-control/tests/state_fuzz.rs
@@ -226,5 +226,5 @@
     #![proptest_config(config())]
 
     #[test]
-    fn random_commands_keep_every_promise(sequential 40..160 => StateFuzz);
+    fn random_commands_keep_every_guarantee(sequential 40..160 => StateFuzz);
 }
--- a/crates/parsleywalk-routing/examples/routing_bench/main.rs
+++ b/crates/parsleywalk-routing/examples/routing_bench/main.rs
@@ -64,9 +64,10 @@
         );
     }
     for load in [0.6, 0.9] {
-        let careless = Scenario { name: "careless caller at 2x", load, careless_load: 2.0, ..Scenario::default() };
+        let misbehaving =
+            Scenario { name: "misbehaving caller at 2x", load, misbehaving_load: 2.0, ..Scenario::default() };
         let off = RouterSettings { fair_queueing: false, ..defaults.clone() };
-        compare(&careless, &defaults, "no fair queueing", &off, seeds);
+        compare(&misbehaving, &defaults, "no fair queueing", &off, seeds);
     }
     for load in [0.9, 2.0] {
         let silent = Scenario {
--- a/crates/parsleywalk-routing/examples/routing_bench/model.rs
+++ b/crates/parsleywalk-routing/examples/routing_bench/model.rs
@@ -26,7 +26,7 @@
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival,
-    CarelessArrival,
+    MisbehavingArrival,
     Tick(usize),
     Reach { endpoint: usize, entry: usize, dispatch: DispatchId },
     Complete { endpoint: usize, entry: usize, dispatch: DispatchId },
@@ -152,8 +152,8 @@
             self.push(self.endpoints[endpoint].starts + 1, Event::Announce(endpoint));
         }
         self.push(1000, Event::Arrival);
-        if self.scenario.careless_load > 0.0 {
-            self.push(1000, Event::CarelessArrival);
+        if self.scenario.misbehaving_load > 0.0 {
+            self.push(1000, Event::MisbehavingArrival);
         }
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at >= self.scenario.end {
@@ -184,14 +184,14 @@
                 self.arrive(caller, true);
                 self.schedule_arrival(self.scenario.load, Event::Arrival);
             }
-            Event::CarelessArrival => {
+            Event::MisbehavingArrival => {
                 for _ in 0..3 {
                     let request = self.arrive(0, false);
                     if let Some((entry, request)) = request.filter(|_| self.random.random_bool(0.5)) {
                         self.push(self.now + 10_000, Event::Leave { entry, request });
                     }
                 }
-                self.schedule_arrival(self.scenario.careless_load / 3.0, Event::CarelessArrival);
+                self.schedule_arrival(self.scenario.misbehaving_load / 3.0, Event::MisbehavingArrival);
             }
             Event::Tick(entry) => {
                 if self.next_tick[entry] == self.now {
--- a/crates/parsleywalk-routing/examples/routing_bench/scenario.rs
+++ b/crates/parsleywalk-routing/examples/routing_bench/scenario.rs
@@ -11,8 +11,8 @@
     pub service_time: f64,
     /// Arrivals of careful callers, as a multiple of what the slots can finish.
     pub load: f64,
-    /// Arrivals of one careless caller, resends included.
-    pub careless_load: f64,
+    /// Arrivals of one misbehaving caller, resends included.
+    pub misbehaving_load: f64,
     /// The share of repeatable requests.
     pub repeatable: f64,
     pub fault_at: u64,
@@ -42,7 +42,7 @@
             slots: 8,
             service_time: 20_000.0,
             load: 0.9,
-            careless_load: 0.0,
+            misbehaving_load: 0.0,
             repeatable: 0.5,
             fault_at: u64::MAX,
             fault_end: u64::MAX,
--- a/crates/parsleywalk-routing/tests/parts.rs
+++ b/crates/parsleywalk-routing/tests/parts.rs
@@ -29,13 +29,13 @@
 fn callers_are_served_by_their_share() {
     let mut queue = AdmissionQueue::new(true);
     for request in 0..6 {
-        queue.push_back(&caller("careless"), RequestId::new(request));
+        queue.push_back(&caller("misbehaving"), RequestId::new(request));
     }
     queue.push_back(&caller("desk"), RequestId::new(10));
     assert_eq!((queue.ahead_of(&caller("desk")), queue.ahead_of(&caller("yard"))), (3, 2));
     assert_eq!([queue.pop(), queue.pop()], [0, 10].map(|request| Some(RequestId::new(request))));
     while queue.pop().is_some() {}
-    queue.push_back(&caller("careless"), RequestId::new(20));
+    queue.push_back(&caller("misbehaving"), RequestId::new(20));
     queue.push_back(&caller("desk"), RequestId::new(21));
     assert_eq!(queue.pop(), Some(RequestId::new(21)), "the caller that used more waits");
 }
--- a/crates/parsleywalk-soak/src/callers.rs
+++ b/crates/parsleywalk-soak/src/callers.rs
@@ -1,4 +1,4 @@
-//! Callers, some of whom are careless, and what they are told.
+//! Callers, some of whom misbehave, and what they are told.
 
 use parsleywalk_routing::RouteAnswer;
 use parsleywalk_units::IdempotencyKey;
--- a/crates/parsleywalkd/src/control/storage.rs
+++ b/crates/parsleywalkd/src/control/storage.rs
@@ -29,7 +29,7 @@
                 let (tickets, writes): (Vec<_>, Vec<_>) =
                     std::iter::once(first).chain(queue.try_iter().take(GROUP_LIMIT)).unzip();
                 if let Err(cause) = store.write(&writes) {
-                    // What is on the disk is unknown now. Going on could break a promise, so the process ends.
+                    // What is on the disk is unknown now. Going on could break a guarantee, so the process ends.
                     error!("event=storage_failed error={:?}", cause.to_string());
                     std::process::exit(STORAGE_EXIT);
                 }
--- a/crates/parsleywalkd/src/router/forward.rs
+++ b/crates/parsleywalkd/src/router/forward.rs
@@ -51,9 +51,10 @@
         Some(vm)
     }
 
-    /// Notes a request that was sent. Dispatch ids grow, so the list stays sorted.
+    /// Notes a request that was sent.
     pub(crate) fn wait(&mut self, dispatch: DispatchId, deadline: MonotonicTime) {
-        self.waiting.push((dispatch, deadline));
+        let place = self.waiting.partition_point(|(waiting, _)| *waiting < dispatch);
+        self.waiting.insert(place, (dispatch, deadline));
     }
 
     /// Takes a request off the list; `false` when it is not on it, so that a late answer is not handed over twice.
--- a/crates/parsleywalkd/tests/caller_edge.rs
+++ b/crates/parsleywalkd/tests/caller_edge.rs
@@ -1,4 +1,4 @@
-//! Bad input and careless callers at the caller edge, and wrong tokens at the operator edge.
+//! Bad input and misbehaving callers at the caller edge, and wrong tokens at the operator edge.
 
 mod common;
 
--- a/crates/parsleywalkd/tests/requests.rs
+++ b/crates/parsleywalkd/tests/requests.rs
@@ -1,4 +1,4 @@
-//! Requests of careless callers while entries and endpoints fail or leave.
+//! Requests of misbehaving callers while entries and endpoints fail or leave.
 
 mod common;
 
