Hash bodies outside the router's thread and only under a key; share one conversion

The router's one thread hashed the body of every request, up to 8 MiB, although only a key is bound to the digest; the edge does it now, for keyed requests alone. The gain was not measured. Four copies of the conversion from a duration to a span are TimeSpan::saturating_from. Behaviour, tests and bounds are unchanged.

--- a/crates/parsleywalk-coordinator/src/report.rs
+++ b/crates/parsleywalk-coordinator/src/report.rs
@@ -57,7 +57,7 @@
     let reply = WorkerReply {
         sequence: report.sequence,
         revision: plan.revision,
-        lease: renewed.then(|| span(lease)),
+        lease: renewed.then(|| TimeSpan::saturating_from(lease)),
         start_within: START_WITHIN,
         report_every: report_interval(state.workers().len()),
         orders,
@@ -88,7 +88,3 @@
     let millis = workers as u64 * 1000 / REPORTS_PER_SECOND;
     TimeSpan::from_millis(millis.clamp(SHORTEST_INTERVAL_MS, LONGEST_INTERVAL_MS))
 }
-
-fn span(duration: Duration) -> TimeSpan {
-    TimeSpan::from_millis(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/parsleywalk-soak/src/router.rs
+++ b/crates/parsleywalk-soak/src/router.rs
@@ -185,8 +185,13 @@
             RouteAction::Claim { request, key, claim } => {
                 let left = self.held(daemon, request).map_or(Duration::ZERO, |held| held.deadline.since(local));
                 let entry = self.daemons[daemon].vm;
-                let command =
-                    ControlCommand::Claim { at: StateTime::default(), key, entry, claim, deadline: span(left) };
+                let command = ControlCommand::Claim {
+                    at: StateTime::default(),
+                    key,
+                    entry,
+                    claim,
+                    deadline: TimeSpan::saturating_from(left),
+                };
                 let body = LeaderCall::Command(Box::new(command));
                 self.call(daemon, body, CLAIM_TIMEOUT.min(left), CallSink::Claim { request });
                 Vec::new()
@@ -307,7 +312,3 @@
 fn not_sent(reason: &str) -> DispatchResult {
     DispatchResult::NotSent { reason: reason.to_owned() }
 }
-
-fn span(duration: Duration) -> TimeSpan {
-    TimeSpan::from_millis(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/parsleywalk-units/src/span.rs
+++ b/crates/parsleywalk-units/src/span.rs
@@ -39,6 +39,12 @@
         Self(seconds.saturating_mul(1000))
     }
 
+    /// Wraps a duration, dropping what is below a millisecond and saturating at the longest span.
+    #[must_use]
+    pub fn saturating_from(duration: Duration) -> Self {
+        Self(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// Returns the number of milliseconds.
     #[must_use]
     pub const fn as_millis(self) -> u64 {
--- a/crates/parsleywalkd/src/edge/reply.rs
+++ b/crates/parsleywalkd/src/edge/reply.rs
@@ -49,7 +49,7 @@
     match answer {
         RouteAnswer::Whole(answer) => endpoint_answer(&answer),
         RouteAnswer::NotRun { reason, retry_after } => {
-            let wait = retry_after.map_or(DEFAULT_RETRY, span);
+            let wait = retry_after.map_or(DEFAULT_RETRY, TimeSpan::saturating_from);
             refusal(StatusCode::SERVICE_UNAVAILABLE, &Refusal::not_run(reason.to_string()).with_retry_after(wait))
         }
         RouteAnswer::Unknown { reason } => refusal(StatusCode::GATEWAY_TIMEOUT, &Refusal::unknown(reason.to_string())),
@@ -80,7 +80,3 @@
         }
     }
 }
-
-fn span(duration: std::time::Duration) -> TimeSpan {
-    TimeSpan::from_millis(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/parsleywalkd/src/edge/routes.rs
+++ b/crates/parsleywalkd/src/edge/routes.rs
@@ -17,7 +17,7 @@
 use super::reply::{self, EdgeReply};
 use crate::control::ControlHandle;
 use crate::metrics::DaemonMetrics;
-use crate::router::{RequestCall, RouterHandle};
+use crate::router::{RequestCall, RouterHandle, body_digest};
 use crate::settings::EdgeLimits;
 
 /// The longest wait for the leader's answer to a job's call.
@@ -166,7 +166,8 @@
         None => peer.ip().to_string().parse().map_err(|error| format!("{error}"))?,
     };
     let content_type: Option<String> = parse_field(fields, "Content-Type")?;
-    Ok(RequestCall { service, caller, key, repeatable, deadline, content_type, body, forwarded: false })
+    let digest = body_digest(key.as_ref(), &body);
+    Ok(RequestCall { service, caller, key, repeatable, deadline, content_type, body, digest, forwarded: false })
 }
 
 fn parse_field<T: std::str::FromStr>(fields: &HeaderMap, name: &str) -> Result<Option<T>, String>
--- a/crates/parsleywalkd/src/router/handle.rs
+++ b/crates/parsleywalkd/src/router/handle.rs
@@ -8,9 +8,10 @@
 use flume::Sender;
 use parsleywalk_api::AnnounceRequest;
 use parsleywalk_routing::{
-    EndpointAddress, EndpointAnnouncement, RouteAnswer, RouteReason, RouterStatus, ServiceRoute,
+    BodyDigest, EndpointAddress, EndpointAnnouncement, RouteAnswer, RouteReason, RouterStatus, ServiceRoute,
 };
 use parsleywalk_units::{CallerName, DispatchId, IdempotencyKey, RequestId, ServiceName};
+use sha2::{Digest, Sha256};
 
 use super::requests::AnswerSink;
 use super::thread::RouterEvent;
@@ -31,13 +32,21 @@
     pub(crate) deadline: Option<Duration>,
     pub(crate) content_type: Option<String>,
     pub(crate) body: Bytes,
+    /// The digest of the body, which [`body_digest`] computes before the router's thread gets the request.
+    pub(crate) digest: BodyDigest,
     pub(crate) forwarded: bool,
 }
 
+/// The digest to which a request's key is bound; zero for a request without a key, which needs none.
+pub(crate) fn body_digest(key: Option<&IdempotencyKey>, body: &[u8]) -> BodyDigest {
+    BodyDigest::new(key.map_or([0; 32], |_| Sha256::digest(body).into()))
+}
+
 impl RequestCall {
     /// A request that an entry of another zone forwarded.
     pub(crate) fn from_forwarded(request: ForwardedRequest) -> Self {
         Self {
+            digest: body_digest(request.key.as_ref(), &request.body),
             service: request.service,
             caller: request.caller,
             key: request.key,
--- a/crates/parsleywalkd/src/router/mod.rs
+++ b/crates/parsleywalkd/src/router/mod.rs
@@ -7,7 +7,7 @@
 mod routes;
 mod thread;
 
-pub(crate) use handle::{RequestCall, RouterHandle};
+pub(crate) use handle::{RequestCall, RouterHandle, body_digest};
 pub(crate) use requests::AnswerSink;
 pub(crate) use routes::service_routes;
 pub(crate) use thread::{EVENT_LIMIT, RouterLinks, start};
--- a/crates/parsleywalkd/src/router/thread.rs
+++ b/crates/parsleywalkd/src/router/thread.rs
@@ -10,13 +10,12 @@
 use parsleywalk_coordinator::{CallFailure, LeaderCall, LeaderReply};
 use parsleywalk_peer::{PeerLane, PeerNetwork};
 use parsleywalk_routing::{
-    BodyDigest, ClaimDecision, DispatchResult, EndpointAnnouncement, HeldState, RequestArrival, RequestRouter,
-    RouteAction, RouterSettings, RouterStatus, ServiceRoute,
+    ClaimDecision, DispatchResult, EndpointAnnouncement, HeldState, RequestArrival, RequestRouter, RouteAction,
+    RouterSettings, RouterStatus, ServiceRoute,
 };
 use parsleywalk_units::{
     ClaimId, ClaimOutcome, DispatchId, MonotonicTime, RequestId, RequestKey, StateTime, TimeSpan, VmNumber,
 };
-use sha2::{Digest, Sha256};
 
 use super::dispatch::{self, DispatchJob};
 use super::forward::{self, ForwardTable};
@@ -204,7 +203,7 @@
             repeatable,
             deadline,
             forwarded: call.forwarded,
-            digest: BodyDigest::new(Sha256::digest(&call.body).into()),
+            digest: call.digest,
         };
         let body = RequestBody {
             service: call.service,
@@ -297,7 +296,7 @@
             caller: body.caller.clone(),
             key: body.key.clone(),
             repeatable: body.repeatable,
-            timeout: span(timeout),
+            timeout: TimeSpan::saturating_from(timeout),
             content_type: body.content_type.clone(),
             body: body.body.to_vec(),
         };
@@ -317,7 +316,7 @@
             key,
             entry: self.settings.vm,
             claim,
-            deadline: span(left),
+            deadline: TimeSpan::saturating_from(left),
         };
         let events = self.events.clone();
         let done = move |result: std::result::Result<LeaderReply, CallFailure>| {
@@ -358,7 +357,3 @@
         Some(ClaimOutcome::NotRun | ClaimOutcome::Unknown) => HeldState::Unknown,
     }
 }
-
-fn span(duration: Duration) -> TimeSpan {
-    TimeSpan::from_millis(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
-}
