--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -4,6 +4,7 @@
 
 use parsleywalk_units::{MonotonicTime, WorkerId};
 
+use crate::interference::{FillingLoad, ImageNumber, InterferenceModel, ServingLoad};
 use crate::worker_view::WorkerView;
 use crate::{
     BatchCommand, BatchState, DispatchSettings, FenceToken, ReportAnswer, RunNumber, RunOutcome, SortedTable,
@@ -13,6 +14,11 @@
 /// Lasting tasks that are not at work this long after their start are taken for stuck.
 const LASTING_START_LIMIT: Duration = Duration::from_secs(4);
 
+/// A filling run below this rate makes too little progress to be left where it is, in percent.
+const SLOWED_RATE: u8 = 50;
+/// A run that can resume elsewhere is moved once it has been slowed for this long: about what the move costs it.
+const MOVE_AFTER: Duration = Duration::from_millis(800);
+
 /// What a report leads to.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ReportStep {
@@ -32,13 +38,21 @@
     pub(crate) workers: SortedTable<WorkerId, WorkerView>,
     /// The worker on which a task last failed or stalled; the task is placed elsewhere if there is room.
     pub(crate) avoided: SortedTable<TaskKey, WorkerId>,
+    pub(crate) interference: InterferenceModel,
 }
 
 impl Dispatcher {
     /// Starts with the leader's token.
     #[must_use]
     pub fn new(settings: DispatchSettings, fence: FenceToken, now: MonotonicTime) -> Self {
-        Self { settings, fence, since: now, workers: SortedTable::default(), avoided: SortedTable::default() }
+        Self {
+            settings,
+            fence,
+            since: now,
+            workers: SortedTable::default(),
+            avoided: SortedTable::default(),
+            interference: InterferenceModel::default(),
+        }
     }
 }
 
@@ -122,25 +136,22 @@
         for order in &orders.starts {
             view.ordered.insert(order.task, clock);
         }
-        let rate = view.pace.rate();
         for (task, run) in view.running.iter() {
             let committed = record.and_then(|record| record.runs.get(task)).is_some_and(|entry| entry.run == run.run);
             if !committed || !state.is_wanted(task) || view.unwanted.get(task) == Some(&run.run) {
                 orders.stops.push((*task, run.run));
             }
         }
-        let filling = |task: &TaskKey| state.step_of(task).is_some_and(|(_, step)| step.filling);
-        let paced: Vec<(TaskKey, RunNumber)> = view
+        let rates: Vec<(TaskKey, RunNumber, u8)> = view
             .running
             .iter()
-            .filter(|(task, run)| run.rate != rate && filling(task))
-            .map(|(task, run)| (*task, run.run))
+            .filter_map(|(task, run)| Some((*task, run.run, view.pace.rate(run.image?))))
             .collect();
-        for (task, run) in paced {
-            if let Some(known) = view.running.get_mut(&task) {
+        for (task, run, rate) in rates {
+            if let Some(known) = view.running.get_mut(&task).filter(|known| known.rate != rate) {
                 known.rate = rate;
+                orders.rates.push((task, run, rate));
             }
-            orders.rates.push((task, run, rate));
         }
         ReportAnswer { orders: Some(orders), next_report: self.settings.report_interval }
     }
@@ -168,18 +179,33 @@
         BatchCommand::Lose { worker: worker.clone(), incarnation: record.incarnation, saved }
     }
 
-    /// Notes stalled runs and paces filling ones.
+    /// Notes stalled runs, paces filling ones and moves those that stay slowed.
     fn watch_runs(&mut self, now: MonotonicTime, state: &BatchState, worker: &WorkerId) {
         let Some(view) = self.workers.get_mut(worker) else { return };
-        let mut worst: Option<f32> = None;
+        let mut serving = Vec::new();
+        let mut filling: SortedTable<ImageNumber, f32> = SortedTable::default();
         let mut stalled = Vec::new();
-        for (task, run) in view.running.iter() {
+        let capacity = view.capacity.cores.get().max(1);
+        view.lasting_cores = 0;
+        for (task, run) in view.running.iter_mut() {
             let Some((_, step)) = state.step_of(task) else { continue };
-            if let Some(target) = step.latency_target.filter(|_| step.lasting) {
-                // Millisecond figures of a report lose nothing that matters as floats.
-                #[allow(clippy::cast_precision_loss, reason = "a ratio of small numbers")]
-                let ratio = run.figure as f32 / (target.as_millis().max(1) as f32);
-                worst = Some(worst.map_or(ratio, |worst| worst.max(ratio)));
+            if step.filling {
+                let image = self.interference.number(&step.image);
+                run.image = Some(image);
+                *filling.entry(image, || 0.0) += share(run.figure.min(step.size.cores.get()), capacity);
+            }
+            if step.lasting && !step.filling {
+                view.lasting_cores += step.size.cores.get();
+            }
+            if let Some(target) = step.latency_target.filter(|_| step.lasting && run.percent == 100 && run.figure > 0) {
+                let target = u32::try_from(target.as_millis()).unwrap_or(u32::MAX);
+                let excess = share(run.figure, target.max(1)).ln();
+                serving.push(ServingLoad { image: self.interference.number(&step.image), excess });
+            }
+            if run.rate < SLOWED_RATE {
+                run.slowed.get_or_insert(now);
+            } else {
+                run.slowed = None;
             }
             let idle = now.since(run.progressed);
             let hung = if step.lasting {
@@ -191,12 +217,27 @@
                 stalled.push((*task, run.run));
             }
         }
-        view.pace.observe(now, worst);
+        let filling: Vec<FillingLoad> =
+            filling.iter().map(|(image, share)| FillingLoad { image: *image, share: *share }).collect();
+        for load in &serving {
+            self.interference.observe(*load, &filling);
+        }
+        view.pace.observe(now, &self.interference, &serving, &filling);
+        view.serving = serving;
         for (task, run) in stalled {
             view.unwanted.insert(task, run);
             view.suspicion.strike(now, self.settings.quarantine);
             self.avoided.insert(task, worker.clone());
         }
+        let crowded = view.running.iter().filter(|(task, run)| {
+            let resumes = state.step_of(task).is_some_and(|(_, step)| step.checkpointable);
+            resumes && run.slowed.is_some_and(|since| now.since(since) >= MOVE_AFTER)
+        });
+        let crowded: Vec<(TaskKey, RunNumber)> = crowded.map(|(task, run)| (*task, run.run)).collect();
+        for (task, run) in crowded {
+            view.unwanted.insert(task, run);
+            self.avoided.insert(task, worker.clone());
+        }
     }
 
     /// Takes back the placements whose orders were sent, or may have been sent by an earlier leader, and did not reach
@@ -254,6 +295,12 @@
     }
 }
 
+/// A ratio of small numbers.
+#[allow(clippy::cast_precision_loss, reason = "figures of a report are far below the precision of a float")]
+pub(crate) fn share(part: u32, whole: u32) -> f32 {
+    part as f32 / whole as f32
+}
+
 fn start_orders(state: &BatchState, view: &WorkerView, record: &WorkerRecord) -> Vec<StartOrder> {
     let missing = record.runs.iter().filter(|(task, entry)| !view.lists(task, entry.run) && state.is_wanted(task));
     let orders = missing.filter_map(|(task, entry)| {
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -9,6 +9,7 @@
 mod dispatcher;
 mod error;
 mod ids;
+mod interference;
 mod job;
 mod pacing;
 mod placement;
--- a/crates/parsleywalk-batch/src/pacing.rs
+++ b/crates/parsleywalk-batch/src/pacing.rs
@@ -4,59 +4,75 @@
 
 use parsleywalk_units::MonotonicTime;
 
-/// Tail latency over target above which filling tasks are slowed.
-const SLOW_RATIO: f32 = 0.95;
-/// Tail latency over target below which they are sped up again.
-const RELEASE_RATIO: f32 = 0.7;
-/// The wait after a change before the next slowing; a report's figure covers half a second, and an order takes effect
-/// after a tenth.
-const SLOW_INTERVAL: Duration = Duration::from_millis(700);
+use crate::SortedTable;
+use crate::interference::{FillingLoad, ImageNumber, InterferenceModel, ServingLoad};
+
+/// Logarithm of tail latency over target above which filling tasks are slowed: 95% of the target.
+const SLOW_EXCESS: f32 = -0.05;
+/// Logarithm of tail latency over target below which they are sped up again: 65% of the target.
+const RELEASE_EXCESS: f32 = -0.43;
+/// The wait after a slowing before the next one; a report's figure covers half a second, and an order takes effect after
+/// a tenth.
+const SLOW_INTERVAL: Duration = Duration::from_millis(600);
 /// The wait after a change before the next speeding up.
-const RELEASE_INTERVAL: Duration = Duration::from_millis(1200);
-/// Added to the rate at each speeding up, in percent.
-const RELEASE_STEP: u8 = 20;
+const RELEASE_INTERVAL: Duration = Duration::from_millis(900);
 /// Rates below this are taken down to zero, in percent.
-const LEAST_RATE: u8 = 15;
+const LEAST_RATE: u8 = 20;
+/// Added to a rate at each speeding up, in percent.
+const RELEASE_STEP: u8 = 25;
 /// Full speed, in percent.
 const FULL_RATE: u8 = 100;
 
-/// Chooses one rate for all filling tasks of a worker: it is halved while a serving task is above its latency target and
-/// raised step by step once all are well below.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// The rates of a worker's filling images. While a serving task is near its latency target, the image that disturbs it
+/// most is slowed; once all are well below, the image that disturbs least is sped up.
+#[derive(Debug, Clone, Default)]
 pub(crate) struct PaceController {
-    rate: u8,
+    slowed: SortedTable<ImageNumber, u8>,
     changed: MonotonicTime,
 }
 
-impl Default for PaceController {
-    fn default() -> Self {
-        Self { rate: FULL_RATE, changed: MonotonicTime::ZERO }
-    }
-}
-
 impl PaceController {
-    /// Takes the worst tail latency over target among the worker's serving tasks; `None` without such tasks.
-    pub(crate) fn observe(&mut self, now: MonotonicTime, worst: Option<f32>) {
+    /// Takes the worker's loads after a report.
+    pub(crate) fn observe(
+        &mut self,
+        now: MonotonicTime,
+        model: &InterferenceModel,
+        serving: &[ServingLoad],
+        filling: &[FillingLoad],
+    ) {
+        let worst = serving.iter().max_by(|left, right| left.excess.total_cmp(&right.excess));
+        let Some(worst) = worst.copied() else {
+            self.slowed = SortedTable::default();
+            return;
+        };
         let since = now.since(self.changed);
-        let next = match worst {
-            None => FULL_RATE,
-            Some(ratio) if ratio > SLOW_RATIO && since >= SLOW_INTERVAL => {
-                let halved = self.rate / 2;
-                if halved < LEAST_RATE { 0 } else { halved }
+        if worst.excess > SLOW_EXCESS && since >= SLOW_INTERVAL {
+            let effect = |load: &FillingLoad| model.coefficient(worst.image, load.image) * load.share;
+            let running = filling.iter().filter(|load| load.share > 0.0 && self.rate(load.image) > 0);
+            let culprit = running.max_by(|left, right| effect(left).total_cmp(&effect(right)));
+            if let Some(culprit) = culprit {
+                let halved = self.rate(culprit.image) / 2;
+                self.slowed.insert(culprit.image, if halved < LEAST_RATE { 0 } else { halved });
+                self.changed = now;
             }
-            Some(ratio) if ratio < RELEASE_RATIO && since >= RELEASE_INTERVAL => {
-                self.rate.saturating_add(RELEASE_STEP).min(FULL_RATE)
+        } else if worst.excess < RELEASE_EXCESS && since >= RELEASE_INTERVAL {
+            let harm = |image: ImageNumber| model.coefficient(worst.image, image);
+            let gentlest = self.slowed.iter().map(|(image, rate)| (*image, *rate));
+            let gentlest = gentlest.min_by(|left, right| harm(left.0).total_cmp(&harm(right.0)));
+            if let Some((image, rate)) = gentlest {
+                let raised = rate.saturating_add(RELEASE_STEP);
+                if raised >= FULL_RATE {
+                    self.slowed.remove(&image);
+                } else {
+                    self.slowed.insert(image, raised);
+                }
+                self.changed = now;
             }
-            Some(_) => self.rate,
-        };
-        if next != self.rate {
-            self.rate = next;
-            self.changed = now;
         }
     }
 
-    /// The rate for filling tasks, in percent.
-    pub(crate) fn rate(&self) -> u8 {
-        self.rate
+    /// The rate for an image's filling tasks, in percent.
+    pub(crate) fn rate(&self, image: ImageNumber) -> u8 {
+        self.slowed.get(&image).copied().unwrap_or(FULL_RATE)
     }
 }
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -1,7 +1,11 @@
 //! Which waiting task runs where.
 
+use std::time::Duration;
+
 use parsleywalk_units::{MilliCores, MonotonicTime, ResourceSize, WorkerId};
 
+use crate::dispatcher::share;
+use crate::interference::{ImageNumber, ServingLoad};
 use crate::worker_view::WorkerView;
 use crate::{
     BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunNumber, RunPlacement, SortedTable, StepSpec, TaskKey,
@@ -10,6 +14,18 @@
 /// The most placements of one round; a round must stay well below the leader's heartbeat interval.
 const ROUND_LIMIT: usize = 400;
 
+/// The part of lasting tasks' committed processors that filling tasks may count on, in percent; lasting tasks are sized
+/// for their peaks.
+const LASTING_IDLE_PERCENT: u32 = 45;
+/// The time that a report's figures cover.
+const REPORT_WINDOW: Duration = Duration::from_millis(600);
+/// Logarithm of tail latency over target above which no filling task is added: 85% of the target.
+const HARM_EXCESS: f32 = -0.16;
+/// Below this logarithm, workers are taken as equally harmless: 65% of the target.
+const CALM_EXCESS: f32 = -0.43;
+/// Levels of harm for each unit of the logarithm.
+const HARM_LEVELS: f32 = 10.0;
+
 /// A step of which tasks wait and may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct ReadyStep {
@@ -27,8 +43,8 @@
     free: ResourceSize,
     /// The processors left when filling tasks count too.
     free_filling: MilliCores,
-    /// Serving tasks with a latency target.
-    serving: u32,
+    /// The serving tasks, with what the filling tasks that are not reported yet will add.
+    serving: Vec<ServingLoad>,
     filling: MilliCores,
     /// Runs that may still be given in this round.
     allowance: u32,
@@ -67,7 +83,7 @@
                 view,
                 free: view.capacity,
                 free_filling: view.capacity.cores,
-                serving: 0,
+                serving: view.serving.clone(),
                 filling: MilliCores::default(),
                 allowance: u32::MAX,
                 step_runs: SortedTable::default(),
@@ -79,11 +95,16 @@
                 }
                 candidate.free = view.capacity.saturating_sub(&record.committed);
                 candidate.filling = record.filling;
-                candidate.free_filling = candidate.free.cores.saturating_sub(record.filling);
-                for (task, _) in record.runs.iter() {
+                let idle = view.lasting_cores / 100 * LASTING_IDLE_PERCENT;
+                let unused = MilliCores::new(candidate.free.cores.get().saturating_add(idle));
+                candidate.free_filling = unused.saturating_sub(record.filling);
+                for (task, entry) in record.runs.iter() {
                     *candidate.step_runs.entry((task.job, task.occurrence, task.step), || 0) += 1;
-                    let serves = |step: &StepSpec| step.lasting && step.latency_target.is_some();
-                    candidate.serving += u32::from(state.step_of(task).is_some_and(|(_, step)| serves(step)));
+                    let reported = view.running.get(task).is_some_and(|run| now.since(run.since) >= REPORT_WINDOW);
+                    if entry.filling && !reported {
+                        let image = state.step_of(task).and_then(|(_, step)| self.interference.known_number(&step.image));
+                        self.add_pressure(&mut candidate, image, entry.size.cores);
+                    }
                 }
                 if view.suspicion.is_on_probation() {
                     candidate.allowance = u32::from(record.runs.is_empty());
@@ -119,6 +140,10 @@
             let key = TaskKey { index, ..first };
             let Some(place) = self.choose(&job.submission, spec, &key, rack.as_deref(), candidates) else { return };
             placements.push(candidates[place].take(spec, key, task.last_run.next()));
+            if spec.filling {
+                let image = self.interference.known_number(&spec.image);
+                self.add_pressure(&mut candidates[place], image, spec.size.cores);
+            }
             if placements.len() >= ROUND_LIMIT {
                 return;
             }
@@ -165,20 +190,57 @@
         candidates: &[CandidateWorker<'_>],
     ) -> Option<usize> {
         let avoided = self.avoided.get(task);
+        let image = if spec.filling { self.interference.known_number(&spec.image) } else { None };
+        let harm = |candidate: &CandidateWorker<'_>| {
+            if spec.filling { harm_level(self.excess_with(candidate, image, spec.size.cores)) } else { Some(0) }
+        };
         let fitting = candidates.iter().enumerate().filter(|(_, candidate)| candidate.fits(submission, spec, task));
-        let best = fitting.min_by_key(|(_, candidate)| {
+        let harmless = fitting.filter_map(|(place, candidate)| Some((place, candidate, harm(candidate)?)));
+        let best = harmless.min_by_key(|(_, candidate, harm)| {
             let rack = rack.or(spec.preferred_rack.as_deref());
             let far = rack.is_some() && candidate.view.rack.as_deref() != rack;
-            let disturbed = if spec.filling {
-                candidate.serving > 0
-            } else {
-                spec.latency_target.is_some() && candidate.filling > MilliCores::default()
-            };
             let load = u32::MAX - candidate.free_filling.get();
-            (far, avoided == Some(candidate.id), candidate.view.suspicion.strikes(), disturbed, load)
+            (far, avoided == Some(candidate.id), candidate.view.suspicion.strikes(), *harm, load)
         });
-        best.map(|(place, _)| place)
+        best.map(|(place, _, _)| place)
+    }
+}
+
+impl Dispatcher {
+    /// The worst tail latency over target, as a logarithm, that the worker's serving tasks would have beside one more
+    /// filling task; `None` without serving tasks.
+    fn excess_with(
+        &self,
+        candidate: &CandidateWorker<'_>,
+        image: Option<ImageNumber>,
+        cores: MilliCores,
+    ) -> Option<f32> {
+        let share = share(cores.get(), candidate.view.capacity.cores.get().max(1));
+        let excess = candidate.serving.iter().map(|serving| {
+            let coefficient = image.map_or(0.0, |image| self.interference.coefficient(serving.image, image));
+            serving.excess + coefficient * share
+        });
+        excess.max_by(f32::total_cmp)
+    }
+
+    /// Notes a filling task whose effect the worker's reports don't show yet.
+    fn add_pressure(&self, candidate: &mut CandidateWorker<'_>, image: Option<ImageNumber>, cores: MilliCores) {
+        let Some(image) = image else { return };
+        let share = share(cores.get(), candidate.view.capacity.cores.get().max(1));
+        for serving in &mut candidate.serving {
+            serving.excess += self.interference.coefficient(serving.image, image) * share;
+        }
+    }
+}
+
+/// Orders workers by the harm that a filling task would do there; `None` where a serving task would miss its target.
+fn harm_level(excess: Option<f32>) -> Option<u32> {
+    let Some(excess) = excess else { return Some(0) };
+    if excess > HARM_EXCESS {
+        return None;
     }
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small number of levels")]
+    Some(((excess - CALM_EXCESS).max(0.0) * HARM_LEVELS) as u32)
 }
 
 impl CandidateWorker<'_> {
@@ -207,7 +269,6 @@
         } else {
             self.free = self.free.saturating_sub(&spec.size);
         }
-        self.serving += u32::from(spec.lasting && spec.latency_target.is_some());
         *self.step_runs.entry((task.job, task.occurrence, task.step), || 0) += 1;
         RunPlacement { task, run, worker: self.id.clone(), incarnation: self.view.incarnation }
     }
--- a/crates/parsleywalk-batch/src/table.rs
+++ b/crates/parsleywalk-batch/src/table.rs
@@ -74,6 +74,11 @@
         self.rows.iter().map(|(key, value)| (key, value))
     }
 
+    /// Iterates in key order, for a change of the values.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&K, &mut V)> {
+        self.rows.iter_mut().map(|(key, value)| (&*key, value))
+    }
+
     /// Iterates over the values in key order, for a change.
     pub fn values_mut(&mut self) -> impl Iterator<Item = &mut V> {
         self.rows.iter_mut().map(|(_, value)| value)
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -4,6 +4,7 @@
 
 use parsleywalk_units::{Incarnation, MonotonicTime, ResourceSize, ServiceName, ZoneName};
 
+use crate::interference::{ImageNumber, ServingLoad};
 use crate::pacing::PaceController;
 use crate::suspicion::WorkerSuspicion;
 use crate::{RunNumber, RunningTask, SortedTable, TaskKey, WorkerReport};
@@ -35,6 +36,10 @@
     pub(crate) unwanted: SortedTable<TaskKey, RunNumber>,
     pub(crate) suspicion: WorkerSuspicion,
     pub(crate) pace: PaceController,
+    /// The serving tasks at work, as the newest report describes them.
+    pub(crate) serving: Vec<ServingLoad>,
+    /// The processors that lasting tasks are committed, which they rarely use in full.
+    pub(crate) lasting_cores: u32,
 }
 
 /// A run in progress as the newest report describes it.
@@ -46,6 +51,10 @@
     pub(crate) figure: u32,
     /// The rate that the run was last told.
     pub(crate) rate: u8,
+    /// The image of a filling run.
+    pub(crate) image: Option<ImageNumber>,
+    /// Since when the run has been slowed.
+    pub(crate) slowed: Option<MonotonicTime>,
     /// When the percentage last grew.
     pub(crate) progressed: MonotonicTime,
     pub(crate) since: MonotonicTime,
@@ -71,6 +80,8 @@
             unwanted: SortedTable::default(),
             suspicion: WorkerSuspicion::default(),
             pace: PaceController::default(),
+            serving: Vec::new(),
+            lasting_cores: 0,
         }
     }
 
@@ -106,6 +117,8 @@
             percent: task.percent,
             figure: task.figure,
             rate: known.map_or(100, |view| view.rate),
+            image: known.and_then(|view| view.image),
+            slowed: known.and_then(|view| view.slowed),
             progressed,
             since: known.map_or(now, |view| view.since),
         }
