Keep one serving image a worker; give a starved job a place; give no orders to a worker that is being lost

Serving tasks now gather by image.

TWICE on the grown deployment: between the proposal that a worker's lease has ended and its commit, the worker was still answered with orders, which renewed the lease. A worker that is being lost now gets none.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -7,7 +7,7 @@
 use crate::interference::{FillingLoad, ImageNumber, InterferenceModel, ServingLoad};
 use crate::worker_view::WorkerView;
 use crate::{
-    BatchCommand, BatchState, DispatchSettings, FenceToken, ReportAnswer, RunNumber, RunOutcome, SortedTable,
+    BatchCommand, BatchState, DispatchSettings, FenceToken, JobId, ReportAnswer, RunNumber, RunOutcome, SortedTable,
     StartOrder, TaskKey, WorkerOrders, WorkerRecord, WorkerReport,
 };
 
@@ -19,6 +19,9 @@
 /// A run that can resume elsewhere is moved once it has been slowed for this long: about what the move costs it.
 const MOVE_AFTER: Duration = Duration::from_millis(800);
 
+/// A run that would begin anew is moved only once it has been slowed for this long.
+const RESTART_AFTER: Duration = Duration::from_millis(2500);
+
 /// What a report leads to.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ReportStep {
@@ -39,6 +42,8 @@
     /// The worker on which a task last failed or stalled; the task is placed elsewhere if there is room.
     pub(crate) avoided: SortedTable<TaskKey, WorkerId>,
     pub(crate) interference: InterferenceModel,
+    /// Since when a job with a task that may run has had nothing running.
+    pub(crate) idle_since: SortedTable<JobId, MonotonicTime>,
 }
 
 impl Dispatcher {
@@ -52,6 +57,7 @@
             workers: SortedTable::default(),
             avoided: SortedTable::default(),
             interference: InterferenceModel::default(),
+            idle_since: SortedTable::default(),
         }
     }
 }
@@ -90,6 +96,7 @@
         view.update(report, now);
         let quarantine = self.settings.quarantine;
         for end in &ends {
+            log_end(record, report, end);
             let Some((job, _)) = state.step_of(&end.task) else { continue };
             match end.outcome {
                 RunOutcome::Done => view.suspicion.clear(),
@@ -121,6 +128,10 @@
         let (lease, bound) = (self.settings.lease, self.settings.lease_bound());
         let Some(view) = self.workers.get_mut(worker).filter(|view| view.sequence == sequence) else { return silent };
         let record = state.worker(worker).filter(|record| record.incarnation == view.incarnation);
+        view.losing &= record.is_some_and(|record| !record.runs.is_empty());
+        if view.losing {
+            return silent;
+        }
         view.lease_until = view.lease_until.max(view.heard + bound);
         let may_start = !view.draining && !state.is_out(&view.zone);
         let mut orders = WorkerOrders {
@@ -161,7 +172,21 @@
         let inherited = self.since + self.settings.lease_bound();
         let ended = |worker: &WorkerId| self.workers.get(worker).map_or(inherited, |view| view.lease_until) <= now;
         let lost = state.workers().filter(|(worker, record)| !record.runs.is_empty() && ended(worker));
-        let commands = lost.map(|(worker, record)| self.lose(worker, record)).collect();
+        let commands: Vec<BatchCommand> = lost.map(|(worker, record)| self.lose(worker, record)).collect();
+        for command in &commands {
+            if let BatchCommand::Lose { worker, incarnation, .. } = command {
+                let (silent_ms, sequence) = self
+                    .workers
+                    .get(worker)
+                    .map_or((0, 0), |view| (now.since(view.heard).as_millis(), view.sequence));
+                if let Some(view) = self.workers.get_mut(worker) {
+                    view.losing = true;
+                }
+                log::info!(
+                    "event=lease_expired worker={worker} incarnation={incarnation} silent_ms={silent_ms} sequence={sequence}"
+                );
+            }
+        }
         let forgotten = self.settings.lease_bound() * 4;
         self.workers.retain(|_, view| now < view.heard + forgotten);
         self.avoided.retain(|task, _| state.is_wanted(task));
@@ -231,7 +256,8 @@
         }
         let crowded = view.running.iter().filter(|(task, run)| {
             let resumes = state.step_of(task).is_some_and(|(_, step)| step.checkpointable);
-            resumes && run.slowed.is_some_and(|since| now.since(since) >= MOVE_AFTER)
+            let patience = if resumes { MOVE_AFTER } else { RESTART_AFTER };
+            run.slowed.is_some_and(|since| now.since(since) >= patience)
         });
         let crowded: Vec<(TaskKey, RunNumber)> = crowded.map(|(task, run)| (*task, run.run)).collect();
         for (task, run) in crowded {
@@ -259,6 +285,10 @@
                 runs.push((*task, entry.run));
             }
         }
+        view.withdrawing = SortedTable::default();
+        for (task, run) in &runs {
+            view.withdrawing.insert(*task, *run);
+        }
         let incarnation = view.incarnation;
         (!runs.is_empty()).then(|| BatchCommand::Withdraw { worker: worker.clone(), incarnation, runs })
     }
@@ -301,8 +331,25 @@
     part as f32 / whole as f32
 }
 
+fn log_end(record: Option<&WorkerRecord>, report: &WorkerReport, end: &crate::RunEnd) {
+    let committed = record.and_then(|record| record.runs.get(&end.task)).is_some_and(|entry| entry.run == end.run);
+    log::info!(
+        "event=run_ended job={} task={} run={} worker={} number={} outcome={:?} committed={committed} sequence={}",
+        end.task.job,
+        end.task,
+        end.run,
+        report.worker,
+        end.number,
+        end.outcome,
+        report.sequence
+    );
+}
+
 fn start_orders(state: &BatchState, view: &WorkerView, record: &WorkerRecord) -> Vec<StartOrder> {
-    let missing = record.runs.iter().filter(|(task, entry)| !view.lists(task, entry.run) && state.is_wanted(task));
+    let missing = record.runs.iter().filter(|(task, entry)| {
+        let withdrawn = view.withdrawing.get(task) == Some(&entry.run);
+        !withdrawn && !view.lists(task, entry.run) && state.is_wanted(task)
+    });
     let orders = missing.filter_map(|(task, entry)| {
         let (job, _) = state.step_of(task)?;
         let saved = job.task(task)?.saved.clone();
--- a/crates/parsleywalk-batch/src/job.rs
+++ b/crates/parsleywalk-batch/src/job.rs
@@ -127,6 +127,13 @@
         spec.depends_on.iter().all(|earlier| record.steps.get(usize::from(*earlier)).is_some_and(StepRecord::is_done))
     }
 
+    /// Tells whether any run of the job is committed to a worker.
+    #[must_use]
+    pub fn has_live_runs(&self) -> bool {
+        let live = |step: &StepRecord| step.tasks.len() > (step.done + step.waiting) as usize;
+        self.occurrences.iter().any(|occurrence| occurrence.steps.iter().any(live))
+    }
+
     pub(crate) fn is_complete(&self) -> bool {
         self.occurrences.iter().all(|occurrence| occurrence.steps.iter().all(StepRecord::is_done))
     }
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -17,6 +17,9 @@
 /// The part of lasting tasks' committed processors that filling tasks may count on, in percent; lasting tasks are sized
 /// for their peaks.
 const LASTING_IDLE_PERCENT: u32 = 45;
+/// A job that has had nothing running for this long gets a place for one task even where it would disturb others. Callers
+/// take a job for stuck after about twice as long.
+const STARVATION_LIMIT: Duration = Duration::from_millis(1500);
 /// The time that a report's figures cover.
 const REPORT_WINDOW: Duration = Duration::from_millis(600);
 /// Logarithm of tail latency over target above which no filling task is added: 85% of the target.
@@ -45,7 +48,8 @@
     free_filling: MilliCores,
     /// The serving tasks, with what the filling tasks that are not reported yet will add.
     serving: Vec<ServingLoad>,
-    filling: MilliCores,
+    /// The images of the serving tasks that are committed to the worker, each once.
+    serving_images: Vec<ImageNumber>,
     /// Runs that may still be given in this round.
     allowance: u32,
     /// The runs of each step that the worker has.
@@ -55,18 +59,25 @@
 impl Dispatcher {
     /// Chooses workers for waiting tasks. `unix_ms` is the time of day, for occurrences.
     #[must_use]
-    pub fn plan(&self, now: MonotonicTime, unix_ms: u64, state: &BatchState) -> Vec<RunPlacement> {
+    pub fn plan(&mut self, now: MonotonicTime, unix_ms: u64, state: &BatchState) -> Vec<RunPlacement> {
         let ready = ready_steps(unix_ms, state);
+        self.note_idle_jobs(now, state, &ready);
         if ready.is_empty() {
             return Vec::new();
         }
+        for step in &ready {
+            if let Some(step) = state.job(step.job).and_then(|job| job.step_spec(step.step)) {
+                self.interference.number(&step.image);
+            }
+        }
         let mut candidates = self.candidates(now, state);
         let mut placements = Vec::new();
         for step in ready {
             if placements.len() >= ROUND_LIMIT || candidates.is_empty() {
                 break;
             }
-            self.place_step(state, step, &mut candidates, &mut placements);
+            let starved = self.is_starved(now, step.job);
+            self.place_step(state, step, starved, &mut candidates, &mut placements);
         }
         placements
     }
@@ -75,7 +86,7 @@
         let mut candidates = Vec::with_capacity(self.workers.len());
         for (id, view) in self.workers.iter() {
             let silent = now.since(view.heard) >= self.settings.silence_limit;
-            if silent || view.draining || state.is_out(&view.zone) || view.suspicion.is_quarantined(now) {
+            if silent || view.losing || view.draining || state.is_out(&view.zone) || view.suspicion.is_quarantined(now) {
                 continue;
             }
             let mut candidate = CandidateWorker {
@@ -84,7 +95,7 @@
                 free: view.capacity,
                 free_filling: view.capacity.cores,
                 serving: view.serving.clone(),
-                filling: MilliCores::default(),
+                serving_images: Vec::new(),
                 allowance: u32::MAX,
                 step_runs: SortedTable::default(),
             };
@@ -94,15 +105,18 @@
                     continue;
                 }
                 candidate.free = view.capacity.saturating_sub(&record.committed);
-                candidate.filling = record.filling;
                 let idle = view.lasting_cores / 100 * LASTING_IDLE_PERCENT;
                 let unused = MilliCores::new(candidate.free.cores.get().saturating_add(idle));
                 candidate.free_filling = unused.saturating_sub(record.filling);
                 for (task, entry) in record.runs.iter() {
                     *candidate.step_runs.entry((task.job, task.occurrence, task.step), || 0) += 1;
+                    let step = state.step_of(task).map(|(_, step)| step);
+                    if let Some(step) = step.filter(|step| step.is_serving()) {
+                        candidate.add_image(self.interference.known_number(&step.image));
+                    }
                     let reported = view.running.get(task).is_some_and(|run| now.since(run.since) >= REPORT_WINDOW);
                     if entry.filling && !reported {
-                        let image = state.step_of(task).and_then(|(_, step)| self.interference.known_number(&step.image));
+                        let image = step.and_then(|step| self.interference.known_number(&step.image));
                         self.add_pressure(&mut candidate, image, entry.size.cores);
                     }
                 }
@@ -122,6 +136,7 @@
         &self,
         state: &BatchState,
         ready: ReadyStep,
+        starved: bool,
         candidates: &mut [CandidateWorker<'_>],
         placements: &mut Vec<RunPlacement>,
     ) {
@@ -138,11 +153,17 @@
                 continue;
             }
             let key = TaskKey { index, ..first };
-            let Some(place) = self.choose(&job.submission, spec, &key, rack.as_deref(), candidates) else { return };
+            let mut place = self.choose(&job.submission, spec, &key, rack.as_deref(), candidates);
+            if place.is_none() && starved && spec.filling && index == first_waiting(&record.tasks) {
+                place = self.choose_least_harmful(&job.submission, spec, &key, candidates);
+            }
+            let Some(place) = place else { return };
             placements.push(candidates[place].take(spec, key, task.last_run.next()));
+            let image = self.interference.known_number(&spec.image);
             if spec.filling {
-                let image = self.interference.known_number(&spec.image);
                 self.add_pressure(&mut candidates[place], image, spec.size.cores);
+            } else if spec.is_serving() {
+                candidates[place].add_image(image);
             }
             if placements.len() >= ROUND_LIMIT {
                 return;
@@ -150,6 +171,40 @@
         }
     }
 
+    /// Keeps account of how long jobs have had nothing running although a task may run.
+    fn note_idle_jobs(&mut self, now: MonotonicTime, state: &BatchState, ready: &[ReadyStep]) {
+        let mut idle: SortedTable<JobId, MonotonicTime> = SortedTable::default();
+        for step in ready {
+            let runs = state.job(step.job).is_some_and(JobRecord::has_live_runs);
+            if !runs {
+                let since = self.idle_since.get(&step.job).copied().unwrap_or(now);
+                idle.insert(step.job, since);
+            }
+        }
+        self.idle_since = idle;
+    }
+
+    fn is_starved(&self, now: MonotonicTime, job: JobId) -> bool {
+        self.idle_since.get(&job).is_some_and(|since| now.since(*since) >= STARVATION_LIMIT)
+    }
+
+    /// Returns the worker on which a filling task harms least, whether or not processors are left. Its pace is controlled
+    /// there, so that a serving task is not harmed for long.
+    fn choose_least_harmful(
+        &self,
+        submission: &JobSubmission,
+        spec: &StepSpec,
+        task: &TaskKey,
+        candidates: &[CandidateWorker<'_>],
+    ) -> Option<usize> {
+        let image = self.interference.known_number(&spec.image);
+        let fitting = candidates.iter().enumerate().filter(|(_, candidate)| candidate.fits_in_memory(submission, spec, task));
+        let excess = |candidate: &CandidateWorker<'_>| {
+            self.excess_with(candidate, image, spec.size.cores).unwrap_or(f32::NEG_INFINITY)
+        };
+        fitting.min_by(|left, right| excess(left.1).total_cmp(&excess(right.1))).map(|(place, _)| place)
+    }
+
     /// Places all tasks of a gang or none.
     fn place_gang(
         &self,
@@ -190,7 +245,7 @@
         candidates: &[CandidateWorker<'_>],
     ) -> Option<usize> {
         let avoided = self.avoided.get(task);
-        let image = if spec.filling { self.interference.known_number(&spec.image) } else { None };
+        let image = self.interference.known_number(&spec.image).filter(|_| spec.filling || spec.is_serving());
         let harm = |candidate: &CandidateWorker<'_>| {
             if spec.filling { harm_level(self.excess_with(candidate, image, spec.size.cores)) } else { Some(0) }
         };
@@ -199,8 +254,12 @@
         let best = harmless.min_by_key(|(_, candidate, harm)| {
             let rack = rack.or(spec.preferred_rack.as_deref());
             let far = rack.is_some() && candidate.view.rack.as_deref() != rack;
-            let load = u32::MAX - candidate.free_filling.get();
-            (far, avoided == Some(candidate.id), candidate.view.suspicion.strikes(), *harm, load)
+            let suspect = (avoided == Some(candidate.id), candidate.view.suspicion.strikes());
+            if spec.is_serving() {
+                // Workers with one serving image each leave room beside it for the filling images that it bears.
+                return (far, suspect, candidate.image_mismatch(image), candidate.free.cores.get());
+            }
+            (far, suspect, *harm, u32::MAX - candidate.free_filling.get())
         });
         best.map(|(place, _, _)| place)
     }
@@ -245,17 +304,37 @@
 
 impl CandidateWorker<'_> {
     fn fits(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
-        let room = if spec.filling {
-            self.free_filling >= spec.size.cores
-                && ResourceSize { cores: MilliCores::default(), ..spec.size }.fits_within(&self.free)
-        } else {
-            spec.size.fits_within(&self.free)
-        };
+        let room = if spec.filling { self.free_filling >= spec.size.cores } else { spec.size.cores <= self.free.cores };
+        room && self.fits_in_memory(submission, spec, task)
+    }
+
+    /// Tells whether the task could run there if processors did not matter.
+    fn fits_in_memory(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
+        let room = ResourceSize { cores: MilliCores::default(), ..spec.size }.fits_within(&self.free);
         let labelled = spec.required_label.as_ref().is_none_or(|label| self.view.labels.contains(label));
         let apart = spec.per_worker_limit.is_none_or(|limit| self.step_runs(task) < limit);
         self.allowance > 0 && self.view.service == submission.service && room && labelled && apart
     }
 
+    fn add_image(&mut self, image: Option<ImageNumber>) {
+        if let Some(image) = image
+            && !self.serving_images.contains(&image)
+        {
+            self.serving_images.push(image);
+        }
+    }
+
+    /// How badly a serving image fits: not at all where it is the only one, a little on a worker without any, and the
+    /// more the more others there are.
+    fn image_mismatch(&self, image: Option<ImageNumber>) -> u32 {
+        let others = self.serving_images.iter().filter(|known| Some(**known) != image).count();
+        match (others, self.serving_images.is_empty()) {
+            (0, false) => 0,
+            (0, true) => 1,
+            (others, _) => 1 + u32::try_from(others).unwrap_or(u32::MAX),
+        }
+    }
+
     fn step_runs(&self, task: &TaskKey) -> u32 {
         self.step_runs.get(&(task.job, task.occurrence, task.step)).copied().unwrap_or(0)
     }
@@ -264,7 +343,6 @@
         self.allowance = self.allowance.saturating_sub(1);
         self.free_filling = self.free_filling.saturating_sub(spec.size.cores);
         if spec.filling {
-            self.filling = self.filling.checked_add(spec.size.cores).unwrap_or(self.filling);
             self.free = self.free.saturating_sub(&ResourceSize { cores: MilliCores::default(), ..spec.size });
         } else {
             self.free = self.free.saturating_sub(&spec.size);
@@ -283,6 +361,12 @@
     }
 }
 
+/// The index of the first task that waits.
+fn first_waiting(tasks: &[crate::TaskRecord]) -> u32 {
+    let first = (0u32..).zip(tasks).find(|(_, task)| !task.done && task.live == 0);
+    first.map_or(u32::MAX, |(index, _)| index)
+}
+
 /// The steps of which tasks wait and may run, in the order in which they are served: by priority, then by submission.
 fn ready_steps(unix_ms: u64, state: &BatchState) -> Vec<ReadyStep> {
     let mut ready = Vec::new();
--- a/crates/parsleywalk-batch/src/spec.rs
+++ b/crates/parsleywalk-batch/src/spec.rs
@@ -71,6 +71,14 @@
     pub interval_ms: u64,
 }
 
+impl StepSpec {
+    /// Tells whether the tasks serve users of their own, whose latency must stay below a target.
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
+        self.lasting && self.latency_target.is_some()
+    }
+}
+
 impl JobSchedule {
     /// When an occurrence is due, in milliseconds since 1970.
     #[must_use]
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -34,6 +34,11 @@
     pub(crate) ordered: SortedTable<TaskKey, Duration>,
     /// Runs that are to be stopped although their tasks are wanted.
     pub(crate) unwanted: SortedTable<TaskKey, RunNumber>,
+    /// The worker's lease has ended and its runs are about to be recorded as lost: until then it gets no orders, since
+    /// those would renew the lease.
+    pub(crate) losing: bool,
+    /// Runs whose withdrawal is about to be recorded: they are not ordered again.
+    pub(crate) withdrawing: SortedTable<TaskKey, RunNumber>,
     pub(crate) suspicion: WorkerSuspicion,
     pub(crate) pace: PaceController,
     /// The serving tasks at work, as the newest report describes them.
@@ -78,6 +83,8 @@
             ended: Vec::new(),
             ordered: SortedTable::default(),
             unwanted: SortedTable::default(),
+            losing: false,
+            withdrawing: SortedTable::default(),
             suspicion: WorkerSuspicion::default(),
             pace: PaceController::default(),
             serving: Vec::new(),
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -320,11 +320,6 @@
         let mut commands = Vec::new();
         if !office.expiring {
             commands = office.dispatcher.expire(now, &self.state);
-            for command in &commands {
-                if let BatchCommand::Lose { worker, incarnation, .. } = command {
-                    info!("event=worker_lost worker={worker} incarnation={incarnation}");
-                }
-            }
             commands.extend(forget(&mut office.ended, &self.state, now, self.settings.retention));
             office.expiring = !commands.is_empty();
         }
