--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -4,7 +4,7 @@
 
 use parsleywalk_units::{MonotonicTime, WorkerId};
 
-use crate::interference::{FillingLoad, ImageNumber, InterferenceModel, ServingLoad};
+use crate::interference::{FillingLoad, ImageNumber, InterferenceModel};
 use crate::worker_view::WorkerView;
 use crate::{
     BatchCommand, BatchState, DispatchSettings, FenceToken, JobId, ReportAnswer, RunNumber, RunOutcome, SortedTable,
@@ -44,6 +44,8 @@
     pub(crate) interference: InterferenceModel,
     /// Since when a job with a task that may run has had nothing running.
     pub(crate) idle_since: SortedTable<JobId, MonotonicTime>,
+    /// When each active job was accepted.
+    pub(crate) accepted: SortedTable<JobId, MonotonicTime>,
 }
 
 impl Dispatcher {
@@ -58,6 +60,7 @@
             avoided: SortedTable::default(),
             interference: InterferenceModel::default(),
             idle_since: SortedTable::default(),
+            accepted: SortedTable::default(),
         }
     }
 }
@@ -190,6 +193,7 @@
         let forgotten = self.settings.lease_bound() * 4;
         self.workers.retain(|_, view| now < view.heard + forgotten);
         self.avoided.retain(|task, _| state.is_wanted(task));
+        self.accepted.retain(|job, _| state.job(*job).is_some_and(|job| !job.status.is_final()));
         commands
     }
 
@@ -207,7 +211,6 @@
     /// Notes stalled runs, paces filling ones and moves those that stay slowed.
     fn watch_runs(&mut self, now: MonotonicTime, state: &BatchState, worker: &WorkerId) {
         let Some(view) = self.workers.get_mut(worker) else { return };
-        let mut serving = Vec::new();
         let mut filling: SortedTable<ImageNumber, f32> = SortedTable::default();
         let mut stalled = Vec::new();
         let capacity = view.capacity.cores.get().max(1);
@@ -222,11 +225,6 @@
             if step.lasting && !step.filling {
                 view.lasting_cores += step.size.cores.get();
             }
-            if let Some(target) = step.latency_target.filter(|_| step.lasting && run.percent == 100 && run.figure > 0) {
-                let target = u32::try_from(target.as_millis()).unwrap_or(u32::MAX);
-                let excess = share(run.figure, target.max(1)).ln();
-                serving.push(ServingLoad { image: self.interference.number(&step.image), excess });
-            }
             if run.rate < SLOWED_RATE {
                 run.slowed.get_or_insert(now);
             } else {
@@ -244,8 +242,19 @@
         }
         let filling: Vec<FillingLoad> =
             filling.iter().map(|(image, share)| FillingLoad { image: *image, share: *share }).collect();
-        for load in &serving {
-            self.interference.observe(*load, &filling);
+        let mut serving = Vec::new();
+        for (task, run) in view.running.iter_mut() {
+            let Some((_, step)) = state.step_of(task) else { continue };
+            let Some(target) = step.latency_target.filter(|_| step.lasting && run.percent == 100 && run.figure > 0) else {
+                continue;
+            };
+            let target = u32::try_from(target.as_millis()).unwrap_or(u32::MAX).max(1);
+            let image = self.interference.number(&step.image);
+            let load = self.interference.load(image, share(run.figure, target));
+            if run.fresh {
+                self.interference.observe(load, &mut run.level, &filling);
+            }
+            serving.push(load);
         }
         view.pace.observe(now, &self.interference, &serving, &filling);
         view.serving = serving;
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -20,6 +20,7 @@
 mod state;
 mod suspicion;
 mod table;
+mod urgency;
 mod worker_view;
 
 pub use command::{
--- a/crates/parsleywalk-batch/src/pacing.rs
+++ b/crates/parsleywalk-batch/src/pacing.rs
@@ -7,10 +7,10 @@
 use crate::SortedTable;
 use crate::interference::{FillingLoad, ImageNumber, InterferenceModel, ServingLoad};
 
-/// Logarithm of tail latency over target above which filling tasks are slowed: 95% of the target.
-const SLOW_EXCESS: f32 = -0.05;
-/// Logarithm of tail latency over target below which they are sped up again: 65% of the target.
-const RELEASE_EXCESS: f32 = -0.43;
+/// Headroom of load below which filling tasks are slowed.
+const SLOW_HEADROOM: f32 = 0.02;
+/// Headroom of load above which they are sped up again.
+const RELEASE_HEADROOM: f32 = 0.2;
 /// The wait after a slowing before the next one; a report's figure covers half a second, and an order takes effect after
 /// a tenth.
 const SLOW_INTERVAL: Duration = Duration::from_millis(600);
@@ -40,13 +40,13 @@
         serving: &[ServingLoad],
         filling: &[FillingLoad],
     ) {
-        let worst = serving.iter().max_by(|left, right| left.excess.total_cmp(&right.excess));
+        let worst = serving.iter().min_by(|left, right| left.headroom().total_cmp(&right.headroom()));
         let Some(worst) = worst.copied() else {
             self.slowed = SortedTable::default();
             return;
         };
         let since = now.since(self.changed);
-        if worst.excess > SLOW_EXCESS && since >= SLOW_INTERVAL {
+        if worst.headroom() < SLOW_HEADROOM && since >= SLOW_INTERVAL {
             let effect = |load: &FillingLoad| model.coefficient(worst.image, load.image) * load.share;
             let running = filling.iter().filter(|load| load.share > 0.0 && self.rate(load.image) > 0);
             let culprit = running.max_by(|left, right| effect(left).total_cmp(&effect(right)));
@@ -55,7 +55,7 @@
                 self.slowed.insert(culprit.image, if halved < LEAST_RATE { 0 } else { halved });
                 self.changed = now;
             }
-        } else if worst.excess < RELEASE_EXCESS && since >= RELEASE_INTERVAL {
+        } else if worst.headroom() > RELEASE_HEADROOM && since >= RELEASE_INTERVAL {
             let harm = |image: ImageNumber| model.coefficient(worst.image, image);
             let gentlest = self.slowed.iter().map(|(image, rate)| (*image, *rate));
             let gentlest = gentlest.min_by(|left, right| harm(left.0).total_cmp(&harm(right.0)));
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -6,6 +6,7 @@
 
 use crate::dispatcher::share;
 use crate::interference::{ImageNumber, ServingLoad};
+use crate::urgency::JobUrgency;
 use crate::worker_view::WorkerView;
 use crate::{
     BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunNumber, RunPlacement, SortedTable, StepSpec, TaskKey,
@@ -20,19 +21,22 @@
 /// A job that has had nothing running for this long gets a place for one task even where it would disturb others. Callers
 /// take a job for stuck after about twice as long.
 const STARVATION_LIMIT: Duration = Duration::from_millis(1500);
+/// The greatest age that a new leader believes of a job.
+const AGE_LIMIT: Duration = Duration::from_secs(60);
 /// The time that a report's figures cover.
 const REPORT_WINDOW: Duration = Duration::from_millis(600);
-/// Logarithm of tail latency over target above which no filling task is added: 85% of the target.
-const HARM_EXCESS: f32 = -0.16;
-/// Below this logarithm, workers are taken as equally harmless: 65% of the target.
-const CALM_EXCESS: f32 = -0.43;
-/// Levels of harm for each unit of the logarithm.
-const HARM_LEVELS: f32 = 10.0;
+/// Headroom of load that is left to serving tasks when a filling task is added.
+const HARM_HEADROOM: f32 = 0.0;
+/// Above this headroom, workers are taken as equally harmless.
+const CALM_HEADROOM: f32 = 0.25;
+/// Levels of harm for each unit of load.
+const HARM_LEVELS: f32 = 25.0;
 
 /// A step of which tasks wait and may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct ReadyStep {
     priority: u8,
+    urgency: JobUrgency,
     sequence: u64,
     job: JobId,
     occurrence: u32,
@@ -60,7 +64,7 @@
     /// Chooses workers for waiting tasks. `unix_ms` is the time of day, for occurrences.
     #[must_use]
     pub fn plan(&mut self, now: MonotonicTime, unix_ms: u64, state: &BatchState) -> Vec<RunPlacement> {
-        let ready = ready_steps(unix_ms, state);
+        let ready = self.ready_steps(now, unix_ms, state);
         self.note_idle_jobs(now, state, &ready);
         if ready.is_empty() {
             return Vec::new();
@@ -82,6 +86,29 @@
         placements
     }
 
+    /// The steps of which tasks wait and may run, in the order in which they are served.
+    fn ready_steps(&mut self, now: MonotonicTime, unix_ms: u64, state: &BatchState) -> Vec<ReadyStep> {
+        let mut ready = Vec::new();
+        for (id, job) in state.active_jobs() {
+            let since = *self.accepted.entry(id, || accepted_at(job, now, unix_ms));
+            let urgency = JobUrgency::of(job, since, now);
+            for (occurrence, record) in (0u32..).zip(&job.occurrences) {
+                let schedule = job.submission.spec.schedule;
+                if schedule.is_some_and(|schedule| schedule.due_unix_ms(occurrence) > unix_ms) {
+                    break;
+                }
+                for (step, entry) in (0u16..).zip(&record.steps) {
+                    if entry.waiting > 0 && job.is_unblocked(occurrence, step) {
+                        let (priority, sequence) = (job.submission.priority, job.sequence);
+                        ready.push(ReadyStep { priority, urgency, sequence, job: id, occurrence, step });
+                    }
+                }
+            }
+        }
+        ready.sort_unstable();
+        ready
+    }
+
     fn candidates<'a>(&'a self, now: MonotonicTime, state: &'a BatchState) -> Vec<CandidateWorker<'a>> {
         let mut candidates = Vec::with_capacity(self.workers.len());
         for (id, view) in self.workers.iter() {
@@ -199,10 +226,10 @@
     ) -> Option<usize> {
         let image = self.interference.known_number(&spec.image);
         let fitting = candidates.iter().enumerate().filter(|(_, candidate)| candidate.fits_in_memory(submission, spec, task));
-        let excess = |candidate: &CandidateWorker<'_>| {
-            self.excess_with(candidate, image, spec.size.cores).unwrap_or(f32::NEG_INFINITY)
+        let headroom = |candidate: &CandidateWorker<'_>| {
+            self.headroom_with(candidate, image, spec.size.cores).unwrap_or(f32::INFINITY)
         };
-        fitting.min_by(|left, right| excess(left.1).total_cmp(&excess(right.1))).map(|(place, _)| place)
+        fitting.max_by(|left, right| headroom(left.1).total_cmp(&headroom(right.1))).map(|(place, _)| place)
     }
 
     /// Places all tasks of a gang or none.
@@ -247,7 +274,7 @@
         let avoided = self.avoided.get(task);
         let image = self.interference.known_number(&spec.image).filter(|_| spec.filling || spec.is_serving());
         let harm = |candidate: &CandidateWorker<'_>| {
-            if spec.filling { harm_level(self.excess_with(candidate, image, spec.size.cores)) } else { Some(0) }
+            if spec.filling { harm_level(self.headroom_with(candidate, image, spec.size.cores)) } else { Some(0) }
         };
         let fitting = candidates.iter().enumerate().filter(|(_, candidate)| candidate.fits(submission, spec, task));
         let harmless = fitting.filter_map(|(place, candidate)| Some((place, candidate, harm(candidate)?)));
@@ -266,20 +293,20 @@
 }
 
 impl Dispatcher {
-    /// The worst tail latency over target, as a logarithm, that the worker's serving tasks would have beside one more
-    /// filling task; `None` without serving tasks.
-    fn excess_with(
+    /// The least headroom of load that the worker's serving tasks would have beside one more filling task; `None` without
+    /// serving tasks.
+    fn headroom_with(
         &self,
         candidate: &CandidateWorker<'_>,
         image: Option<ImageNumber>,
         cores: MilliCores,
     ) -> Option<f32> {
         let share = share(cores.get(), candidate.view.capacity.cores.get().max(1));
-        let excess = candidate.serving.iter().map(|serving| {
+        let headroom = candidate.serving.iter().map(|serving| {
             let coefficient = image.map_or(0.0, |image| self.interference.coefficient(serving.image, image));
-            serving.excess + coefficient * share
+            serving.headroom() - coefficient * share
         });
-        excess.max_by(f32::total_cmp)
+        headroom.min_by(f32::total_cmp)
     }
 
     /// Notes a filling task whose effect the worker's reports don't show yet.
@@ -287,19 +314,19 @@
         let Some(image) = image else { return };
         let share = share(cores.get(), candidate.view.capacity.cores.get().max(1));
         for serving in &mut candidate.serving {
-            serving.excess += self.interference.coefficient(serving.image, image) * share;
+            serving.load += self.interference.coefficient(serving.image, image) * share;
         }
     }
 }
 
 /// Orders workers by the harm that a filling task would do there; `None` where a serving task would miss its target.
-fn harm_level(excess: Option<f32>) -> Option<u32> {
-    let Some(excess) = excess else { return Some(0) };
-    if excess > HARM_EXCESS {
+fn harm_level(headroom: Option<f32>) -> Option<u32> {
+    let Some(headroom) = headroom else { return Some(0) };
+    if headroom < HARM_HEADROOM {
         return None;
     }
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small number of levels")]
-    Some(((excess - CALM_EXCESS).max(0.0) * HARM_LEVELS) as u32)
+    Some(((CALM_HEADROOM - headroom).max(0.0) * HARM_LEVELS) as u32)
 }
 
 impl CandidateWorker<'_> {
@@ -367,25 +394,10 @@
     first.map_or(u32::MAX, |(index, _)| index)
 }
 
-/// The steps of which tasks wait and may run, in the order in which they are served: by priority, then by submission.
-fn ready_steps(unix_ms: u64, state: &BatchState) -> Vec<ReadyStep> {
-    let mut ready = Vec::new();
-    for (id, job) in state.active_jobs() {
-        for (occurrence, record) in (0u32..).zip(&job.occurrences) {
-            let schedule = job.submission.spec.schedule;
-            if schedule.is_some_and(|schedule| schedule.due_unix_ms(occurrence) > unix_ms) {
-                break;
-            }
-            for (step, entry) in (0u16..).zip(&record.steps) {
-                if entry.waiting > 0 && job.is_unblocked(occurrence, step) {
-                    let (priority, sequence) = (job.submission.priority, job.sequence);
-                    ready.push(ReadyStep { priority, sequence, job: id, occurrence, step });
-                }
-            }
-        }
-    }
-    ready.sort_unstable();
-    ready
+/// When a job was accepted, on the leader's clock. A new leader has only the time of day to go by, which may have jumped.
+fn accepted_at(job: &JobRecord, now: MonotonicTime, unix_ms: u64) -> MonotonicTime {
+    let age = Duration::from_millis(unix_ms.saturating_sub(job.submission.accepted_unix_ms));
+    now.saturating_sub(age.min(AGE_LIMIT))
 }
 
 /// The rack with the most room for the step's tasks.
--- a/crates/parsleywalk-batch/src/table.rs
+++ b/crates/parsleywalk-batch/src/table.rs
@@ -25,6 +25,11 @@
         self.place(key).ok().map(|place| &self.rows[place].1)
     }
 
+    /// Returns the value of the key for which the comparison is equal.
+    pub(crate) fn find(&self, compare: impl Fn(&K) -> std::cmp::Ordering) -> Option<&V> {
+        self.rows.binary_search_by(|(key, _)| compare(key)).ok().map(|place| &self.rows[place].1)
+    }
+
     /// Returns the value of a key for a change.
     pub fn get_mut(&mut self, key: &K) -> Option<&mut V> {
         self.place(key).ok().map(|place| &mut self.rows[place].1)
--- /dev/null
+++ b/crates/parsleywalk-batch/src/urgency.rs
@@ -0,0 +1,65 @@
+//! The order in which waiting work is served.
+//!
+//! Under overload, first come first served makes every job late: each waits behind jobs whose callers have stopped
+//! counting on them. Within a priority, jobs that can still end on time go first, the one with the least slack before the
+//! others; then those that are late and still of use, the one with the least work left first; then the rest, in the
+//! order of submission.
+
+use std::time::Duration;
+
+use parsleywalk_units::MonotonicTime;
+
+use crate::{JobRecord, StepRecord};
+
+/// A job later than this many times its objective is of no use to its caller any more.
+const LATE_FACTOR: u32 = 3;
+
+/// What decides about a job's turn. Lower comes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum JobUrgency {
+    /// Can end on time, with this slack.
+    OnTime(Duration),
+    /// Late and of use, with this much work left on its longest chain.
+    Late(Duration),
+    /// Too late to be of use.
+    Overdue,
+}
+
+impl JobUrgency {
+    /// Judges a job that was accepted at `since`.
+    pub(crate) fn of(job: &JobRecord, since: MonotonicTime, now: MonotonicTime) -> Self {
+        // Lasting tasks and scheduled ones are due at once.
+        if job.submission.spec.schedule.is_some() || job.submission.spec.steps.iter().any(|step| step.lasting) {
+            return Self::OnTime(Duration::ZERO);
+        }
+        let objective = objective(job);
+        let age = now.since(since);
+        let left = longest_chain(job, |step| !step.is_done());
+        if age + left <= objective {
+            Self::OnTime(objective - age - left)
+        } else if age + left <= objective * LATE_FACTOR {
+            Self::Late(left)
+        } else {
+            Self::Overdue
+        }
+    }
+}
+
+/// The time within which the job's caller expects its end.
+fn objective(job: &JobRecord) -> Duration {
+    let chain = longest_chain(job, |_| true);
+    chain.mul_f32(job.submission.stretch.clamp(1.0, 100.0)) + job.submission.latency_objective
+}
+
+/// The estimated time of the longest chain over the steps for which `counts` holds.
+fn longest_chain(job: &JobRecord, counts: impl Fn(&StepRecord) -> bool) -> Duration {
+    let Some(occurrence) = job.occurrences.first() else { return Duration::ZERO };
+    let steps = &job.submission.spec.steps;
+    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
+    for (spec, record) in steps.iter().zip(&occurrence.steps) {
+        let begin = spec.depends_on.iter().filter_map(|earlier| ends.get(usize::from(*earlier))).max();
+        let own = if counts(record) { spec.estimate } else { Duration::ZERO };
+        ends.push(begin.copied().unwrap_or_default() + own);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -58,6 +58,10 @@
     pub(crate) rate: u8,
     /// The image of a filling run.
     pub(crate) image: Option<ImageNumber>,
+    /// Of a serving run, its own load without what works beside it.
+    pub(crate) level: Option<f32>,
+    /// Whether the figure differs from the one before.
+    pub(crate) fresh: bool,
     /// Since when the run has been slowed.
     pub(crate) slowed: Option<MonotonicTime>,
     /// When the percentage last grew.
@@ -125,6 +129,8 @@
             figure: task.figure,
             rate: known.map_or(100, |view| view.rate),
             image: known.and_then(|view| view.image),
+            level: known.and_then(|view| view.level),
+            fresh: known.is_none_or(|view| view.figure != task.figure),
             slowed: known.and_then(|view| view.slowed),
             progressed,
             since: known.map_or(now, |view| view.since),
