Speed filling tasks up again at two thirds of the target

Cause: a release threshold in units of load was far below the serving tasks' own load, so slowed images stayed slow and their tasks were moved about.

--- a/crates/parsleywalk-batch/src/interference.rs
+++ b/crates/parsleywalk-batch/src/interference.rs
@@ -21,6 +21,9 @@
 /// Loads above this can't be told apart by their tail latencies.
 const FULL_LOAD: f32 = 0.95;
 
+/// Pairs with a coefficient above this disturb each other so much that they don't belong on one worker.
+const HARMFUL_COEFFICIENT: f32 = 1.3;
+
 /// The position of an image's name in the model.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct ImageNumber(u16);
@@ -54,6 +57,8 @@
 pub(crate) struct InterferenceModel {
     names: SortedTable<String, ImageNumber>,
     coefficients: SortedTable<(ImageNumber, ImageNumber), f32>,
+    /// The filling images, in the order of their first report.
+    filling: Vec<ImageNumber>,
     /// The lowest tail latency over target that was seen of each image.
     bases: SortedTable<ImageNumber, f32>,
 }
@@ -95,11 +100,24 @@
         *level = Some((before + LEVEL_RATE * error).clamp(0.0, FULL_LOAD));
         let norm: f32 = filling.iter().map(|load| load.share * load.share).sum::<f32>() + SHARE_FLOOR;
         for load in filling {
+            if !self.filling.contains(&load.image) {
+                self.filling.push(load.image);
+            }
             let coefficient = self.coefficients.entry((serving.image, load.image), || UNKNOWN_COEFFICIENT);
             *coefficient = (*coefficient + LEARNING_RATE * error * load.share / norm).max(0.0);
         }
     }
 
+    /// The number of filling images that disturb none of the serving images.
+    pub(crate) fn welcome(&self, serving: &[ImageNumber]) -> u32 {
+        let welcome = |filling: &&ImageNumber| serving.iter().all(|image| !self.is_harmful(*image, **filling));
+        u32::try_from(self.filling.iter().filter(welcome).count()).unwrap_or(u32::MAX)
+    }
+
+    fn is_harmful(&self, serving: ImageNumber, filling: ImageNumber) -> bool {
+        self.coefficient(serving, filling) > HARMFUL_COEFFICIENT
+    }
+
     /// The load that a filling image adds to a serving one, for each share of the worker's processors that it uses.
     pub(crate) fn coefficient(&self, serving: ImageNumber, filling: ImageNumber) -> f32 {
         self.coefficients.get(&(serving, filling)).copied().unwrap_or(UNKNOWN_COEFFICIENT)
--- a/crates/parsleywalk-batch/src/pacing.rs
+++ b/crates/parsleywalk-batch/src/pacing.rs
@@ -8,9 +8,9 @@
 use crate::interference::{FillingLoad, ImageNumber, InterferenceModel, ServingLoad};
 
 /// Headroom of load below which filling tasks are slowed.
-const SLOW_HEADROOM: f32 = 0.02;
+const SLOW_HEADROOM: f32 = 0.01;
 /// Headroom of load above which they are sped up again.
-const RELEASE_HEADROOM: f32 = 0.2;
+const RELEASE_HEADROOM: f32 = 0.09;
 /// The wait after a slowing before the next one; a report's figure covers half a second, and an order takes effect after
 /// a tenth.
 const SLOW_INTERVAL: Duration = Duration::from_millis(600);
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -26,7 +26,7 @@
 /// The time that a report's figures cover.
 const REPORT_WINDOW: Duration = Duration::from_millis(600);
 /// Headroom of load that is left to serving tasks when a filling task is added.
-const HARM_HEADROOM: f32 = 0.0;
+const HARM_HEADROOM: f32 = 0.03;
 /// Above this headroom, workers are taken as equally harmless.
 const CALM_HEADROOM: f32 = 0.25;
 /// Levels of harm for each unit of load.
@@ -284,15 +284,27 @@
             let suspect = (avoided == Some(candidate.id), candidate.view.suspicion.strikes());
             if spec.is_serving() {
                 // Workers with one serving image each leave room beside it for the filling images that it bears.
-                return (far, suspect, candidate.image_mismatch(image), candidate.free.cores.get());
+                let lost = self.lost_images(candidate, image);
+                return (far, suspect, lost, candidate.image_mismatch(image), candidate.free.cores.get());
             }
-            (far, suspect, *harm, u32::MAX - candidate.free_filling.get())
+            // Workers that few images may use are used first, so that the others stay free for images with less choice.
+            let welcome = if spec.filling { self.interference.welcome(&candidate.serving_images) } else { 0 };
+            (far, suspect, welcome, *harm, u32::MAX - candidate.free_filling.get())
         });
         best.map(|(place, _, _)| place)
     }
 }
 
 impl Dispatcher {
+    /// The number of filling images that the worker's serving tasks bear and one more of the given image would not.
+    fn lost_images(&self, candidate: &CandidateWorker<'_>, image: Option<ImageNumber>) -> u32 {
+        let Some(image) = image else { return 0 };
+        let mut images = candidate.serving_images.clone();
+        let before = self.interference.welcome(&images);
+        images.push(image);
+        before - self.interference.welcome(&images)
+    }
+
     /// The least headroom of load that the worker's serving tasks would have beside one more filling task; `None` without
     /// serving tasks.
     fn headroom_with(
--- a/crates/parsleywalk-batch/src/urgency.rs
+++ b/crates/parsleywalk-batch/src/urgency.rs
@@ -14,6 +14,10 @@
 /// A job later than this many times its objective is of no use to its caller any more.
 const LATE_FACTOR: u32 = 3;
 
+/// Lasting tasks lose a little with each second that they wait, and hold what they get for long: short jobs that would
+/// be late otherwise go first.
+const LASTING_SLACK: Duration = Duration::from_secs(3);
+
 /// What decides about a job's turn. Lower comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum JobUrgency {
@@ -28,10 +32,12 @@
 impl JobUrgency {
     /// Judges a job that was accepted at `since`.
     pub(crate) fn of(job: &JobRecord, since: MonotonicTime, now: MonotonicTime) -> Self {
-        // Lasting tasks and scheduled ones are due at once.
-        if job.submission.spec.schedule.is_some() || job.submission.spec.steps.iter().any(|step| step.lasting) {
+        if job.submission.spec.schedule.is_some() {
             return Self::OnTime(Duration::ZERO);
         }
+        if job.submission.spec.steps.iter().any(|step| step.lasting) {
+            return Self::OnTime(LASTING_SLACK);
+        }
         let objective = objective(job);
         let age = now.since(since);
         let left = longest_chain(job, |step| !step.is_done());
