--- a/crates/parsleywalk-batch/src/pacing.rs
+++ b/crates/parsleywalk-batch/src/pacing.rs
@@ -10,16 +10,16 @@
 /// Headroom of load below which filling tasks are slowed.
 const SLOW_HEADROOM: f32 = 0.01;
 /// Headroom of load above which they are sped up again.
-const RELEASE_HEADROOM: f32 = 0.09;
+const RELEASE_HEADROOM: f32 = 0.05;
 /// The wait after a slowing before the next one; a report's figure covers half a second, and an order takes effect after
 /// a tenth.
 const SLOW_INTERVAL: Duration = Duration::from_millis(600);
 /// The wait after a change before the next speeding up.
-const RELEASE_INTERVAL: Duration = Duration::from_millis(900);
+const RELEASE_INTERVAL: Duration = Duration::from_millis(600);
 /// Rates below this are taken down to zero, in percent.
 const LEAST_RATE: u8 = 20;
 /// Added to a rate at each speeding up, in percent.
-const RELEASE_STEP: u8 = 25;
+const RELEASE_STEP: u8 = 50;
 /// Full speed, in percent.
 const FULL_RATE: u8 = 100;
 
