--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -127,7 +127,8 @@
     /// Builds the answer to the newest report of a worker. The caller holds the leader's lease and has committed what
     /// [`Dispatcher::observe`] asked for.
     pub fn answer(&mut self, state: &BatchState, worker: &WorkerId, sequence: u64) -> ReportAnswer {
-        let silent = ReportAnswer { orders: None, next_report: self.settings.report_interval };
+        let next_report = self.settings.report_wait(self.workers.len());
+        let silent = ReportAnswer { orders: None, next_report };
         let (lease, bound) = (self.settings.lease, self.settings.lease_bound());
         let Some(view) = self.workers.get_mut(worker).filter(|view| view.sequence == sequence) else { return silent };
         let record = state.worker(worker).filter(|record| record.incarnation == view.incarnation);
@@ -167,7 +168,7 @@
                 orders.rates.push((task, run, rate));
             }
         }
-        ReportAnswer { orders: Some(orders), next_report: self.settings.report_interval }
+        ReportAnswer { orders: Some(orders), next_report }
     }
 
     /// Returns the commands for workers whose leases have ended.
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -9,7 +9,7 @@
 use crate::urgency::JobUrgency;
 use crate::worker_view::WorkerView;
 use crate::{
-    BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunNumber, RunPlacement, SortedTable, StepSpec, TaskKey,
+    BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunNumber, RunPlacement, SortedTable, StepSpec, TaskKey, WorkerRecord,
 };
 
 /// The most placements of one round; a round must stay well below the leader's heartbeat interval.
@@ -43,6 +43,27 @@
     step: u16,
 }
 
+/// What decides whether a task finds a place. Where one found none, an equal or larger one of the same image finds none.
+#[derive(Debug, Clone, Copy)]
+struct TaskShape<'a> {
+    image: &'a str,
+    filling: bool,
+    size: ResourceSize,
+    /// No rule but size and image limits where the task may run.
+    is_plain: bool,
+}
+
+impl<'a> TaskShape<'a> {
+    fn of(spec: &'a StepSpec) -> Self {
+        let is_plain = !spec.gang && spec.required_label.is_none() && spec.per_worker_limit.is_none();
+        Self { image: &spec.image, filling: spec.filling, size: spec.size, is_plain }
+    }
+
+    fn is_harder_than(&self, known: &Self) -> bool {
+        self.filling == known.filling && self.image == known.image && known.size.fits_within(&self.size)
+    }
+}
+
 /// A worker that may get runs, with the room that is left in this round.
 struct CandidateWorker<'a> {
     id: &'a WorkerId,
@@ -56,8 +77,9 @@
     serving_images: Vec<ImageNumber>,
     /// Runs that may still be given in this round.
     allowance: u32,
-    /// The runs of each step that the worker has.
-    step_runs: SortedTable<(JobId, u32, u16), u32>,
+    record: Option<&'a WorkerRecord>,
+    /// The tasks that were placed there in this round.
+    placed: Vec<TaskKey>,
 }
 
 impl Dispatcher {
@@ -74,14 +96,25 @@
                 self.interference.number(&step.image);
             }
         }
+        self.note_committed_images(state);
         let mut candidates = self.candidates(now, state);
         let mut placements = Vec::new();
+        let mut hopeless: Vec<TaskShape> = Vec::new();
         for step in ready {
             if placements.len() >= ROUND_LIMIT || candidates.is_empty() {
                 break;
             }
             let starved = self.is_starved(now, step.job);
+            let Some(spec) = state.job(step.job).and_then(|job| job.step_spec(step.step)) else { continue };
+            let shape = TaskShape::of(spec);
+            if !starved && hopeless.iter().any(|known| shape.is_harder_than(known)) {
+                continue;
+            }
+            let before = placements.len();
             self.place_step(state, step, starved, &mut candidates, &mut placements);
+            if placements.len() == before && shape.is_plain {
+                hopeless.push(shape);
+            }
         }
         placements
     }
@@ -124,7 +157,8 @@
                 serving: view.serving.clone(),
                 serving_images: Vec::new(),
                 allowance: u32::MAX,
-                step_runs: SortedTable::default(),
+                record: None,
+                placed: Vec::new(),
             };
             if let Some(record) = state.worker(id) {
                 // Runs of an earlier life are over, but the room counts only once that is recorded.
@@ -135,18 +169,9 @@
                 let idle = view.lasting_cores / 100 * LASTING_IDLE_PERCENT;
                 let unused = MilliCores::new(candidate.free.cores.get().saturating_add(idle));
                 candidate.free_filling = unused.saturating_sub(record.filling);
-                for (task, entry) in record.runs.iter() {
-                    *candidate.step_runs.entry((task.job, task.occurrence, task.step), || 0) += 1;
-                    let step = state.step_of(task).map(|(_, step)| step);
-                    if let Some(step) = step.filter(|step| step.is_serving()) {
-                        candidate.add_image(self.interference.known_number(&step.image));
-                    }
-                    let reported = view.running.get(task).is_some_and(|run| now.since(run.since) >= REPORT_WINDOW);
-                    if entry.filling && !reported {
-                        let image = step.and_then(|step| self.interference.known_number(&step.image));
-                        self.add_pressure(&mut candidate, image, entry.size.cores);
-                    }
-                }
+                candidate.record = Some(record);
+                candidate.serving_images.clone_from(&view.committed_images.1);
+                self.add_unreported(now, state, view, record, &mut candidate);
                 if view.suspicion.is_on_probation() {
                     candidate.allowance = u32::from(record.runs.is_empty());
                 }
@@ -159,6 +184,48 @@
         candidates
     }
 
+    /// Brings the images of the committed serving tasks up to date, for the workers whose runs changed.
+    fn note_committed_images(&mut self, state: &BatchState) {
+        for (id, view) in self.workers.iter_mut() {
+            let Some(record) = state.worker(id).filter(|record| record.version != view.committed_images.0) else {
+                continue;
+            };
+            let mut images: Vec<ImageNumber> = Vec::new();
+            for (task, entry) in record.runs.iter().filter(|(_, entry)| !entry.filling) {
+                let Some((_, step)) = state.step_of(task).filter(|(_, step)| step.is_serving()) else { continue };
+                debug_assert!(!entry.filling, "a filling task serves nobody");
+                let image = self.interference.number(&step.image);
+                if !images.contains(&image) {
+                    images.push(image);
+                }
+            }
+            view.committed_images = (record.version, images);
+        }
+    }
+
+    /// Adds the effect of the filling tasks that the worker's figures don't show yet.
+    fn add_unreported(
+        &self,
+        now: MonotonicTime,
+        state: &BatchState,
+        view: &WorkerView,
+        record: &WorkerRecord,
+        candidate: &mut CandidateWorker<'_>,
+    ) {
+        for (task, entry) in record.runs.iter().filter(|(_, entry)| entry.filling) {
+            let run = view.running.get(task);
+            if run.is_some_and(|run| now.since(run.since) >= REPORT_WINDOW) {
+                continue;
+            }
+            let known = run.and_then(|run| run.image);
+            let image = known.or_else(|| {
+                let (_, step) = state.step_of(task)?;
+                self.interference.known_number(&step.image)
+            });
+            self.add_pressure(candidate, image, entry.size.cores);
+        }
+    }
+
     fn place_step(
         &self,
         state: &BatchState,
@@ -351,7 +418,7 @@
     fn fits_in_memory(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
         let room = ResourceSize { cores: MilliCores::default(), ..spec.size }.fits_within(&self.free);
         let labelled = spec.required_label.as_ref().is_none_or(|label| self.view.labels.contains(label));
-        let apart = spec.per_worker_limit.is_none_or(|limit| self.step_runs(task) < limit);
+        let apart = spec.per_worker_limit.is_none_or(|limit| self.step_runs(task) < limit as usize);
         self.allowance > 0 && self.view.service == submission.service && room && labelled && apart
     }
 
@@ -374,8 +441,12 @@
         }
     }
 
-    fn step_runs(&self, task: &TaskKey) -> u32 {
-        self.step_runs.get(&(task.job, task.occurrence, task.step)).copied().unwrap_or(0)
+    /// The number of the step's tasks that the worker has.
+    fn step_runs(&self, task: &TaskKey) -> usize {
+        let first = TaskKey { index: 0, ..*task };
+        let last = TaskKey { index: u32::MAX, ..*task };
+        let committed = self.record.map_or(0, |record| record.runs.range(&first, &last).count());
+        committed + self.placed.iter().filter(|placed| placed.same_step(task)).count()
     }
 
     fn take(&mut self, spec: &StepSpec, task: TaskKey, run: RunNumber) -> RunPlacement {
@@ -386,7 +457,7 @@
         } else {
             self.free = self.free.saturating_sub(&spec.size);
         }
-        *self.step_runs.entry((task.job, task.occurrence, task.step), || 0) += 1;
+        self.placed.push(task);
         RunPlacement { task, run, worker: self.id.clone(), incarnation: self.view.incarnation }
     }
 
@@ -396,7 +467,9 @@
         self.free_filling = self.free_filling.checked_add(spec.size.cores).unwrap_or(self.free_filling);
         let cores = if spec.filling { MilliCores::default() } else { spec.size.cores };
         self.free = self.free.checked_add(&ResourceSize { cores, ..spec.size }).unwrap_or(self.free);
-        *self.step_runs.entry((task.job, task.occurrence, task.step), || 1) -= 1;
+        if let Some(place) = self.placed.iter().rposition(|placed| placed.same_step(task)) {
+            self.placed.remove(place);
+        }
     }
 }
 
--- a/crates/parsleywalk-batch/src/settings.rs
+++ b/crates/parsleywalk-batch/src/settings.rs
@@ -10,8 +10,10 @@
     pub lease: Duration,
     /// How much slower a worker's clock may run, in thousandths; twice the platform's bound.
     pub clock_drift: u32,
-    /// The wait between two reports of a busy worker.
+    /// The least wait between two reports of a worker.
     pub report_interval: Duration,
+    /// The reports that a leader takes in a second; with more workers, each reports less often.
+    pub reports_per_second: u32,
     /// How long the answer to an idle worker's report may wait for work. Below the second after which workers drop an
     /// answer.
     pub idle_hold: Duration,
@@ -33,6 +35,7 @@
             lease: Duration::from_secs(4),
             clock_drift: 40,
             report_interval: Duration::from_millis(100),
+            reports_per_second: 900,
             idle_hold: Duration::from_millis(600),
             silence_limit: Duration::from_millis(1000),
             stall_limit: Duration::from_millis(1200),
@@ -44,6 +47,14 @@
 }
 
 impl DispatchSettings {
+    /// The wait between two reports with so many workers.
+    #[must_use]
+    pub fn report_wait(&self, workers: usize) -> Duration {
+        let workers = u32::try_from(workers).unwrap_or(u32::MAX);
+        let fair = Duration::from_secs(1).saturating_mul(workers) / self.reports_per_second.max(1);
+        fair.clamp(self.report_interval, self.silence_limit / 2)
+    }
+
     /// How long after the arrival of a report the lease that answers it may run.
     #[must_use]
     pub fn lease_bound(&self) -> Duration {
--- a/crates/parsleywalk-batch/src/state.rs
+++ b/crates/parsleywalk-batch/src/state.rs
@@ -24,6 +24,8 @@
     pub committed: ResourceSize,
     /// The processors of the filling runs, which are not part of `committed`.
     pub filling: parsleywalk_units::MilliCores,
+    /// Grows with each change of the runs.
+    pub version: u64,
 }
 
 /// A run on a worker.
@@ -38,6 +40,11 @@
 }
 
 impl WorkerRecord {
+    /// The record of a life that runs nothing yet.
+    fn renewed(&self, incarnation: Incarnation) -> Self {
+        Self { incarnation, version: self.version + 1, ..Self::default() }
+    }
+
     fn add(&mut self, task: TaskKey, run: RunNumber, step: &StepSpec) {
         let entry = CommittedRun { run, size: step.size, filling: step.filling };
         if entry.filling {
@@ -45,6 +52,7 @@
         }
         let held = entry.held();
         self.committed = self.committed.checked_add(&held).unwrap_or(self.committed);
+        self.version += 1;
         self.runs.insert(task, entry);
     }
 
@@ -57,6 +65,7 @@
             self.filling = self.filling.saturating_sub(entry.size.cores);
         }
         self.committed = self.committed.saturating_sub(&entry.held());
+        self.version += 1;
         true
     }
 }
@@ -243,7 +252,7 @@
         let Some(spec) = record.step_spec(task.step).cloned() else { return };
         let known = self.workers.entry(worker.clone(), WorkerRecord::default);
         if known.runs.is_empty() && known.incarnation < *incarnation {
-            *known = WorkerRecord { incarnation: *incarnation, ..WorkerRecord::default() };
+            *known = known.renewed(*incarnation);
         }
         if known.incarnation != *incarnation || known.runs.contains(task) {
             return;
@@ -268,7 +277,7 @@
     fn settle(&mut self, worker: &WorkerId, incarnation: Incarnation, ends: &[RunEnd]) -> BatchReply {
         let known = self.workers.entry(worker.clone(), WorkerRecord::default);
         if known.incarnation < incarnation && known.runs.is_empty() {
-            *known = WorkerRecord { incarnation, ..WorkerRecord::default() };
+            *known = known.renewed(incarnation);
         }
         if known.incarnation != incarnation {
             return BatchReply::Done;
@@ -291,8 +300,8 @@
         let Some(known) = self.workers.get_mut(worker).filter(|known| known.incarnation == incarnation) else {
             return BatchReply::Done;
         };
-        let settled = known.settled;
-        let lost = std::mem::replace(known, WorkerRecord { incarnation, settled, ..WorkerRecord::default() });
+        let next = WorkerRecord { settled: known.settled, ..known.renewed(incarnation) };
+        let lost = std::mem::replace(known, next);
         for (task, entry) in lost.runs.iter() {
             let checkpoint = saved.iter().find(|(key, _)| key == task).map_or("", |(_, checkpoint)| checkpoint);
             self.end_run(task, entry.run, RunOutcome::LeaseLapsed, checkpoint);
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -43,6 +43,8 @@
     pub(crate) pace: PaceController,
     /// The serving tasks at work, as the newest report describes them.
     pub(crate) serving: Vec<ServingLoad>,
+    /// The images of the committed serving tasks, as of a version of the worker's record.
+    pub(crate) committed_images: (u64, Vec<ImageNumber>),
     /// The processors that lasting tasks are committed, which they rarely use in full.
     pub(crate) lasting_cores: u32,
 }
@@ -92,6 +94,7 @@
             suspicion: WorkerSuspicion::default(),
             pace: PaceController::default(),
             serving: Vec::new(),
+            committed_images: (u64::MAX, Vec::new()),
             lasting_cores: 0,
         }
     }
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -24,6 +24,8 @@
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
 /// The wait between two rounds of placement when nothing else calls for one; occurrences become due by it.
 const PLAN_INTERVAL: Duration = Duration::from_millis(50);
+/// The least wait between two rounds of placement, since each looks at all workers.
+const PLAN_PAUSE: Duration = Duration::from_millis(15);
 /// The most ended jobs that are forgotten by one command.
 const FORGET_LIMIT: usize = 500;
 /// The exit code when the log holds what can't be decoded.
@@ -76,6 +78,7 @@
     planning: bool,
     plan_due: bool,
     next_plan: MonotonicTime,
+    planned: MonotonicTime,
     next_upkeep: MonotonicTime,
     expiring: bool,
     /// When each ended job was first seen as ended.
@@ -276,6 +279,11 @@
         if !office.plan_due || office.planning {
             return;
         }
+        if now < office.planned + PLAN_PAUSE {
+            office.next_plan = office.next_plan.min(office.planned + PLAN_PAUSE);
+            return;
+        }
+        office.planned = now;
         office.plan_due = false;
         let runs = office.dispatcher.plan(now, crate::clock::FleetClock::unix_ms(), &self.state);
         if runs.is_empty() {
@@ -484,6 +492,7 @@
             planning: false,
             plan_due: true,
             next_plan: now,
+            planned: MonotonicTime::ZERO,
             next_upkeep: now,
             expiring: false,
             ended: SortedTable::default(),
