--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -174,7 +174,12 @@
     /// Returns the commands for workers whose leases have ended.
     pub fn expire(&mut self, now: MonotonicTime, state: &BatchState) -> Vec<BatchCommand> {
         let inherited = self.since + self.settings.lease_bound();
-        let ended = |worker: &WorkerId| self.workers.get(worker).map_or(inherited, |view| view.lease_until) <= now;
+        // A worker that reports tells itself what its lease has cost it, and what ended before.
+        let silence = self.settings.silence_limit;
+        let ended = |worker: &WorkerId| {
+            let view = self.workers.get(worker);
+            view.map_or(inherited, |view| view.lease_until.max(view.heard + silence)) <= now
+        };
         let lost = state.workers().filter(|(worker, record)| !record.runs.is_empty() && ended(worker));
         let commands: Vec<BatchCommand> = lost.map(|(worker, record)| self.lose(worker, record)).collect();
         for command in &commands {
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -24,6 +24,10 @@
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
 /// The wait between two rounds of placement when nothing else calls for one; occurrences become due by it.
 const PLAN_INTERVAL: Duration = Duration::from_millis(50);
+/// The entries that may be on their way: one is synced while the next is sent.
+const ENTRY_WINDOW: usize = 2;
+/// The most commands of one entry.
+const ENTRY_COMMANDS: usize = 512;
 /// The least wait between two rounds of placement, since each looks at all workers.
 const PLAN_PAUSE: Duration = Duration::from_millis(15);
 /// The most ended jobs that are forgotten by one command.
@@ -63,12 +67,22 @@
     reply: ReplySender,
 }
 
+/// Commands that wait for their turn, with who waits for them.
+#[derive(Debug)]
+struct QueuedCommands {
+    commands: Vec<BatchCommand>,
+    waiter: Waiter,
+}
+
+/// Who waits for a log entry, each with the number of its commands.
+type EntryWaiters = Vec<(Waiter, usize)>;
+
 /// A proposal that is in the log.
 #[derive(Debug)]
 struct PlacedProposal {
     index: LogIndex,
     term: LogTerm,
-    waiter: Waiter,
+    waiters: EntryWaiters,
 }
 
 /// The leader's volatile part.
@@ -92,8 +106,11 @@
     state: BatchState,
     office: Option<LeaderOffice>,
     next_proposal: ProposalId,
+    /// Commands for the next entry. Under load an entry takes many, since each costs messages to every replica and a
+    /// sync.
+    queued: Vec<QueuedCommands>,
     /// Proposals without a place in the log yet.
-    open: SortedTable<ProposalId, Waiter>,
+    open: SortedTable<ProposalId, EntryWaiters>,
     placed: VecDeque<PlacedProposal>,
     held: Vec<WaitingReport>,
     zones: SortedTable<VmNumber, ZoneName>,
@@ -110,6 +127,7 @@
             state: BatchState::default(),
             office: None,
             next_proposal: ProposalId::new(1),
+            queued: Vec::new(),
             open: SortedTable::default(),
             placed: VecDeque::new(),
             held: Vec::new(),
@@ -224,19 +242,19 @@
                 if held.is_some_and(|held| held >= configuration.version) {
                     drop(reply.send(LeaderReply::Done));
                 } else {
-                    self.propose(now, &[BatchCommand::Configure(configuration)], Waiter::Reply(reply));
+                    self.propose(vec![BatchCommand::Configure(configuration)], Waiter::Reply(reply));
                 }
             }
             LeaderRequest::SetZone { zone, direction } => {
                 info!("event=zone_change zone={zone} direction={direction}");
-                self.propose(now, &[BatchCommand::SetZone { zone, direction }], Waiter::Reply(reply));
+                self.propose(vec![BatchCommand::SetZone { zone, direction }], Waiter::Reply(reply));
             }
             LeaderRequest::Queue { host, path, action } => {
                 let unix_ms = crate::clock::FleetClock::unix_ms();
                 let Some(office) = &self.office else { return };
                 match admission::decide(&self.state, &office.dispatcher, unix_ms, &host, &path, action) {
                     admission::Decision::Answer(answer) => drop(reply.send(answer)),
-                    admission::Decision::Commit(command) => self.propose(now, &[command], Waiter::Reply(reply)),
+                    admission::Decision::Commit(command) => self.propose(vec![command], Waiter::Reply(reply)),
                 }
             }
         }
@@ -259,7 +277,7 @@
                 if commands.is_empty() {
                     self.held.push(waiting);
                 } else {
-                    self.propose(now, &commands, Waiter::Report(waiting));
+                    self.propose(commands, Waiter::Report(waiting));
                 }
             }
         }
@@ -268,6 +286,7 @@
     /// Does what follows from what was applied: places waiting tasks and answers held reports.
     fn settle(&mut self, now: MonotonicTime) {
         self.plan(now);
+        self.propose_queued(now);
         self.answer_held(now);
     }
 
@@ -291,7 +310,7 @@
         }
         office.planning = true;
         debug!("event=runs_placed count={}", runs.len());
-        self.propose(now, &[BatchCommand::Place { runs }], Waiter::Plan);
+        self.propose(vec![BatchCommand::Place { runs }], Waiter::Plan);
     }
 
     fn answer_held(&mut self, now: MonotonicTime) {
@@ -332,7 +351,7 @@
             office.expiring = !commands.is_empty();
         }
         if !commands.is_empty() {
-            self.propose(now, &commands, Waiter::Upkeep);
+            self.propose(commands, Waiter::Upkeep);
         }
         self.change_members(now);
     }
@@ -359,11 +378,35 @@
         }
     }
 
-    fn propose(&mut self, now: MonotonicTime, commands: &[BatchCommand], waiter: Waiter) {
-        let proposal = self.next_proposal;
-        self.next_proposal = proposal.next();
-        self.open.insert(proposal, waiter);
-        self.step(now, ConsensusEvent::Propose { proposal, payload: encode_commands(commands) });
+    fn propose(&mut self, commands: Vec<BatchCommand>, waiter: Waiter) {
+        self.queued.push(QueuedCommands { commands, waiter });
+    }
+
+    /// Puts the commands that wait into one entry, unless enough entries are on their way.
+    fn propose_queued(&mut self, now: MonotonicTime) {
+        while !self.queued.is_empty() && self.placed.len() + self.open.len() < ENTRY_WINDOW {
+            let mut commands = Vec::new();
+            let mut waiters = EntryWaiters::new();
+            let mut taken = 0;
+            for queued in &self.queued {
+                if taken > 0 && commands.len() + queued.commands.len() > ENTRY_COMMANDS {
+                    break;
+                }
+                commands.extend_from_slice(&queued.commands);
+                taken += 1;
+                // A configuration may fill an entry by itself.
+                if queued.commands.iter().any(|command| matches!(command, BatchCommand::Configure(_))) {
+                    break;
+                }
+            }
+            for queued in self.queued.drain(..taken) {
+                waiters.push((queued.waiter, queued.commands.len()));
+            }
+            let proposal = self.next_proposal;
+            self.next_proposal = proposal.next();
+            self.open.insert(proposal, waiters);
+            self.step(now, ConsensusEvent::Propose { proposal, payload: encode_commands(&commands) });
+        }
     }
 }
 
@@ -394,8 +437,8 @@
                 return self.node.step(now, ConsensusEvent::SnapshotTaken { index, payload });
             }
             ConsensusAction::Accepted { proposal, index, term } => {
-                if let Some(waiter) = self.open.remove(&proposal) {
-                    self.placed.push_back(PlacedProposal { index, term, waiter });
+                if let Some(waiters) = self.open.remove(&proposal) {
+                    self.placed.push_back(PlacedProposal { index, term, waiters });
                 }
             }
             ConsensusAction::Refused { proposal, reason, leader } => {
@@ -404,8 +447,8 @@
                 } else {
                     LeaderReply::NotLeader { leader: leader.map(|leader| leader.vm) }
                 };
-                if let Some(waiter) = self.open.remove(&proposal) {
-                    self.give_up(waiter, reply);
+                for (waiter, _) in self.open.remove(&proposal).unwrap_or_default() {
+                    self.give_up(waiter, reply.clone());
                 }
             }
             ConsensusAction::RoleChanged { role, term, leader } => self.change_role(role, term, leader),
@@ -431,9 +474,14 @@
         for held in std::mem::take(&mut self.held) {
             drop(held.reply.send(LeaderReply::NotLeader { leader }));
         }
+        for queued in std::mem::take(&mut self.queued) {
+            self.give_up(queued.waiter, LeaderReply::NotLeader { leader });
+        }
         // What is in the log and not committed may still be committed by the next leader.
         for proposal in std::mem::take(&mut self.placed) {
-            self.give_up(proposal.waiter, LeaderReply::Uncertain);
+            for (waiter, _) in proposal.waiters {
+                self.give_up(waiter, LeaderReply::Uncertain);
+            }
         }
     }
 
@@ -456,13 +504,11 @@
     }
 
     fn apply(&mut self, now: MonotonicTime, entry: &LogEntry) {
-        let mut last = BatchReply::Done;
+        let mut replies = Vec::new();
         if let EntryPayload::Command(payload) = &entry.payload {
             match decode_commands(payload) {
                 Ok(commands) => {
-                    for command in &commands {
-                        last = self.state.apply(command);
-                    }
+                    replies.extend(commands.iter().map(|command| self.state.apply(command)));
                 }
                 Err(cause) => fail(&format!("entry at index {}: {cause}", entry.index)),
             }
@@ -473,10 +519,16 @@
         }
         while self.placed.front().is_some_and(|proposal| proposal.index <= entry.index) {
             let Some(proposal) = self.placed.pop_front() else { break };
-            if proposal.index == entry.index && proposal.term == entry.term {
-                self.finish(proposal.waiter, last);
-            } else {
-                self.give_up(proposal.waiter, LeaderReply::Uncertain);
+            let committed = proposal.index == entry.index && proposal.term == entry.term;
+            let mut position = 0;
+            for (waiter, commands) in proposal.waiters {
+                position += commands;
+                if committed {
+                    let reply = replies.get(position.wrapping_sub(1)).copied();
+                    self.finish(waiter, reply.unwrap_or(BatchReply::Done));
+                } else {
+                    self.give_up(waiter, LeaderReply::Uncertain);
+                }
             }
         }
     }
