--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use parsleywalk_batch::{
-    BatchCommand, BatchState, DispatchSettings, Dispatcher, EndNumber, FenceToken, JobId, JobStatus, JobSpec,
+    BatchCommand, BatchState, DispatchSettings, Dispatcher, EndNumber, FenceToken, JobId, JobSpec, JobStatus,
     JobSubmission, ReportStep, RunEnd, RunNumber, RunOutcome, RunningTask, StepSpec, TaskKey, WorkerReport,
 };
 use parsleywalk_units::{
@@ -184,9 +184,10 @@
     fn apply(&mut self, command: &BatchCommand) {
         if let BatchCommand::Settle { ends, .. } = command {
             for end in ends.iter().filter(|end| end.outcome == RunOutcome::Done) {
-                let committed = self.state.workers().any(|(_, record)| {
-                    record.runs.get(&end.task).is_some_and(|entry| entry.run == end.run)
-                });
+                let committed = self
+                    .state
+                    .workers()
+                    .any(|(_, record)| record.runs.get(&end.task).is_some_and(|entry| entry.run == end.run));
                 if committed {
                     self.done.insert(end.task, end.run);
                 }
@@ -347,7 +348,8 @@
         for worker in self.workers.iter().filter(|worker| worker.up) {
             let mut used = ResourceSize::default();
             for (task, run) in &worker.runs {
-                let held = if run.filling { ResourceSize { cores: MilliCores::default(), ..run.size } } else { run.size };
+                let held =
+                    if run.filling { ResourceSize { cores: MilliCores::default(), ..run.size } } else { run.size };
                 used = used.checked_add(&held).expect("no overflow");
                 if let Some(other) = seen.insert(*task, &worker.id) {
                     let speculative = self.state.step_of(task).is_some_and(|(_, step)| step.speculative);
@@ -478,7 +480,8 @@
             .map(|number| {
                 let number = u16::try_from(number).expect("small");
                 let count = 1 + u32::try_from(chance.below(6)).expect("small");
-                let mut spec = step(count, 1 + u32::try_from(chance.below(6)).expect("small"), 200 + chance.below(1500));
+                let mut spec =
+                    step(count, 1 + u32::try_from(chance.below(6)).expect("small"), 200 + chance.below(1500));
                 if number > 0 && chance.percent(60) {
                     spec.depends_on = vec![number - 1];
                 }
@@ -514,7 +517,13 @@
                 let spec = &job.submission.spec.steps[number];
                 text.push_str(&format!(
                     "\n  step {number}: waiting {} done {} gang {} filling {} after {:?} limit {:?} size {} tasks {:?}",
-                    step.waiting, step.done, spec.gang, spec.filling, spec.depends_on, spec.per_worker_limit, spec.size,
+                    step.waiting,
+                    step.done,
+                    spec.gang,
+                    spec.filling,
+                    spec.depends_on,
+                    spec.per_worker_limit,
+                    spec.size,
                     step.tasks.iter().map(|task| (task.live, task.last_run.get(), task.done)).collect::<Vec<_>>()
                 ));
             }
--- a/crates/parsleywalk-consensus/tests/support/mod.rs
+++ b/crates/parsleywalk-consensus/tests/support/mod.rs
@@ -101,7 +101,7 @@
         let total = plan.voters + plan.spares + plan.observers;
         let vms: Vec<VmNumber> = (1..=total).map(VmNumber::new).collect();
         let id = |vm: &VmNumber| ReplicaId::new(*vm, Incarnation::new(u64::from(vm.get())));
-        let voters: Vec<ReplicaId> = vms.iter().take(plan.voters.into()).map(id).collect();
+        let voters: Vec<ReplicaId> = vms.iter().take(plan.voters as usize).map(id).collect();
         let founded = RecoveredLog::founded(ReplicaSet::new(voters.clone()));
         let machine = |vm: &VmNumber| {
             let founders = voters.iter().map(|voter| voter.vm).collect();
--- a/crates/parsleywalk-fleet/tests/replicas.rs
+++ b/crates/parsleywalk-fleet/tests/replicas.rs
@@ -65,9 +65,8 @@
     }
 
     fn leader(&self) -> Ipv4Addr {
-        let located = self.wait_for(&LeaderRequest::Locate, |reply| {
-            matches!(reply, LeaderReply::Located { leader: Some(_), .. })
-        });
+        let located = self
+            .wait_for(&LeaderRequest::Locate, |reply| matches!(reply, LeaderReply::Located { leader: Some(_), .. }));
         let LeaderReply::Located { leader: Some(leader), .. } = located else { unreachable!("checked above") };
         parsleywalk_fleet::vm_address(leader)
     }
