--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -130,7 +130,7 @@
     /// Builds the answer to the newest report of a worker. The caller holds the leader's lease and has committed what
     /// [`Dispatcher::observe`] asked for.
     pub fn answer(&mut self, state: &BatchState, worker: &WorkerId, sequence: u64) -> ReportAnswer {
-        let next_report = self.settings.report_wait(self.workers.len());
+        let next_report = self.settings.report_interval;
         let silent = ReportAnswer { orders: None, next_report };
         let (lease, bound) = (self.settings.lease, self.settings.lease_bound());
         let Some(view) = self.workers.get_mut(worker).filter(|view| view.sequence == sequence) else { return silent };
@@ -313,8 +313,7 @@
 /// Queries.
 impl Dispatcher {
     /// Tells whether the worker has nothing to do and nothing to be told.
-    #[must_use]
-    pub fn is_idle(&self, state: &BatchState, worker: &WorkerId) -> bool {
+    fn is_idle(&self, state: &BatchState, worker: &WorkerId) -> bool {
         let idle = |view: &WorkerView| view.running.is_empty() && view.ended.is_empty() && !view.draining;
         self.workers.get(worker).is_some_and(idle) && state.worker(worker).is_none_or(|record| record.runs.is_empty())
     }
@@ -327,10 +326,14 @@
         record.is_some_and(|record| record.runs.iter().any(|(task, entry)| !view.lists(task, entry.run)))
     }
 
-    /// How long the answer to an idle worker may wait.
+    /// How long the answer to a worker's report may wait for work.
     #[must_use]
-    pub fn idle_hold(&self) -> Duration {
-        self.settings.idle_hold
+    pub fn hold(&self, state: &BatchState, worker: &WorkerId) -> Duration {
+        if self.is_idle(state, worker) {
+            self.settings.idle_hold
+        } else {
+            self.settings.busy_hold(self.workers.len())
+        }
     }
 
     /// The number of workers that were heard from lately.
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -76,6 +76,8 @@
     serving: Vec<ServingLoad>,
     /// The images of the serving tasks that are committed to the worker, each once.
     serving_images: Vec<ImageNumber>,
+    /// The filling images that these bear.
+    welcome: u32,
     /// Runs that may still be given in this round.
     allowance: u32,
     record: Option<&'a WorkerRecord>,
@@ -125,7 +127,7 @@
         let mut ready = Vec::new();
         for (id, job) in state.active_jobs() {
             let since = *self.accepted.entry(id, || accepted_at(job, now, unix_ms));
-            let urgency = JobUrgency::of(job, since, now);
+            let mut urgency = None;
             for (occurrence, record) in (0u32..).zip(&job.occurrences) {
                 let schedule = job.submission.spec.schedule;
                 if schedule.is_some_and(|schedule| schedule.due_unix_ms(occurrence) > unix_ms) {
@@ -133,6 +135,7 @@
                 }
                 for (step, entry) in (0u16..).zip(&record.steps) {
                     if entry.waiting > 0 && job.is_unblocked(occurrence, step) {
+                        let urgency = *urgency.get_or_insert_with(|| JobUrgency::of(job, since, now));
                         let (priority, sequence) = (job.submission.priority, job.sequence);
                         ready.push(ReadyStep { priority, urgency, sequence, job: id, occurrence, step });
                     }
@@ -158,6 +161,7 @@
                 free_filling: view.capacity.cores,
                 serving: view.serving.clone(),
                 serving_images: Vec::new(),
+                welcome: 0,
                 allowance: u32::MAX,
                 record: None,
                 placed: Vec::new(),
@@ -173,6 +177,7 @@
                 candidate.free_filling = unused.saturating_sub(record.filling);
                 candidate.record = Some(record);
                 candidate.serving_images.clone_from(&view.committed_images.1);
+                candidate.welcome = self.interference.welcome(&candidate.serving_images);
                 self.add_unreported(now, state, view, record, &mut candidate);
                 if view.suspicion.is_on_probation() {
                     candidate.allowance = u32::from(record.runs.is_empty());
@@ -358,7 +363,7 @@
                 return (far, suspect, lost, candidate.image_mismatch(image), candidate.free.cores.get());
             }
             // Workers that few images may use are used first, so that the others stay free for images with less choice.
-            let welcome = if spec.filling { self.interference.welcome(&candidate.serving_images) } else { 0 };
+            let welcome = if spec.filling { candidate.welcome } else { 0 };
             (far, suspect, welcome, *harm, u32::MAX - candidate.free_filling.get())
         });
         best.map(|(place, _, _)| place)
--- a/crates/parsleywalk-batch/src/settings.rs
+++ b/crates/parsleywalk-batch/src/settings.rs
@@ -5,8 +5,8 @@
 /// Times and limits of leases, placement and pacing.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DispatchSettings {
-    /// How long a worker may go on after it sent its last answered report. Long enough for a change of leader, short
-    /// enough that a dead worker's tasks start elsewhere soon.
+    /// How long a worker may go on after it sent its last answered report. Longer than a change of leader and than a
+    /// partition of five to six seconds, in which work would otherwise be lost on both sides.
     pub lease: Duration,
     /// How much slower a worker's clock may run, in thousandths; twice the platform's bound.
     pub clock_drift: u32,
@@ -32,7 +32,7 @@
 impl Default for DispatchSettings {
     fn default() -> Self {
         Self {
-            lease: Duration::from_secs(4),
+            lease: Duration::from_secs(7),
             clock_drift: 40,
             report_interval: Duration::from_millis(100),
             reports_per_second: 900,
@@ -47,9 +47,15 @@
 }
 
 impl DispatchSettings {
-    /// The wait between two reports with so many workers.
+    /// How long the answer to a busy worker's report is held with so many workers. A held answer bounds how often the
+    /// worker reports, and carries the runs that are placed meanwhile.
     #[must_use]
-    pub fn report_wait(&self, workers: usize) -> Duration {
+    pub fn busy_hold(&self, workers: usize) -> Duration {
+        self.report_wait(workers).saturating_sub(self.report_interval)
+    }
+
+    /// The wait between two reports with so many workers.
+    fn report_wait(&self, workers: usize) -> Duration {
         let workers = u32::try_from(workers).unwrap_or(u32::MAX);
         let fair = Duration::from_secs(1).saturating_mul(workers) / self.reports_per_second.max(1);
         fair.clamp(self.report_interval, self.silence_limit / 2)
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -113,6 +113,10 @@
     open: SortedTable<ProposalId, EntryWaiters>,
     placed: VecDeque<PlacedProposal>,
     held: Vec<WaitingReport>,
+    /// When the first held report is due.
+    held_until: MonotonicTime,
+    /// The state has changed since the held reports were looked at.
+    held_changed: bool,
     zones: SortedTable<VmNumber, ZoneName>,
     outputs: Vec<CoreOutput>,
 }
@@ -131,6 +135,8 @@
             open: SortedTable::default(),
             placed: VecDeque::new(),
             held: Vec::new(),
+            held_until: MonotonicTime::NEVER,
+            held_changed: false,
             zones,
             outputs: Vec::new(),
         }
@@ -149,7 +155,7 @@
         if let Some(office) = &self.office {
             next = next.min(office.next_plan).min(office.next_upkeep);
         }
-        self.held.iter().map(|report| report.hold_until).fold(next, MonotonicTime::min)
+        next.min(self.held_until)
     }
 
     pub(crate) fn leader(&self) -> Option<VmNumber> {
@@ -271,11 +277,10 @@
             }
             ReportStep::Commit(commands) => {
                 office.plan_due = true;
-                let idle = commands.is_empty() && office.dispatcher.is_idle(&self.state, &worker);
-                let hold_until = if idle { now + office.dispatcher.idle_hold() } else { now };
+                let hold_until = now + office.dispatcher.hold(&self.state, &worker);
                 let waiting = WaitingReport { worker, sequence, hold_until, reply };
                 if commands.is_empty() {
-                    self.held.push(waiting);
+                    self.hold(now, waiting);
                 } else {
                     self.propose(commands, Waiter::Report(waiting));
                 }
@@ -313,10 +318,23 @@
         self.propose(vec![BatchCommand::Place { runs }], Waiter::Plan);
     }
 
+    /// Answers a report, or holds it until there are orders or its time is over.
+    fn hold(&mut self, now: MonotonicTime, report: WaitingReport) {
+        if let Some(office) = &self.office
+            && (report.hold_until <= now && !office.planning
+                || office.dispatcher.has_orders(&self.state, &report.worker))
+        {
+            self.held_changed = true;
+        }
+        self.held_until = self.held_until.min(report.hold_until);
+        self.held.push(report);
+    }
+
     fn answer_held(&mut self, now: MonotonicTime) {
-        if self.held.is_empty() {
+        if self.held.is_empty() || (!self.held_changed && now < self.held_until) {
             return;
         }
+        self.held_changed = false;
         if !self.leads(now) {
             let leader = self.leader().filter(|leader| *leader != self.node.id().vm);
             for report in self.held.drain(..) {
@@ -332,6 +350,11 @@
             dispatcher.has_orders(state, &report.worker) || (report.hold_until <= now && !planning)
         };
         let due: Vec<WaitingReport> = self.held.extract_if(.., |report| is_due(&office.dispatcher, report)).collect();
+        self.held_until = self.held.iter().map(|report| report.hold_until).min().unwrap_or(MonotonicTime::NEVER);
+        if self.held_until <= now {
+            // Held only by the round that is being committed, whose end is a change.
+            self.held_until = now + PLAN_PAUSE;
+        }
         for report in due {
             let answer = office.dispatcher.answer(state, &report.worker, report.sequence);
             log_orders(&report.worker, &answer);
@@ -512,6 +535,7 @@
                 Err(cause) => fail(&format!("entry at index {}: {cause}", entry.index)),
             }
         }
+        self.held_changed = true;
         self.take_office(now, entry.term);
         if let Some(office) = &mut self.office {
             office.plan_due = true;
@@ -559,7 +583,10 @@
                 };
                 drop(sender.send(answer));
             }
-            Waiter::Report(report) => self.held.push(report),
+            Waiter::Report(report) => {
+                self.held_until = self.held_until.min(report.hold_until);
+                self.held.push(report);
+            }
             Waiter::Plan => {
                 if let Some(office) = &mut self.office {
                     office.planning = false;
