--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -28,6 +28,9 @@
 const ENTRY_WINDOW: usize = 2;
 /// The most commands of one entry.
 const ENTRY_COMMANDS: usize = 512;
+/// How long an answer waits beyond its time for a round of placement that is being committed: about a commit. Under load
+/// there is always such a round, so this must be bounded.
+const PLACEMENT_WAIT: Duration = Duration::from_millis(30);
 /// The least wait between two rounds of placement, since each looks at all workers.
 const PLAN_PAUSE: Duration = Duration::from_millis(15);
 /// The most ended jobs that are forgotten by one command.
@@ -347,13 +350,13 @@
         // While a round of placement is being committed, a report may get its orders with the answer.
         let planning = office.planning;
         let is_due = |dispatcher: &Dispatcher, report: &WaitingReport| {
-            dispatcher.has_orders(state, &report.worker) || (report.hold_until <= now && !planning)
+            let over = report.hold_until <= now && (!planning || report.hold_until + PLACEMENT_WAIT <= now);
+            over || dispatcher.has_orders(state, &report.worker)
         };
         let due: Vec<WaitingReport> = self.held.extract_if(.., |report| is_due(&office.dispatcher, report)).collect();
         self.held_until = self.held.iter().map(|report| report.hold_until).min().unwrap_or(MonotonicTime::NEVER);
         if self.held_until <= now {
-            // Held only by the round that is being committed, whose end is a change.
-            self.held_until = now + PLAN_PAUSE;
+            self.held_until = now + PLACEMENT_WAIT;
         }
         for report in due {
             let answer = office.dispatcher.answer(state, &report.worker, report.sequence);
