--- a/crates/parsleywalk-batch/src/job.rs
+++ b/crates/parsleywalk-batch/src/job.rs
@@ -134,6 +134,13 @@
         self.occurrences.iter().any(|occurrence| occurrence.steps.iter().any(live))
     }
 
+    /// The number of runs that ended as failed.
+    #[must_use]
+    pub fn failures(&self) -> u32 {
+        let steps = self.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+        steps.flat_map(|step| &step.tasks).map(|task| u32::from(task.failures)).sum()
+    }
+
     pub(crate) fn is_complete(&self) -> bool {
         self.occurrences.iter().all(|occurrence| occurrence.steps.iter().all(StepRecord::is_done))
     }
--- a/crates/parsleywalk-batch/src/state.rs
+++ b/crates/parsleywalk-batch/src/state.rs
@@ -97,6 +97,9 @@
     submitted: u64,
     /// The jobs that are not final.
     active: SortedTable<JobId, ()>,
+    /// The jobs that became final since they were last asked for.
+    #[serde(skip)]
+    newly_ended: Vec<(JobId, JobStatus)>,
 }
 
 /// Queries.
@@ -214,6 +217,11 @@
         }
     }
 
+    /// Returns the jobs that became final since the last call.
+    pub fn take_newly_ended(&mut self) -> Vec<(JobId, JobStatus)> {
+        std::mem::take(&mut self.newly_ended)
+    }
+
     fn configure(&mut self, configuration: &QueueConfiguration) -> BatchReply {
         if self.configuration.as_ref().is_none_or(|current| current.version < configuration.version) {
             self.configuration = Some(Arc::new(configuration.clone()));
@@ -244,6 +252,7 @@
             record.status = status;
         }
         self.active.remove(&job);
+        self.newly_ended.push((job, status));
     }
 
     fn place(&mut self, placement: &RunPlacement) {
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -538,6 +538,13 @@
                 Err(cause) => fail(&format!("entry at index {}: {cause}", entry.index)),
             }
         }
+        let ended = self.state.take_newly_ended();
+        if self.office.is_some() {
+            for (job, status) in ended {
+                let failures = self.state.job(job).map_or(0, parsleywalk_batch::JobRecord::failures);
+                info!("event=job_ended job={job} status={status:?} failed_runs={failures} index={}", entry.index);
+            }
+        }
         self.held_changed = true;
         self.take_office(now, entry.term);
         if let Some(office) = &mut self.office {
