--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -180,7 +180,9 @@
                 candidate.welcome = self.interference.welcome(&candidate.serving_images);
                 self.add_unreported(now, state, view, record, &mut candidate);
                 if view.suspicion.is_on_probation() {
-                    candidate.allowance = u32::from(record.runs.is_empty());
+                    // Lasting tasks never end, so they don't count as the run whose end is waited for.
+                    let ends = |task: &TaskKey| state.step_of(task).is_some_and(|(_, step)| !step.lasting);
+                    candidate.allowance = u32::from(!record.runs.iter().any(|(task, _)| ends(task)));
                 }
             }
             if view.suspicion.is_on_probation() {
--- a/crates/parsleywalk-batch/tests/guarantees.rs
+++ b/crates/parsleywalk-batch/tests/guarantees.rs
@@ -70,7 +70,7 @@
     fleet.run_for(Duration::from_millis(500));
     assert_eq!(fleet.workers[0].runs.len(), 1);
     // Silent beyond its lease, then heard again before the loss is committed.
-    fleet.now = fleet.now + Duration::from_secs(6);
+    fleet.now = fleet.now + fleet.settings.lease_bound();
     let lost = fleet.dispatcher.expire(fleet.now, &fleet.state);
     assert_eq!(lost.len(), 1, "the lease has ended");
     let report = fleet.workers[0].describe_now(fleet.now);
@@ -86,7 +86,7 @@
     let mut fleet = FakeFleet::new(1, 1);
     fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
     fleet.run_for(Duration::from_millis(500));
-    fleet.now = fleet.now + Duration::from_secs(6);
+    fleet.now = fleet.now + fleet.settings.lease_bound();
     let report = fleet.workers[0].describe_now(fleet.now);
     fleet.dispatcher.observe(fleet.now, &fleet.state, &report);
     assert_eq!(fleet.dispatcher.expire(fleet.now, &fleet.state), Vec::new());
@@ -129,3 +129,22 @@
     // The oracle fails on a start in the zone later than 2 s.
     assert!(fleet.run_until_done(Duration::from_secs(120)));
 }
+
+/// A worker that failed runs for a while and holds lasting tasks is tried again: its lasting tasks never end, so waiting
+/// for them would keep it out for good.
+#[test]
+fn a_recovered_worker_with_lasting_tasks_gets_work_again() {
+    let mut fleet = FakeFleet::new(1, 1);
+    let lasting = parsleywalk_batch::StepSpec { lasting: true, ..step(1, 8, 0) };
+    fleet.submit(submission(1, 0, vec![lasting]));
+    fleet.run_for(Duration::from_secs(1));
+    fleet.workers[0].broken = true;
+    for id in 2..=5 {
+        fleet.submit(submission(id, 0, vec![step(1, 1, 300)]));
+    }
+    fleet.run_for(Duration::from_secs(3));
+    fleet.workers[0].broken = false;
+    let job = fleet.submit(submission(10, 0, vec![step(4, 1, 300)]));
+    fleet.run_for(Duration::from_secs(15));
+    assert_eq!(fleet.status(job), Some(parsleywalk_batch::JobStatus::Completed));
+}
--- a/crates/parsleywalk-fleet/src/client.rs
+++ b/crates/parsleywalk-fleet/src/client.rs
@@ -23,8 +23,11 @@
 const TRY_TIMEOUT: Duration = Duration::from_millis(900);
 /// The wait before the next search when nobody leads.
 const SEARCH_PAUSE: Duration = Duration::from_millis(60);
-/// A request is refused when there has been no leader for this long; shorter gaps are waited out.
-const LEADERLESS_LIMIT: Duration = Duration::from_millis(300);
+/// A request that was not passed on is refused when there has been no leader for this long; its caller is better off coming
+/// back.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(300);
+/// A request that was passed on is given up when there has been no leader for this long: an election is over by then.
+const UNCERTAIN_LIMIT: Duration = Duration::from_millis(1300);
 
 /// Why a request has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +49,8 @@
     links: RefCell<SortedTable<VmNumber, Rc<CallLink>>>,
     leader: Cell<Option<VmNumber>>,
     term: Cell<LogTerm>,
+    /// Since when no leader is known, while none is.
+    leaderless_since: Cell<MonotonicTime>,
     /// When a leader last answered.
     reached: Cell<MonotonicTime>,
     searching: tokio::sync::Mutex<()>,
@@ -65,6 +70,7 @@
             links: RefCell::default(),
             leader: Cell::new(None),
             term: Cell::new(LogTerm::ZERO),
+            leaderless_since: Cell::new(MonotonicTime::ZERO),
             reached: Cell::new(MonotonicTime::ZERO),
             searching: tokio::sync::Mutex::new(()),
         }
@@ -122,9 +128,11 @@
             }
             let Some(leader) = self.leader.get() else {
                 if !self.search().await {
-                    let now = self.clock.now();
-                    if !sent && now.since(start.max(self.reached.get())) >= LEADERLESS_LIMIT {
-                        return Err(CallFailure::NotSent);
+                    let alone = self.clock.now().since(self.leaderless_since.get().max(start));
+                    match sent {
+                        false if alone >= REFUSAL_LIMIT => return Err(CallFailure::NotSent),
+                        true if alone >= UNCERTAIN_LIMIT => return Err(CallFailure::Unknown),
+                        _ => {}
                     }
                     time::sleep(SEARCH_PAUSE).await;
                 }
@@ -133,6 +141,7 @@
             match self.link(leader).call(request, left.min(TRY_TIMEOUT)).await {
                 Ok(LeaderReply::NotLeader { leader: hint }) => {
                     if self.leader.get() == Some(leader) {
+                        self.forget_leader();
                         self.leader.set(hint.filter(|hint| *hint != leader));
                     }
                     if hint.is_none_or(|hint| hint == leader) {
@@ -152,11 +161,16 @@
         }
     }
 
+    fn forget_leader(&self) {
+        self.leader.set(None);
+        self.leaderless_since.set(self.clock.now());
+    }
+
     fn lose(&self, leader: VmNumber, error: &CallError) {
         if self.leader.get() == Some(leader) {
             let peer = self.fleet.peer_address(leader);
             info!("event=leader_lost peer={peer} error={:?}", error.to_string());
-            self.leader.set(None);
+            self.forget_leader();
             // A link that did not answer may be silent for good; the next call opens another.
             self.links.borrow_mut().remove(&leader);
         }
@@ -220,7 +234,7 @@
                             if named == Some(leader) {
                                 self.reached.set(self.clock.now());
                             } else if self.leader.get() == Some(leader) {
-                                self.leader.set(None);
+                                self.forget_leader();
                             }
                             if named == Some(leader) && term >= self.term.get() && !members.is_empty() {
                                 self.term.set(term);
