--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use parsleywalk_units::{MonotonicTime, WorkerId};
+use parsleywalk_units::{Incarnation, MonotonicTime, WorkerId};
 
 use crate::interference::{FillingLoad, ImageNumber, InterferenceModel};
 use crate::worker_view::WorkerView;
@@ -25,6 +25,9 @@
 /// Filling tasks are taken for hung after this many times the time of others.
 const FILLING_PATIENCE: u32 = 2;
 
+/// A batch run with less work left than this ends before a draining worker exits, which serves on for about two seconds.
+const DRAIN_LEFT: Duration = Duration::from_millis(1200);
+
 /// What a report leads to.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ReportStep {
@@ -86,7 +89,7 @@
             let mut view = WorkerView::new(report, now);
             view.lease_until = inherited.max(now);
             self.workers.insert(report.worker.clone(), view);
-        } else if known.is_some_and(|view| view.sequence >= report.sequence) {
+        } else if known.is_some_and(|view| view.left || view.sequence >= report.sequence) {
             return ReportStep::Overtaken;
         }
         let mut commands = Vec::new();
@@ -127,6 +130,14 @@
         ReportStep::Commit(commands)
     }
 
+    /// Notes that a worker exits. Without its life, the word counts only for a worker that is draining: it may come from an
+    /// earlier life.
+    pub fn leave(&mut self, worker: &WorkerId, incarnation: Option<Incarnation>) {
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.left |= incarnation.map_or(view.draining, |life| life == view.incarnation);
+        }
+    }
+
     /// Builds the answer to the newest report of a worker. The caller holds the leader's lease and has committed what
     /// [`Dispatcher::observe`] asked for.
     pub fn answer(&mut self, state: &BatchState, worker: &WorkerId, sequence: u64) -> ReportAnswer {
@@ -270,8 +281,13 @@
             view.suspicion.strike(now, self.settings.quarantine);
             self.avoided.insert(task, worker.clone());
         }
+        let draining = view.draining;
         let crowded = view.running.iter().filter(|(task, run)| {
-            let resumes = state.step_of(task).is_some_and(|(_, step)| step.checkpointable);
+            let Some((_, step)) = state.step_of(task) else { return false };
+            if draining && outlasts_drain(step, run.percent) {
+                return true;
+            }
+            let resumes = step.checkpointable;
             let patience = if resumes { MOVE_AFTER } else { RESTART_AFTER };
             run.slowed.is_some_and(|since| now.since(since) >= patience)
         });
@@ -343,6 +359,12 @@
     }
 }
 
+/// Tells whether a run on a worker that drains is better moved now than lost when the worker exits.
+fn outlasts_drain(step: &crate::StepSpec, percent: u8) -> bool {
+    let left = step.estimate * u32::from(100 - percent.min(100)) / 100;
+    step.lasting || (step.checkpointable && left > DRAIN_LEFT)
+}
+
 /// A ratio of small numbers.
 #[allow(clippy::cast_precision_loss, reason = "figures of a report are far below the precision of a float")]
 pub(crate) fn share(part: u32, whole: u32) -> f32 {
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -19,6 +19,8 @@
     pub(crate) rack: Option<String>,
     pub(crate) capacity: ResourceSize,
     pub(crate) draining: bool,
+    /// It said that it exits; reports that arrive later were sent before.
+    pub(crate) left: bool,
     /// The newest report's number and the worker's clock in it.
     pub(crate) sequence: u64,
     pub(crate) clock: Duration,
@@ -81,6 +83,7 @@
             rack: None,
             capacity: ResourceSize::default(),
             draining: false,
+            left: false,
             sequence: 0,
             clock: Duration::ZERO,
             heard: now,
--- a/crates/parsleywalk-batch/tests/guarantees.rs
+++ b/crates/parsleywalk-batch/tests/guarantees.rs
@@ -148,3 +148,32 @@
     fleet.run_for(Duration::from_secs(15));
     assert_eq!(fleet.status(job), Some(parsleywalk_batch::JobStatus::Completed));
 }
+
+/// Lasting tasks move off a worker that drains while it still works, so that they are not away until its lease ends.
+#[test]
+fn lasting_tasks_leave_a_draining_worker() {
+    let mut fleet = FakeFleet::new(2, 1);
+    let lasting = parsleywalk_batch::StepSpec { lasting: true, ..step(2, 8, 0) };
+    fleet.submit(submission(1, 0, vec![lasting]));
+    fleet.run_for(Duration::from_secs(1));
+    let place = usize::from(fleet.workers[0].runs.is_empty());
+    fleet.workers[place].draining = true;
+    fleet.run_for(Duration::from_secs(2));
+    assert!(fleet.workers[place].runs.is_empty());
+    assert_eq!(fleet.workers[1 - place].runs.len(), 2);
+}
+
+/// A report that arrives after its worker said that it exits must not renew the lease: nothing runs there any more.
+#[test]
+fn a_late_report_does_not_keep_a_worker_that_left() {
+    use parsleywalk_batch::ReportStep;
+    let mut fleet = FakeFleet::new(1, 1);
+    fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
+    fleet.run_for(Duration::from_millis(500));
+    fleet.workers[0].draining = true;
+    fleet.run_for(Duration::from_millis(300));
+    let late = fleet.workers[0].describe_now(fleet.now);
+    fleet.dispatcher.leave(&late.worker, None);
+    fleet.now = fleet.now + Duration::from_secs(4);
+    assert_eq!(fleet.dispatcher.observe(fleet.now, &fleet.state, &late), ReportStep::Overtaken);
+}
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -236,6 +236,9 @@
             LeaderRequest::Report(report) => self.report(now, &report, reply),
             LeaderRequest::Leave { worker, incarnation } => {
                 info!("event=worker_leaving worker={worker} incarnation={incarnation:?}");
+                if let Some(office) = &mut self.office {
+                    office.dispatcher.leave(&worker, incarnation);
+                }
                 drop(reply.send(LeaderReply::Done));
             }
             LeaderRequest::ReadConfiguration => {
