--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -50,6 +50,8 @@
     pub(crate) interference: InterferenceModel,
     /// Since when a job with a task that may run has had nothing running.
     pub(crate) idle_since: SortedTable<JobId, MonotonicTime>,
+    /// Since when a lasting step has had tasks that wait.
+    pub(crate) waiting_since: SortedTable<(JobId, u16), MonotonicTime>,
     /// When each active job was accepted.
     pub(crate) accepted: SortedTable<JobId, MonotonicTime>,
 }
@@ -66,6 +68,7 @@
             avoided: SortedTable::default(),
             interference: InterferenceModel::default(),
             idle_since: SortedTable::default(),
+            waiting_since: SortedTable::default(),
             accepted: SortedTable::default(),
         }
     }
@@ -345,11 +348,7 @@
     /// How long the answer to a worker's report may wait for work.
     #[must_use]
     pub fn hold(&self, state: &BatchState, worker: &WorkerId) -> Duration {
-        if self.is_idle(state, worker) {
-            self.settings.idle_hold
-        } else {
-            self.settings.busy_hold(self.workers.len())
-        }
+        if self.is_idle(state, worker) { self.settings.idle_hold } else { self.settings.busy_hold(self.workers.len()) }
     }
 
     /// The number of workers that were heard from lately.
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -22,6 +22,11 @@
 /// A job that has had nothing running for this long gets a place for one task even where it would disturb others. Callers
 /// take a job for stuck after about twice as long.
 const STARVATION_LIMIT: Duration = Duration::from_millis(1500);
+/// A lasting task that has waited for this long gets a worker kept free for it. Callers take it for stuck after about
+/// three times as long.
+const RESERVATION_AFTER: Duration = Duration::from_secs(2);
+/// At most one worker in so many is kept free.
+const RESERVED_SHARE: usize = 10;
 /// The greatest age that a new leader believes of a job.
 const AGE_LIMIT: Duration = Duration::from_mins(1);
 /// The time that a report's figures cover.
@@ -89,8 +94,9 @@
     /// Chooses workers for waiting tasks. `unix_ms` is the time of day, for occurrences.
     #[must_use]
     pub fn plan(&mut self, now: MonotonicTime, unix_ms: u64, state: &BatchState) -> Vec<RunPlacement> {
-        let ready = self.ready_steps(now, unix_ms, state);
+        let mut ready = self.ready_steps(now, unix_ms, state);
         self.note_idle_jobs(now, state, &ready);
+        self.put_waiting_first(now, &mut ready);
         if ready.is_empty() {
             return Vec::new();
         }
@@ -103,6 +109,7 @@
         let mut candidates = self.candidates(now, state);
         let mut placements = Vec::new();
         let mut hopeless: Vec<TaskShape> = Vec::new();
+        let mut reserved = 0;
         for step in ready {
             if placements.len() >= ROUND_LIMIT || candidates.is_empty() {
                 break;
@@ -115,6 +122,15 @@
             }
             let before = placements.len();
             self.place_step(state, step, starved, &mut candidates, &mut placements);
+            let first = TaskKey { job: step.job, occurrence: step.occurrence, step: step.step, index: 0 };
+            if spec.lasting && self.has_waited(now, &step) && reserved < candidates.len() / RESERVED_SHARE + 1 {
+                let placed = placements[before..].len();
+                let left = state.job(step.job).and_then(|job| job.step(&first)).map_or(0, |record| record.waiting);
+                if let Some(job) = state.job(step.job).filter(|_| placed < left as usize) {
+                    self.reserve(spec, &job.submission, &first, &mut candidates);
+                    reserved += 1;
+                }
+            }
             if placements.len() == before && shape.is_plain {
                 hopeless.push(shape);
             }
@@ -285,6 +301,45 @@
             }
         }
         self.idle_since = idle;
+        let mut waiting: SortedTable<(JobId, u16), MonotonicTime> = SortedTable::default();
+        for step in ready {
+            let lasting = state.job(step.job).and_then(|job| job.step_spec(step.step)).is_some_and(|spec| spec.lasting);
+            if lasting {
+                let key = (step.job, step.step);
+                waiting.insert(key, self.waiting_since.get(&key).copied().unwrap_or(now));
+            }
+        }
+        self.waiting_since = waiting;
+    }
+
+    /// Keeps the worker with the most room free for a lasting task that has waited long: small tasks would take each piece
+    /// that gets free, and the task would never find enough in one place.
+    fn reserve(
+        &self,
+        spec: &StepSpec,
+        submission: &JobSubmission,
+        task: &TaskKey,
+        candidates: &mut [CandidateWorker<'_>],
+    ) {
+        let usable = candidates.iter_mut().filter(|candidate| {
+            candidate.fits_in_memory(submission, spec, task) && spec.size.fits_within(&candidate.view.capacity)
+        });
+        if let Some(roomiest) = usable.max_by_key(|candidate| candidate.free.cores) {
+            roomiest.allowance = 0;
+        }
+    }
+
+    fn has_waited(&self, now: MonotonicTime, step: &ReadyStep) -> bool {
+        let since = self.waiting_since.get(&(step.job, step.step));
+        since.is_some_and(|since| now.since(*since) >= RESERVATION_AFTER)
+    }
+
+    /// Moves lasting steps that have waited long to the front of their priority.
+    fn put_waiting_first(&self, now: MonotonicTime, ready: &mut [ReadyStep]) {
+        for step in ready.iter_mut().filter(|step| self.has_waited(now, step)) {
+            step.urgency = JobUrgency::OnTime(Duration::ZERO);
+        }
+        ready.sort_unstable();
     }
 
     fn is_starved(&self, now: MonotonicTime, job: JobId) -> bool {
--- a/crates/parsleywalk-batch/tests/load.rs
+++ b/crates/parsleywalk-batch/tests/load.rs
@@ -118,3 +118,26 @@
     });
     assert_eq!(mixed.count(), 0);
 }
+
+/// A lasting task that needs much room is not passed over for ever by small tasks that take each piece as it gets free.
+#[test]
+fn a_large_lasting_task_finds_room_beside_a_stream_of_small_ones() {
+    let mut fleet = FakeFleet::new(3, 1);
+    // Twice what the workers can do, in pieces of 2 cores.
+    let mut id = 100;
+    let mut stream = |fleet: &mut FakeFleet| {
+        for _ in 0..10 {
+            id += 1;
+            fleet.submit(submission(id, 0, vec![step(10, 2, 900 + id % 7 * 100)]));
+        }
+        fleet.run_for(Duration::from_secs(1));
+    };
+    for _ in 0..4 {
+        stream(&mut fleet);
+    }
+    let lasting = fleet.submit(submission(1, 0, vec![StepSpec { lasting: true, ..step(1, 10, 0) }]));
+    for _ in 0..6 {
+        stream(&mut fleet);
+    }
+    assert_eq!(fleet.status(lasting), Some(JobStatus::Running), "the task waits for more than 6 s");
+}
