--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -265,7 +265,7 @@
         let mut serving = Vec::new();
         for (task, run) in view.running.iter_mut() {
             let Some((_, step)) = state.step_of(task) else { continue };
-            let Some(target) = step.latency_target.filter(|_| step.lasting && run.percent == 100 && run.figure > 0)
+            let Some(target) = step.tail_objective.filter(|_| step.lasting && run.percent == 100 && run.figure > 0)
             else {
                 continue;
             };
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -5,6 +5,7 @@
 //! says what must be committed before each is answered, answers with orders under a lease, and chooses workers for
 //! waiting tasks. Nothing here does I/O or reads a clock.
 
+mod candidate;
 mod command;
 mod dispatcher;
 mod error;
--- a/crates/parsleywalk-batch/src/pacing.rs
+++ b/crates/parsleywalk-batch/src/pacing.rs
@@ -23,7 +23,7 @@
 /// Full speed, in percent.
 const FULL_RATE: u8 = 100;
 
-/// The rates of a worker's filling images. While a serving task is near its latency target, the image that disturbs it
+/// The rates of a worker's filling images. While a serving task is near its latency objective, the image that disturbs it
 /// most is slowed; once all are well below, the image that disturbs least is sped up.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PaceController {
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use parsleywalk_units::{MilliCores, MonotonicTime, ResourceSize, WorkerId};
+use parsleywalk_units::{MilliCores, MonotonicTime, ResourceSize};
 
+use crate::candidate::CandidateWorker;
 use crate::dispatcher::share;
-use crate::interference::{ImageNumber, ServingLoad};
+use crate::interference::ImageNumber;
 use crate::urgency::JobUrgency;
 use crate::worker_view::WorkerView;
 use crate::{
-    BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunNumber, RunPlacement, SortedTable, StepSpec, TaskKey,
-    WorkerRecord,
+    BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunPlacement, SortedTable, StepSpec, TaskKey, WorkerRecord,
 };
 
 /// The most placements of one round; a round must stay well below the leader's heartbeat interval.
@@ -70,26 +70,6 @@
     }
 }
 
-/// A worker that may get runs, with the room that is left in this round.
-struct CandidateWorker<'a> {
-    id: &'a WorkerId,
-    view: &'a WorkerView,
-    free: ResourceSize,
-    /// The processors left when filling tasks count too.
-    free_filling: MilliCores,
-    /// The serving tasks, with what the filling tasks that are not reported yet will add.
-    serving: Vec<ServingLoad>,
-    /// The images of the serving tasks that are committed to the worker, each once.
-    serving_images: Vec<ImageNumber>,
-    /// The filling images that these bear.
-    welcome: u32,
-    /// Runs that may still be given in this round.
-    allowance: u32,
-    record: Option<&'a WorkerRecord>,
-    /// The tasks that were placed there in this round.
-    placed: Vec<TaskKey>,
-}
-
 impl Dispatcher {
     /// Chooses workers for waiting tasks. `unix_ms` is the time of day, for occurrences.
     #[must_use]
@@ -127,7 +107,7 @@
                 let placed = placements[before..].len();
                 let left = state.job(step.job).and_then(|job| job.step(&first)).map_or(0, |record| record.waiting);
                 if let Some(job) = state.job(step.job).filter(|_| placed < left as usize) {
-                    self.reserve(spec, &job.submission, &first, &mut candidates);
+                    Self::reserve(spec, &job.submission, &first, &mut candidates);
                     reserved += 1;
                 }
             }
@@ -178,7 +158,7 @@
                 serving: view.serving.clone(),
                 serving_images: Vec::new(),
                 welcome: 0,
-                allowance: u32::MAX,
+                slots_left: u32::MAX,
                 record: None,
                 placed: Vec::new(),
             };
@@ -198,11 +178,11 @@
                 if view.suspicion.is_on_probation() {
                     // Lasting tasks never end, so they don't count as the run whose end is waited for.
                     let ends = |task: &TaskKey| state.step_of(task).is_some_and(|(_, step)| !step.lasting);
-                    candidate.allowance = u32::from(!record.runs.iter().any(|(task, _)| ends(task)));
+                    candidate.slots_left = u32::from(!record.runs.iter().any(|(task, _)| ends(task)));
                 }
             }
             if view.suspicion.is_on_probation() {
-                candidate.allowance = candidate.allowance.min(1);
+                candidate.slots_left = candidate.slots_left.min(1);
             }
             candidates.push(candidate);
         }
@@ -314,18 +294,12 @@
 
     /// Keeps the worker with the most room free for a lasting task that has waited long: small tasks would take each piece
     /// that gets free, and the task would never find enough in one place.
-    fn reserve(
-        &self,
-        spec: &StepSpec,
-        submission: &JobSubmission,
-        task: &TaskKey,
-        candidates: &mut [CandidateWorker<'_>],
-    ) {
+    fn reserve(spec: &StepSpec, submission: &JobSubmission, task: &TaskKey, candidates: &mut [CandidateWorker<'_>]) {
         let usable = candidates.iter_mut().filter(|candidate| {
             candidate.fits_in_memory(submission, spec, task) && spec.size.fits_within(&candidate.view.capacity)
         });
         if let Some(roomiest) = usable.max_by_key(|candidate| candidate.free.cores) {
-            roomiest.allowance = 0;
+            roomiest.slots_left = 0;
         }
     }
 
@@ -473,71 +447,6 @@
     Some(((CALM_HEADROOM - headroom).max(0.0) * HARM_LEVELS) as u32)
 }
 
-impl CandidateWorker<'_> {
-    fn fits(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
-        let room = if spec.filling { self.free_filling >= spec.size.cores } else { spec.size.cores <= self.free.cores };
-        room && self.fits_in_memory(submission, spec, task)
-    }
-
-    /// Tells whether the task could run there if processors did not matter.
-    fn fits_in_memory(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
-        let room = ResourceSize { cores: MilliCores::default(), ..spec.size }.fits_within(&self.free);
-        let labelled = spec.required_label.as_ref().is_none_or(|label| self.view.labels.contains(label));
-        let apart = spec.per_worker_limit.is_none_or(|limit| self.step_runs(task) < limit as usize);
-        self.allowance > 0 && self.view.service == submission.service && room && labelled && apart
-    }
-
-    fn add_image(&mut self, image: Option<ImageNumber>) {
-        if let Some(image) = image
-            && !self.serving_images.contains(&image)
-        {
-            self.serving_images.push(image);
-        }
-    }
-
-    /// How badly a serving image fits: not at all where it is the only one, a little on a worker without any, and the
-    /// more the more others there are.
-    fn image_mismatch(&self, image: Option<ImageNumber>) -> u32 {
-        let others = self.serving_images.iter().filter(|known| Some(**known) != image).count();
-        match (others, self.serving_images.is_empty()) {
-            (0, false) => 0,
-            (0, true) => 1,
-            (others, _) => 1 + u32::try_from(others).unwrap_or(u32::MAX),
-        }
-    }
-
-    /// The number of the step's tasks that the worker has.
-    fn step_runs(&self, task: &TaskKey) -> usize {
-        let first = TaskKey { index: 0, ..*task };
-        let last = TaskKey { index: u32::MAX, ..*task };
-        let committed = self.record.map_or(0, |record| record.runs.range(&first, &last).count());
-        committed + self.placed.iter().filter(|placed| placed.same_step(task)).count()
-    }
-
-    fn take(&mut self, spec: &StepSpec, task: TaskKey, run: RunNumber) -> RunPlacement {
-        self.allowance = self.allowance.saturating_sub(1);
-        self.free_filling = self.free_filling.saturating_sub(spec.size.cores);
-        if spec.filling {
-            self.free = self.free.saturating_sub(&ResourceSize { cores: MilliCores::default(), ..spec.size });
-        } else {
-            self.free = self.free.saturating_sub(&spec.size);
-        }
-        self.placed.push(task);
-        RunPlacement { task, run, worker: self.id.clone(), incarnation: self.view.incarnation }
-    }
-
-    /// Undoes [`CandidateWorker::take`].
-    fn give_back(&mut self, spec: &StepSpec, task: &TaskKey) {
-        self.allowance = self.allowance.saturating_add(1);
-        self.free_filling = self.free_filling.checked_add(spec.size.cores).unwrap_or(self.free_filling);
-        let cores = if spec.filling { MilliCores::default() } else { spec.size.cores };
-        self.free = self.free.checked_add(&ResourceSize { cores, ..spec.size }).unwrap_or(self.free);
-        if let Some(place) = self.placed.iter().rposition(|placed| placed.same_step(task)) {
-            self.placed.remove(place);
-        }
-    }
-}
-
 /// The index of the first task that waits.
 fn first_waiting(tasks: &[crate::TaskRecord]) -> u32 {
     let first = (0u32..).zip(tasks).find(|(_, task)| !task.done && task.live == 0);
--- a/crates/parsleywalk-batch/src/spec.rs
+++ b/crates/parsleywalk-batch/src/spec.rs
@@ -42,7 +42,7 @@
     /// What the tasks run. Tasks of one image behave alike.
     pub image: String,
     /// The tail latency of lasting tasks must stay below this.
-    pub latency_target: Option<Duration>,
+    pub tail_objective: Option<Duration>,
     /// The tasks use only processor time that others leave, so their processors are not committed.
     pub filling: bool,
     /// How many lasting tasks of the step may be unavailable at a time by the system's own actions.
@@ -75,7 +75,7 @@
     /// Tells whether the tasks serve users of their own, whose latency must stay below a target.
     #[must_use]
     pub fn is_serving(&self) -> bool {
-        self.lasting && self.latency_target.is_some()
+        self.lasting && self.tail_objective.is_some()
     }
 }
 
--- a/crates/parsleywalk-batch/tests/guarantees.rs
+++ b/crates/parsleywalk-batch/tests/guarantees.rs
@@ -56,7 +56,7 @@
     for zone in ["zone-a", "zone-b", "zone-c"] {
         fleet.set_zone(zone, ZoneDirection::In);
     }
-    let ended = fleet.run_until_done(Duration::from_secs(240));
+    let ended = fleet.run_until_done(Duration::from_mins(4));
     assert!(ended, "{} jobs never end: {}", fleet.state.active_count(), fleet.leftovers());
 }
 
@@ -98,7 +98,7 @@
     let mut fleet = FakeFleet::new(6, 1);
     fleet.workers[2].broken = true;
     let jobs: Vec<_> = (1..=30).map(|id| fleet.submit(submission(id, 0, vec![step(4, 2, 400)]))).collect();
-    assert!(fleet.run_until_done(Duration::from_secs(60)));
+    assert!(fleet.run_until_done(Duration::from_mins(1)));
     let failed = jobs.iter().filter(|job| fleet.status(**job) == Some(parsleywalk_batch::JobStatus::Failed)).count();
     assert_eq!(failed, 0);
 }
@@ -127,7 +127,7 @@
     fleet.run_for(Duration::from_secs(8));
     fleet.loss = 0;
     // The oracle fails on a start in the zone later than 2 s.
-    assert!(fleet.run_until_done(Duration::from_secs(120)));
+    assert!(fleet.run_until_done(Duration::from_mins(2)));
 }
 
 /// A worker that failed runs for a while and holds lasting tasks is tried again: its lasting tasks never end, so waiting
--- a/crates/parsleywalk-batch/tests/load.rs
+++ b/crates/parsleywalk-batch/tests/load.rs
@@ -27,8 +27,9 @@
         accepted.push((job, fleet.now));
         fleet.run_for(Duration::from_millis(250));
     }
-    assert!(fleet.run_until_done(Duration::from_secs(120)), "every accepted job ends");
-    let objective = Duration::from_millis(2 * 1500 + 1000);
+    assert!(fleet.run_until_done(Duration::from_mins(2)), "every accepted job ends");
+    // Twice the 1.5 s of work, and 1 s.
+    let objective = Duration::from_secs(4);
     let on_time = accepted.iter().filter(|(job, since)| fleet.ended_at[job].since(*since) <= objective).count();
     assert!(on_time * 3 >= accepted.len(), "{on_time} of {} jobs on time", accepted.len());
 }
@@ -45,13 +46,13 @@
     let urgent = fleet.submit(submission(100, 0, vec![step(4, 2, 500)]));
     fleet.run_for(Duration::from_secs(4));
     assert_eq!(fleet.status(urgent), Some(JobStatus::Completed));
-    assert!(fleet.ended_at[&urgent].since(start) <= Duration::from_millis(2 * 500 + 2000));
+    assert!(fleet.ended_at[&urgent].since(start) <= Duration::from_secs(3));
 }
 
 fn serving(image: &str) -> StepSpec {
     StepSpec {
         lasting: true,
-        latency_target: Some(Duration::from_millis(150)),
+        tail_objective: Some(Duration::from_millis(150)),
         image: image.to_owned(),
         ..step(4, 6, 0)
     }
@@ -75,7 +76,7 @@
         fleet.submit(submission(id, 2, vec![filling("heavy", 2000)]));
         fleet.run_for(Duration::from_millis(500));
     }
-    fleet.run_for(Duration::from_secs(60));
+    fleet.run_for(Duration::from_mins(1));
     assert!(fleet.longest_harm < Duration::from_millis(5500), "over the target for {:?}", fleet.longest_harm);
     let ended = (11..=30).filter(|id| fleet.status(parsleywalk_batch::JobId::new(*id)) == Some(JobStatus::Completed));
     // One task a worker stays below the target: 4 workers could do 17 jobs in that time.
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A fleet of fake workers around one leader, with an oracle that looks at what the workers do.
 
 #![allow(dead_code, reason = "each test uses a part")]
+#![allow(clippy::struct_excessive_bools, reason = "each fault is switched by itself")]
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -334,7 +335,7 @@
                     rate: 100,
                     lasting: spec.lasting,
                     filling: spec.filling,
-                    serves: spec.latency_target.is_some(),
+                    serves: spec.tail_objective.is_some(),
                     stalled: worker.hung,
                     resumes: spec.checkpointable,
                 },
@@ -512,10 +513,10 @@
     pub(crate) fn leftovers(&self) -> String {
         let mut text = String::new();
         for (id, job) in self.state.active_jobs().take(3) {
-            text.push_str(&format!("\n{id} {:?} sequence {}", job.status, job.sequence));
+            text.extend([format!("\n{id} {:?} sequence {}", job.status, job.sequence)]);
             for (number, step) in job.occurrences[0].steps.iter().enumerate() {
                 let spec = &job.submission.spec.steps[number];
-                text.push_str(&format!(
+                text.extend([format!(
                     "\n  step {number}: waiting {} done {} gang {} filling {} after {:?} limit {:?} size {} tasks {:?}",
                     step.waiting,
                     step.done,
@@ -525,12 +526,12 @@
                     spec.per_worker_limit,
                     spec.size,
                     step.tasks.iter().map(|task| (task.live, task.last_run.get(), task.done)).collect::<Vec<_>>()
-                ));
+                )]);
             }
         }
         for worker in &self.workers {
             let record = self.state.worker(&worker.id);
-            text.push_str(&format!(
+            text.extend([format!(
                 "\n{} born {} runs {:?} unacknowledged {} record {:?}",
                 worker.id,
                 worker.born,
@@ -542,7 +543,7 @@
                     record.committed,
                     record.runs.iter().map(|(task, entry)| format!("{task}/{}", entry.run)).collect::<Vec<_>>()
                 ))
-            ));
+            )]);
         }
         text
     }
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -17,6 +17,7 @@
 
 use crate::admission;
 use crate::members::{self, MemberView};
+use crate::office::LeaderOffice;
 use crate::settings::FleetSettings;
 use crate::{LeaderReply, LeaderRequest, LogMessage};
 
@@ -33,8 +34,6 @@
 const PLACEMENT_WAIT: Duration = Duration::from_millis(30);
 /// The least wait between two rounds of placement, since each looks at all workers.
 const PLAN_PAUSE: Duration = Duration::from_millis(15);
-/// The most ended jobs that are forgotten by one command.
-const FORGET_LIMIT: usize = 500;
 /// The exit code when the log holds what can't be decoded.
 const CORRUPT_EXIT: i32 = 65;
 
@@ -88,20 +87,6 @@
     waiters: EntryWaiters,
 }
 
-/// The leader's volatile part.
-#[derive(Debug)]
-struct LeaderOffice {
-    dispatcher: Dispatcher,
-    planning: bool,
-    plan_due: bool,
-    next_plan: MonotonicTime,
-    planned: MonotonicTime,
-    next_upkeep: MonotonicTime,
-    expiring: bool,
-    /// When each ended job was first seen as ended.
-    ended: SortedTable<parsleywalk_batch::JobId, MonotonicTime>,
-}
-
 /// One replica of the batch state.
 pub(crate) struct ReplicaCore {
     settings: FleetSettings,
@@ -375,7 +360,7 @@
         let mut commands = Vec::new();
         if !office.expiring {
             commands = office.dispatcher.expire(now, &self.state);
-            commands.extend(forget(&mut office.ended, &self.state, now, self.settings.retention));
+            commands.extend(office.forget(&self.state, now, self.settings.retention));
             office.expiring = !commands.is_empty();
         }
         if !commands.is_empty() {
@@ -574,17 +559,7 @@
             return;
         }
         info!("event=office_taken term={term} jobs={}", self.state.active_count());
-        let dispatcher = Dispatcher::new(self.settings.dispatch.clone(), FenceToken::new(term.get()), now);
-        self.office = Some(LeaderOffice {
-            dispatcher,
-            planning: false,
-            plan_due: true,
-            next_plan: now,
-            planned: MonotonicTime::ZERO,
-            next_upkeep: now,
-            expiring: false,
-            ended: SortedTable::default(),
-        });
+        self.office = Some(LeaderOffice::new(self.settings.dispatch.clone(), FenceToken::new(term.get()), now));
     }
 
     fn finish(&mut self, waiter: Waiter, reply: BatchReply) {
@@ -614,24 +589,6 @@
     }
 }
 
-/// Returns a command that removes the jobs which ended longer ago than the retention period.
-fn forget(
-    ended: &mut SortedTable<parsleywalk_batch::JobId, MonotonicTime>,
-    state: &BatchState,
-    now: MonotonicTime,
-    retention: Duration,
-) -> Option<BatchCommand> {
-    let mut jobs = Vec::new();
-    for (job, _) in state.ended_jobs() {
-        let since = *ended.entry(job, || now);
-        if now >= since + retention && jobs.len() < FORGET_LIMIT {
-            jobs.push(job);
-        }
-    }
-    ended.retain(|job, _| state.job(*job).is_some());
-    (!jobs.is_empty()).then_some(BatchCommand::Forget { jobs })
-}
-
 fn log_orders(worker: &WorkerId, answer: &ReportAnswer) {
     let Some(orders) = &answer.orders else { return };
     for start in &orders.starts {
--- a/crates/parsleywalk-fleet/src/lib.rs
+++ b/crates/parsleywalk-fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod http;
 mod members;
 mod message;
+mod office;
 mod replica;
 mod settings;
 
--- /dev/null
+++ b/crates/parsleywalk-fleet/src/office.rs
@@ -0,0 +1,56 @@
+//! What a replica keeps only while it leads.
+
+use std::time::Duration;
+
+use parsleywalk_batch::{BatchCommand, BatchState, DispatchSettings, Dispatcher, FenceToken, JobId, SortedTable};
+use parsleywalk_units::MonotonicTime;
+
+/// The most ended jobs that are forgotten by one command.
+const FORGET_LIMIT: usize = 500;
+
+/// The leader's volatile part.
+#[derive(Debug)]
+pub(crate) struct LeaderOffice {
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) planning: bool,
+    pub(crate) plan_due: bool,
+    pub(crate) next_plan: MonotonicTime,
+    pub(crate) planned: MonotonicTime,
+    pub(crate) next_upkeep: MonotonicTime,
+    pub(crate) expiring: bool,
+    /// When each ended job was first seen as ended.
+    pub(crate) ended: SortedTable<JobId, MonotonicTime>,
+}
+
+impl LeaderOffice {
+    pub(crate) fn new(settings: DispatchSettings, fence: FenceToken, now: MonotonicTime) -> Self {
+        Self {
+            dispatcher: Dispatcher::new(settings, fence, now),
+            planning: false,
+            plan_due: true,
+            next_plan: now,
+            planned: MonotonicTime::ZERO,
+            next_upkeep: now,
+            expiring: false,
+            ended: SortedTable::default(),
+        }
+    }
+
+    /// Returns a command that removes the jobs which ended longer ago than the retention period.
+    pub(crate) fn forget(
+        &mut self,
+        state: &BatchState,
+        now: MonotonicTime,
+        retention: Duration,
+    ) -> Option<BatchCommand> {
+        let mut jobs = Vec::new();
+        for (job, _) in state.ended_jobs() {
+            let since = *self.ended.entry(job, || now);
+            if now >= since + retention && jobs.len() < FORGET_LIMIT {
+                jobs.push(job);
+            }
+        }
+        self.ended.retain(|job, _| state.job(*job).is_some());
+        (!jobs.is_empty()).then_some(BatchCommand::Forget { jobs })
+    }
+}
