Tell services apart where a task shape finds no room

Found by reading: plain tasks of all services share the empty image, so that a full service would have held up another. Test: a_full_service_does_not_hold_another fails without the change.

--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use parsleywalk_units::{MilliCores, MonotonicTime, ResourceSize};
+use parsleywalk_units::{MilliCores, MonotonicTime, ResourceSize, ServiceName};
 
 use crate::candidate::CandidateWorker;
 use crate::dispatcher::share;
@@ -52,6 +52,7 @@
 /// What decides whether a task finds a place. Where one found none, an equal or larger one of the same image finds none.
 #[derive(Debug, Clone, Copy)]
 struct TaskShape<'a> {
+    service: &'a ServiceName,
     image: &'a str,
     filling: bool,
     size: ResourceSize,
@@ -60,13 +61,14 @@
 }
 
 impl<'a> TaskShape<'a> {
-    fn of(spec: &'a StepSpec) -> Self {
+    fn of(submission: &'a JobSubmission, spec: &'a StepSpec) -> Self {
         let is_plain = !spec.gang && spec.required_label.is_none() && spec.per_worker_limit.is_none();
-        Self { image: &spec.image, filling: spec.filling, size: spec.size, is_plain }
+        Self { service: &submission.service, image: &spec.image, filling: spec.filling, size: spec.size, is_plain }
     }
 
     fn is_harder_than(&self, known: &Self) -> bool {
-        self.filling == known.filling && self.image == known.image && known.size.fits_within(&self.size)
+        let same_kind = (self.service, self.filling, self.image) == (known.service, known.filling, known.image);
+        same_kind && known.size.fits_within(&self.size)
     }
 }
 
@@ -95,8 +97,9 @@
                 break;
             }
             let starved = self.is_starved(now, step.job);
-            let Some(spec) = state.job(step.job).and_then(|job| job.step_spec(step.step)) else { continue };
-            let shape = TaskShape::of(spec);
+            let Some(job) = state.job(step.job) else { continue };
+            let Some(spec) = job.step_spec(step.step) else { continue };
+            let shape = TaskShape::of(&job.submission, spec);
             if !starved && hopeless.iter().any(|known| shape.is_harder_than(known)) {
                 continue;
             }
--- a/crates/parsleywalk-batch/tests/load.rs
+++ b/crates/parsleywalk-batch/tests/load.rs
@@ -142,3 +142,15 @@
     }
     assert_eq!(fleet.status(lasting), Some(JobStatus::Running), "the task waits for more than 6 s");
 }
+
+/// A service without room must not keep another service's tasks from being placed.
+#[test]
+fn a_full_service_does_not_hold_another() {
+    let mut fleet = FakeFleet::new(1, 1);
+    let mut elsewhere = submission(1, 0, vec![step(2, 1, 500)]);
+    elsewhere.service = "other".parse().expect("a name");
+    fleet.submit(elsewhere);
+    let job = fleet.submit(submission(2, 0, vec![step(2, 1, 500)]));
+    fleet.run_for(Duration::from_secs(3));
+    assert_eq!(fleet.status(job), Some(JobStatus::Completed));
+}
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -17,7 +17,7 @@
 
 use crate::admission;
 use crate::members::{self, MemberView};
-use crate::office::LeaderOffice;
+use crate::office::{LeaderOffice, log_orders};
 use crate::settings::FleetSettings;
 use crate::{LeaderReply, LeaderRequest, LogMessage};
 
@@ -589,19 +589,6 @@
     }
 }
 
-fn log_orders(worker: &WorkerId, answer: &ReportAnswer) {
-    let Some(orders) = &answer.orders else { return };
-    for start in &orders.starts {
-        info!(
-            "event=start_ordered job={} task={} run={} worker={worker} fence={}",
-            start.task.job, start.task, start.run, orders.fence
-        );
-    }
-    for (task, run) in &orders.stops {
-        info!("event=stop_ordered job={} task={task} run={run} worker={worker} fence={}", task.job, orders.fence);
-    }
-}
-
 /// Ends the process: going on with a state that differs from the log's could break a guarantee.
 fn fail(reason: &str) {
     error!("event=log_not_decodable error={reason:?}");
--- a/crates/parsleywalk-fleet/src/office.rs
+++ b/crates/parsleywalk-fleet/src/office.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use parsleywalk_batch::{BatchCommand, BatchState, DispatchSettings, Dispatcher, FenceToken, JobId, SortedTable};
-use parsleywalk_units::MonotonicTime;
+use log::info;
+use parsleywalk_batch::{
+    BatchCommand, BatchState, DispatchSettings, Dispatcher, FenceToken, JobId, ReportAnswer, SortedTable,
+};
+use parsleywalk_units::{MonotonicTime, WorkerId};
 
 /// The most ended jobs that are forgotten by one command.
 const FORGET_LIMIT: usize = 500;
@@ -54,3 +57,17 @@
         (!jobs.is_empty()).then_some(BatchCommand::Forget { jobs })
     }
 }
+
+/// Logs the orders that go to a worker.
+pub(crate) fn log_orders(worker: &WorkerId, answer: &ReportAnswer) {
+    let Some(orders) = &answer.orders else { return };
+    for start in &orders.starts {
+        info!(
+            "event=start_ordered job={} task={} run={} worker={worker} fence={}",
+            start.task.job, start.task, start.run, orders.fence
+        );
+    }
+    for (task, run) in &orders.stops {
+        info!("event=stop_ordered job={} task={task} run={run} worker={worker} fence={}", task.job, orders.fence);
+    }
+}
