--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -350,12 +350,6 @@
     pub fn hold(&self, state: &BatchState, worker: &WorkerId) -> Duration {
         if self.is_idle(state, worker) { self.settings.idle_hold } else { self.settings.busy_hold(self.workers.len()) }
     }
-
-    /// The number of workers that were heard from lately.
-    #[must_use]
-    pub fn worker_count(&self) -> usize {
-        self.workers.len()
-    }
 }
 
 /// Tells whether a run on a worker that drains is better moved now than lost when the worker exits.
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -78,7 +78,7 @@
     pub fn plan(&mut self, now: MonotonicTime, unix_ms: u64, state: &BatchState) -> Vec<RunPlacement> {
         let mut ready = self.ready_steps(now, unix_ms, state);
         self.note_idle_jobs(now, state, &ready);
-        self.put_waiting_first(now, &mut ready);
+        self.sort_ready(now, &mut ready);
         if ready.is_empty() {
             return Vec::new();
         }
@@ -121,7 +121,7 @@
         placements
     }
 
-    /// The steps of which tasks wait and may run, in the order in which they are served.
+    /// The steps of which tasks wait and may run, unsorted.
     fn ready_steps(&mut self, now: MonotonicTime, unix_ms: u64, state: &BatchState) -> Vec<ReadyStep> {
         let mut ready = Vec::new();
         for (id, job) in state.active_jobs() {
@@ -141,7 +141,6 @@
                 }
             }
         }
-        ready.sort_unstable();
         ready
     }
 
@@ -311,8 +310,8 @@
         since.is_some_and(|since| now.since(*since) >= RESERVATION_AFTER)
     }
 
-    /// Moves lasting steps that have waited long to the front of their priority.
-    fn put_waiting_first(&self, now: MonotonicTime, ready: &mut [ReadyStep]) {
+    /// Sorts the steps, with lasting ones that have waited long at the front of their priority.
+    fn sort_ready(&self, now: MonotonicTime, ready: &mut [ReadyStep]) {
         for step in ready.iter_mut().filter(|step| self.has_waited(now, step)) {
             step.urgency = JobUrgency::OnTime(Duration::ZERO);
         }
--- a/crates/parsleywalk-batch/src/settings.rs
+++ b/crates/parsleywalk-batch/src/settings.rs
@@ -25,8 +25,6 @@
     pub quarantine: Duration,
     /// On the worker's clock, how long an order that it does not list may still be on its way.
     pub order_expiry: Duration,
-    /// Tasks of active jobs beyond which submissions are refused; bounds the state's memory.
-    pub task_limit: usize,
 }
 
 impl Default for DispatchSettings {
@@ -41,7 +39,6 @@
             stall_limit: Duration::from_millis(1200),
             quarantine: Duration::from_millis(1500),
             order_expiry: Duration::from_millis(1100),
-            task_limit: 200_000,
         }
     }
 }
--- a/crates/parsleywalk-batch/src/spec.rs
+++ b/crates/parsleywalk-batch/src/spec.rs
@@ -112,13 +112,4 @@
         let all = tasks.saturating_mul(u64::from(self.occurrences()));
         (all > TASK_LIMIT as u64).then_some("a job has at most 20000 tasks over all its occurrences")
     }
-
-    /// The core-seconds that one occurrence of the batch steps is estimated to take.
-    #[must_use]
-    pub fn estimated_core_seconds(&self) -> f64 {
-        let batch = self.steps.iter().filter(|step| !step.lasting);
-        batch
-            .map(|step| f64::from(step.count) * f64::from(step.size.cores.get()) / 1000.0 * step.estimate.as_secs_f64())
-            .sum()
-    }
 }
--- a/crates/parsleywalk-batch/src/table.rs
+++ b/crates/parsleywalk-batch/src/table.rs
@@ -85,11 +85,6 @@
         self.rows.iter_mut().map(|(key, value)| (&*key, value))
     }
 
-    /// Iterates over the values in key order, for a change.
-    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut V> {
-        self.rows.iter_mut().map(|(_, value)| value)
-    }
-
     /// Iterates over the rows whose keys are in the range.
     pub fn range(&self, from: &K, to: &K) -> impl Iterator<Item = (&K, &V)> {
         let start = self.rows.partition_point(|(key, _)| key < from);
--- a/crates/parsleywalk-fleet/src/admission.rs
+++ b/crates/parsleywalk-fleet/src/admission.rs
@@ -1,6 +1,6 @@
 //! What a caller's request to a queue leads to.
 
-use parsleywalk_batch::{BatchCommand, BatchState, Dispatcher, JobId, JobQueue, JobSpec, JobSubmission};
+use parsleywalk_batch::{BatchCommand, BatchState, JobId, JobQueue, JobSpec, JobSubmission};
 
 use crate::{LeaderReply, QueueAction};
 
@@ -14,14 +14,7 @@
 }
 
 /// Decides on a caller's request with the newest state.
-pub(crate) fn decide(
-    state: &BatchState,
-    _dispatcher: &Dispatcher,
-    unix_ms: u64,
-    host: &str,
-    path: &str,
-    action: QueueAction,
-) -> Decision {
+pub(crate) fn decide(state: &BatchState, unix_ms: u64, host: &str, path: &str, action: QueueAction) -> Decision {
     let Some(configuration) = state.configuration() else {
         return Decision::Answer(LeaderReply::NoConfiguration);
     };
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -248,8 +248,7 @@
             }
             LeaderRequest::Queue { host, path, action } => {
                 let unix_ms = crate::clock::FleetClock::unix_ms();
-                let Some(office) = &self.office else { return };
-                match admission::decide(&self.state, &office.dispatcher, unix_ms, &host, &path, action) {
+                match admission::decide(&self.state, unix_ms, &host, &path, action) {
                     admission::Decision::Answer(answer) => drop(reply.send(answer)),
                     admission::Decision::Commit(command) => self.propose(vec![command], Waiter::Reply(reply)),
                 }
--- a/crates/parsleywalk-peer/src/network.rs
+++ b/crates/parsleywalk-peer/src/network.rs
@@ -139,12 +139,6 @@
         drop(self.links.send(link));
     }
 
-    /// Closes the links to the peers that `keep` rejects.
-    pub fn retain_peers(&self, keep: impl Fn(VmNumber) -> bool) {
-        let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
-        queues.retain(|queue| keep(queue.vm));
-    }
-
     /// Queues a message for a peer. Returns `false` when it was dropped, because the peer is unknown or its queue is
     /// full; `true` does not say that it will arrive.
     pub fn send(&self, to: VmNumber, lane: PeerLane, message: &M) -> bool {
