Keep a worker free for a lasting task only where it can hold the task

Cause: the worker with the most room was kept free, whatever took the rest of it. On a full service that was a worker whose lasting tasks leave too little room for the task: it was kept free for ever, and blocked smaller lasting tasks. Ruled out: workers on probation, labels, quarantine (0 of 324 candidates were without slots before the first was kept).

--- a/crates/parsleywalk-batch/src/candidate.rs
+++ b/crates/parsleywalk-batch/src/candidate.rs
@@ -11,6 +11,8 @@
     pub(crate) id: &'a WorkerId,
     pub(crate) view: &'a WorkerView,
     pub(crate) free: ResourceSize,
+    /// What the worker has beside its lasting tasks: the room once all others have ended.
+    pub(crate) reachable: ResourceSize,
     /// The processors left when filling tasks count too.
     pub(crate) free_filling: MilliCores,
     /// The serving tasks, with what the filling tasks that are not reported yet will add.
@@ -35,9 +37,19 @@
     /// Tells whether the task could run there if processors did not matter.
     pub(crate) fn fits_in_memory(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
         let room = ResourceSize { cores: MilliCores::default(), ..spec.size }.fits_within(&self.free);
+        room && self.admits(submission, spec, task)
+    }
+
+    /// Tells whether the task fits there once everything but lasting tasks has ended.
+    pub(crate) fn will_fit(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
+        spec.size.fits_within(&self.reachable) && self.admits(submission, spec, task)
+    }
+
+    /// Tells whether the worker may get the task, whatever its room.
+    fn admits(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
         let labelled = spec.required_label.as_ref().is_none_or(|label| self.view.labels.contains(label));
         let apart = spec.per_worker_limit.is_none_or(|limit| self.step_runs(task) < limit as usize);
-        self.slots_left > 0 && self.view.service == submission.service && room && labelled && apart
+        self.slots_left > 0 && self.view.service == submission.service && labelled && apart
     }
 
     pub(crate) fn add_image(&mut self, image: Option<ImageNumber>) {
@@ -75,6 +87,9 @@
         } else {
             self.free = self.free.saturating_sub(&spec.size);
         }
+        if spec.lasting {
+            self.reachable = self.reachable.saturating_sub(&spec.size);
+        }
         self.placed.push(task);
         RunPlacement { task, run, worker: self.id.clone(), incarnation: self.view.incarnation }
     }
@@ -85,6 +100,9 @@
         self.free_filling = self.free_filling.checked_add(spec.size.cores).unwrap_or(self.free_filling);
         let cores = if spec.filling { MilliCores::default() } else { spec.size.cores };
         self.free = self.free.checked_add(&ResourceSize { cores, ..spec.size }).unwrap_or(self.free);
+        if spec.lasting {
+            self.reachable = self.reachable.checked_add(&spec.size).unwrap_or(self.reachable);
+        }
         if let Some(place) = self.placed.iter().rposition(|placed| placed.same_step(task)) {
             self.placed.remove(place);
         }
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -8,7 +8,7 @@
 use crate::dispatcher::share;
 use crate::interference::ImageNumber;
 use crate::urgency::JobUrgency;
-use crate::worker_view::WorkerView;
+use crate::worker_view::{LastingRuns, WorkerView};
 use crate::{
     BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunPlacement, SortedTable, StepSpec, TaskKey, WorkerRecord,
 };
@@ -87,7 +87,7 @@
                 self.interference.number(&step.image);
             }
         }
-        self.note_committed_images(state);
+        self.note_lasting_runs(state);
         let mut candidates = self.candidates(now, state);
         let mut placements = Vec::new();
         let mut hopeless: Vec<TaskShape> = Vec::new();
@@ -156,6 +156,7 @@
                 id,
                 view,
                 free: view.capacity,
+                reachable: view.capacity,
                 free_filling: view.capacity.cores,
                 serving: view.serving.clone(),
                 serving_images: Vec::new(),
@@ -174,7 +175,8 @@
                 let unused = MilliCores::new(candidate.free.cores.get().saturating_add(idle));
                 candidate.free_filling = unused.saturating_sub(record.filling);
                 candidate.record = Some(record);
-                candidate.serving_images.clone_from(&view.committed_images.1);
+                candidate.reachable = view.capacity.saturating_sub(&view.lasting.held);
+                candidate.serving_images.clone_from(&view.lasting.images);
                 candidate.welcome = self.interference.welcome(&candidate.serving_images);
                 self.add_unreported(now, state, view, record, &mut candidate);
                 if view.suspicion.is_on_probation() {
@@ -191,22 +193,25 @@
         candidates
     }
 
-    /// Brings the images of the committed serving tasks up to date, for the workers whose runs changed.
-    fn note_committed_images(&mut self, state: &BatchState) {
+    /// Brings the accounts of committed lasting tasks up to date, for the workers whose runs changed.
+    fn note_lasting_runs(&mut self, state: &BatchState) {
         for (id, view) in self.workers.iter_mut() {
-            let Some(record) = state.worker(id).filter(|record| record.version != view.committed_images.0) else {
+            let Some(record) = state.worker(id).filter(|record| view.lasting.version != Some(record.version)) else {
                 continue;
             };
-            let mut images: Vec<ImageNumber> = Vec::new();
+            let mut lasting = LastingRuns { version: Some(record.version), ..LastingRuns::default() };
             for (task, entry) in record.runs.iter().filter(|(_, entry)| !entry.filling) {
-                let Some((_, step)) = state.step_of(task).filter(|(_, step)| step.is_serving()) else { continue };
-                debug_assert!(!entry.filling, "a filling task serves nobody");
+                let Some((_, step)) = state.step_of(task).filter(|(_, step)| step.lasting) else { continue };
+                lasting.held = lasting.held.checked_add(&entry.size).unwrap_or(lasting.held);
+                if !step.is_serving() {
+                    continue;
+                }
                 let image = self.interference.number(&step.image);
-                if !images.contains(&image) {
-                    images.push(image);
+                if !lasting.images.contains(&image) {
+                    lasting.images.push(image);
                 }
             }
-            view.committed_images = (record.version, images);
+            view.lasting = lasting;
         }
     }
 
@@ -294,12 +299,11 @@
         self.waiting_since = waiting;
     }
 
-    /// Keeps the worker with the most room free for a lasting task that has waited long: small tasks would take each piece
-    /// that gets free, and the task would never find enough in one place.
+    /// Keeps a worker free for a lasting task that has waited long: small tasks would take each piece that gets free, and
+    /// the task would never find enough in one place. Room that other lasting tasks hold does not get free, so only a
+    /// worker that can hold the task beside them is of use; of these, the one with the most room comes first.
     fn reserve(spec: &StepSpec, submission: &JobSubmission, task: &TaskKey, candidates: &mut [CandidateWorker<'_>]) {
-        let usable = candidates.iter_mut().filter(|candidate| {
-            candidate.fits_in_memory(submission, spec, task) && spec.size.fits_within(&candidate.view.capacity)
-        });
+        let usable = candidates.iter_mut().filter(|candidate| candidate.will_fit(submission, spec, task));
         if let Some(roomiest) = usable.max_by_key(|candidate| candidate.free.cores) {
             roomiest.slots_left = 0;
         }
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -45,12 +45,23 @@
     pub(crate) pace: PaceController,
     /// The serving tasks at work, as the newest report describes them.
     pub(crate) serving: Vec<ServingLoad>,
-    /// The images of the committed serving tasks, as of a version of the worker's record.
-    pub(crate) committed_images: (u64, Vec<ImageNumber>),
+    /// The committed lasting tasks, as of a version of the worker's record.
+    pub(crate) lasting: LastingRuns,
     /// The processors that lasting tasks are committed, which they rarely use in full.
     pub(crate) lasting_cores: u32,
 }
 
+/// The lasting tasks that are committed to a worker.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct LastingRuns {
+    /// The version of the worker's record that this describes; `None` before the first.
+    pub(crate) version: Option<u64>,
+    /// The images of those that serve, each once.
+    pub(crate) images: Vec<ImageNumber>,
+    /// What they take of the worker's capacity, which does not get free by itself.
+    pub(crate) held: ResourceSize,
+}
+
 /// A run in progress as the newest report describes it.
 #[derive(Debug, Clone)]
 pub(crate) struct RunView {
@@ -97,7 +108,7 @@
             suspicion: WorkerSuspicion::default(),
             pace: PaceController::default(),
             serving: Vec::new(),
-            committed_images: (u64::MAX, Vec::new()),
+            lasting: LastingRuns::default(),
             lasting_cores: 0,
         }
     }
--- a/crates/parsleywalk-batch/tests/load.rs
+++ b/crates/parsleywalk-batch/tests/load.rs
@@ -143,6 +143,33 @@
     assert_eq!(fleet.status(lasting), Some(JobStatus::Running), "the task waits for more than 6 s");
 }
 
+/// A lasting task gets a place within 6 s where small tasks and lasting ones share the workers. Keeping a worker free whose
+/// other lasting tasks leave too little room for it would make it wait for ever.
+#[test]
+fn a_large_lasting_task_finds_the_worker_that_can_hold_it() {
+    let mut fleet = FakeFleet::new(3, 1);
+    let lasting = |count, cores| vec![StepSpec { lasting: true, ..step(count, cores, 0) }];
+    // Two workers keep 8 of 32 cores beside their lasting tasks, the third 12; tasks of 5 cores use what is left.
+    for (id, cores) in [(1, 24), (2, 24), (3, 20)] {
+        fleet.submit(submission(id, 0, lasting(1, cores)));
+        fleet.run_for(Duration::from_millis(500));
+    }
+    let mut id = 100;
+    let mut stream = |fleet: &mut FakeFleet| {
+        id += 1;
+        fleet.submit(submission(id, 0, vec![step(3, 5, 900 + id % 7 * 100)]));
+        fleet.run_for(Duration::from_millis(500));
+    };
+    for _ in 0..4 {
+        stream(&mut fleet);
+    }
+    let large = fleet.submit(submission(4, 0, lasting(1, 10)));
+    for _ in 0..12 {
+        stream(&mut fleet);
+    }
+    assert_eq!(fleet.status(large), Some(JobStatus::Running), "the task waits for more than 6 s");
+}
+
 /// A service without room must not keep another service's tasks from being placed.
 #[test]
 fn a_full_service_does_not_hold_another() {
