--- /dev/null
+++ b/crates/parsleywalk-batch/src/admission.rs
@@ -0,0 +1,119 @@
+//! Which jobs are refused at submission.
+//!
+//! The load that this answers: more lasting work than a service has room for. Lasting tasks never end by themselves, so
+//! each that is accepted beyond the room takes processors for good, until short work of the same priority finds none and
+//! is late without exception. A lasting job is therefore refused when the lasting work of its service would leave less
+//! than what short work has asked for lately. Its caller can go elsewhere or come back; a job that was accepted and waits
+//! can't.
+
+use std::time::Duration;
+
+use parsleywalk_units::{MonotonicTime, ServiceName};
+
+use crate::{BatchState, Dispatcher, JobSubmission, SortedTable};
+
+/// The time over which the demand of short work is averaged: several waves of callers.
+const DEMAND_WINDOW: Duration = Duration::from_secs(10);
+/// The room that short work gets, in percent of its average demand, since it comes in bursts.
+const BURST_PERCENT: u64 = 150;
+/// When the caller of a refused lasting job is to come back: about as long as one of a hundred lasting jobs goes on.
+const LASTING_RETRY: Duration = Duration::from_secs(5);
+
+/// Why a job is not accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobRefusal {
+    /// When to come back.
+    pub retry_after: Duration,
+    /// The reason, for the log.
+    pub reason: &'static str,
+}
+
+/// An average of the work that arrives, which weighs recent work more.
+#[derive(Debug, Clone, Copy, Default)]
+struct WorkRate {
+    /// Thousandths of a core times seconds, weighed by age.
+    work: f64,
+    updated: MonotonicTime,
+}
+
+impl WorkRate {
+    fn decay(&mut self, now: MonotonicTime) {
+        let age = now.since(self.updated).as_secs_f64() / DEMAND_WINDOW.as_secs_f64();
+        self.work *= (-age).exp();
+        self.updated = now;
+    }
+
+    /// The processors that the work takes, in thousandths.
+    fn millicores(mut self, now: MonotonicTime) -> u64 {
+        self.decay(now);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "processors of a deployment")]
+        let millicores = (self.work / DEMAND_WINDOW.as_secs_f64()) as u64;
+        millicores
+    }
+}
+
+/// The demand of short work, by service.
+#[derive(Debug, Default)]
+pub(crate) struct ShortDemand {
+    rates: SortedTable<ServiceName, WorkRate>,
+}
+
+impl ShortDemand {
+    fn add(&mut self, now: MonotonicTime, submission: &JobSubmission) {
+        let rate = self.rates.entry(submission.service.clone(), WorkRate::default);
+        rate.decay(now);
+        rate.work += short_work(submission);
+    }
+
+    fn millicores(&self, now: MonotonicTime, service: &ServiceName) -> u64 {
+        self.rates.get(service).map_or(0, |rate| rate.millicores(now))
+    }
+}
+
+impl Dispatcher {
+    /// Decides whether a new job is refused, and takes note of one that is not.
+    pub fn admit(&mut self, now: MonotonicTime, state: &BatchState, submission: &JobSubmission) -> Option<JobRefusal> {
+        let asked = lasting_millicores(submission);
+        if asked > 0 {
+            let service = &submission.service;
+            let short = self.short_demand.millicores(now, service) * BURST_PERCENT / 100;
+            let room = self.lasting_room(now, state, service);
+            if room < asked + short {
+                let reason = "the service's lasting work leaves too little to short work";
+                return Some(JobRefusal { retry_after: LASTING_RETRY, reason });
+            }
+        }
+        self.short_demand.add(now, submission);
+        None
+    }
+
+    /// The processors of a service that no lasting task holds or waits for, in thousandths.
+    fn lasting_room(&self, now: MonotonicTime, state: &BatchState, service: &ServiceName) -> u64 {
+        let silence = self.settings.silence_limit;
+        let usable = self.workers.iter().filter(|(_, view)| {
+            view.service == *service && !view.draining && !state.is_out(&view.zone) && now.since(view.heard) < silence
+        });
+        let room: u64 =
+            usable.map(|(_, view)| u64::from(view.capacity.cores.saturating_sub(view.lasting.held.cores).get())).sum();
+        let waiting: u64 = state
+            .active_jobs()
+            .filter(|(_, job)| job.submission.service == *service)
+            .flat_map(|(_, job)| job.submission.spec.steps.iter().zip(&job.occurrences[0].steps))
+            .filter(|(spec, _)| spec.lasting && !spec.filling)
+            .map(|(spec, record)| u64::from(record.waiting) * u64::from(spec.size.cores.get()))
+            .sum();
+        room.saturating_sub(waiting)
+    }
+}
+
+/// The processors that the job's lasting tasks hold for good, in thousandths.
+fn lasting_millicores(submission: &JobSubmission) -> u64 {
+    let lasting = submission.spec.steps.iter().filter(|step| step.lasting && !step.filling);
+    lasting.map(|step| u64::from(step.count) * u64::from(step.size.cores.get())).sum()
+}
+
+/// The processor time of the job's short tasks, in thousandths of a core times seconds.
+fn short_work(submission: &JobSubmission) -> f64 {
+    let short = submission.spec.steps.iter().filter(|step| !step.lasting && !step.filling);
+    short.map(|step| f64::from(step.count) * f64::from(step.size.cores.get()) * step.estimate.as_secs_f64()).sum()
+}
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -4,6 +4,7 @@
 
 use parsleywalk_units::{Incarnation, MonotonicTime, WorkerId};
 
+use crate::admission::ShortDemand;
 use crate::interference::{FillingLoad, ImageNumber, InterferenceModel};
 use crate::worker_view::WorkerView;
 use crate::{
@@ -54,6 +55,7 @@
     pub(crate) waiting_since: SortedTable<(JobId, u16), MonotonicTime>,
     /// When each active job was accepted.
     pub(crate) accepted: SortedTable<JobId, MonotonicTime>,
+    pub(crate) short_demand: ShortDemand,
 }
 
 impl Dispatcher {
@@ -70,6 +72,7 @@
             idle_since: SortedTable::default(),
             waiting_since: SortedTable::default(),
             accepted: SortedTable::default(),
+            short_demand: ShortDemand::default(),
         }
     }
 }
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -5,6 +5,7 @@
 //! says what must be committed before each is answered, answers with orders under a lease, and chooses workers for
 //! waiting tasks. Nothing here does I/O or reads a clock.
 
+mod admission;
 mod candidate;
 mod command;
 mod dispatcher;
@@ -24,6 +25,7 @@
 mod urgency;
 mod worker_view;
 
+pub use admission::JobRefusal;
 pub use command::{BatchCommand, JobSubmission, RunEnd, RunOutcome, RunPlacement, decode_commands, encode_commands};
 pub use dispatcher::{Dispatcher, ReportStep};
 pub use error::{BatchError, Result};
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -26,7 +26,7 @@
 /// three times as long.
 const RESERVATION_AFTER: Duration = Duration::from_secs(2);
 /// At most one worker in so many is kept free.
-const RESERVED_SHARE: usize = 10;
+const RESERVED_SHARE: usize = 60;
 /// The greatest age that a new leader believes of a job.
 const AGE_LIMIT: Duration = Duration::from_mins(1);
 /// The time that a report's figures cover.
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -250,13 +250,24 @@
                 let unix_ms = crate::clock::FleetClock::unix_ms();
                 match admission::decide(&self.state, unix_ms, &host, &path, action) {
                     admission::Decision::Answer(answer) => drop(reply.send(answer)),
-                    admission::Decision::Commit(command) => self.propose(vec![command], Waiter::Reply(reply)),
+                    admission::Decision::Commit(command) => match self.refusal(now, &command) {
+                        Some(refusal) => drop(reply.send(refusal)),
+                        None => self.propose(vec![command], Waiter::Reply(reply)),
+                    },
                 }
             }
         }
         self.settle(now);
     }
 
+    /// Returns the answer to a submission for which the service has no room.
+    fn refusal(&mut self, now: MonotonicTime, command: &BatchCommand) -> Option<LeaderReply> {
+        let BatchCommand::Submit(submission) = command else { return None };
+        let refusal = self.office.as_mut()?.dispatcher.admit(now, &self.state, submission)?;
+        info!("event=job_refused job={} queue={} reason={:?}", submission.job, submission.queue, refusal.reason);
+        Some(LeaderReply::Refused { retry_after: refusal.retry_after, reason: refusal.reason.to_owned() })
+    }
+
     fn report(&mut self, now: MonotonicTime, report: &WorkerReport, reply: ReplySender) {
         let Some(office) = &mut self.office else { return };
         let (worker, sequence) = (report.worker.clone(), report.sequence);
