--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -16,16 +16,16 @@
 /// The most placements of one round; a round must stay well below the leader's heartbeat interval.
 const ROUND_LIMIT: usize = 400;
 
-/// The part of lasting tasks' committed processors that filling tasks may count on, in percent; lasting tasks are sized
-/// for their peaks.
-const LASTING_IDLE_PERCENT: u32 = 45;
+/// The part of lasting tasks' committed processors that filling tasks may count on, in percent. Lasting tasks are sized for
+/// their peaks; filling tasks beyond what is idle only work more slowly.
+const LASTING_IDLE_PERCENT: u32 = 60;
 /// A job that has had nothing running for this long gets a place for one task even where it would disturb others. Callers
 /// take a job for stuck after about twice as long.
 const STARVATION_LIMIT: Duration = Duration::from_millis(1500);
 /// A lasting task that has waited for this long gets a worker kept free for it. Callers take it for stuck after about
 /// three times as long.
 const RESERVATION_AFTER: Duration = Duration::from_secs(2);
-/// At most one worker in so many is kept free.
+/// At most one worker in so many is kept free, since what is kept free serves nobody.
 const RESERVED_SHARE: usize = 60;
 /// The greatest age that a new leader believes of a job.
 const AGE_LIMIT: Duration = Duration::from_mins(1);
--- a/crates/parsleywalk-batch/tests/load.rs
+++ b/crates/parsleywalk-batch/tests/load.rs
@@ -170,6 +170,38 @@
     assert_eq!(fleet.status(large), Some(JobStatus::Running), "the task waits for more than 6 s");
 }
 
+/// More lasting jobs are offered than there is room for. They get what short jobs don't need, and no more: without a bound
+/// they take every processor for good, and no short job ends on time any more.
+#[test]
+fn lasting_jobs_leave_room_to_short_ones() {
+    let mut fleet = FakeFleet::new(6, 1);
+    let mut short = Vec::new();
+    let mut lasting = 0;
+    // 192 cores; short work takes 24 of them, and a lasting job of 24 cores comes every two seconds.
+    for round in 0..60_u64 {
+        if let Some(job) = fleet.offer(submission(1000 + round, 0, vec![step(4, 3, 1000)])) {
+            short.push((job, fleet.now));
+        }
+        if round >= 8
+            && round % 4 == 0
+            && fleet.offer(submission(round, 0, vec![StepSpec { lasting: true, ..step(4, 6, 0) }])).is_some()
+        {
+            lasting += 1;
+        }
+        fleet.run_for(Duration::from_millis(500));
+    }
+    fleet.run_for(Duration::from_secs(10));
+    assert_eq!(short.len(), 60, "short jobs are not refused");
+    // Twice the second of work, and a second.
+    let on_time = |(job, since): &(parsleywalk_batch::JobId, MonotonicTime)| {
+        fleet.ended_at.get(job).is_some_and(|end| end.since(*since) <= Duration::from_secs(3))
+    };
+    let on_time = short.iter().filter(|entry| on_time(entry)).count();
+    assert!(on_time * 10 >= short.len() * 9, "{on_time} of {} short jobs on time", short.len());
+    // 192 cores less one and a half times 24 hold six lasting jobs.
+    assert_eq!(lasting, 6);
+}
+
 /// A service without room must not keep another service's tasks from being placed.
 #[test]
 fn a_full_service_does_not_hold_another() {
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -155,6 +155,12 @@
         job
     }
 
+    /// Submits a job as a caller does: the leader may refuse it.
+    pub(crate) fn offer(&mut self, submission: JobSubmission) -> Option<JobId> {
+        let refusal = self.dispatcher.admit(self.now, &self.state, &submission);
+        if refusal.is_some() { None } else { Some(self.submit(submission)) }
+    }
+
     pub(crate) fn cancel(&mut self, job: JobId) {
         self.apply(&BatchCommand::Cancel { job });
     }
