--- a/crates/parsleywalk-fleet/src/access.rs
+++ b/crates/parsleywalk-fleet/src/access.rs
@@ -11,7 +11,7 @@
 use crate::clock::FleetClock;
 use crate::replica::{Replica, process_incarnation};
 use crate::settings::FleetSettings;
-use crate::{LeaderReply, LeaderRequest, Result};
+use crate::{FleetMetrics, LeaderReply, LeaderRequest, Result};
 
 /// How often an entry makes sure that the leader is there.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -22,6 +22,7 @@
 pub struct LeaderAccess {
     client: Rc<LeaderClient>,
     replica: Option<Rc<Replica>>,
+    metrics: FleetMetrics,
 }
 
 impl LeaderAccess {
@@ -31,7 +32,7 @@
     /// # Errors
     ///
     /// Returns an error when the log can't be opened or the peer port can't be bound.
-    pub async fn start(settings: FleetSettings) -> Result<Self> {
+    pub async fn start(settings: FleetSettings, metrics: FleetMetrics) -> Result<Self> {
         let clock = FleetClock::start();
         let peers = Arc::new(PeerSettings {
             vm: settings.vm(),
@@ -40,15 +41,15 @@
             listen: settings.peer_address(settings.vm()),
             ..PeerSettings::default()
         });
-        let client = Rc::new(LeaderClient::new(Arc::clone(&peers), settings.clone(), clock));
+        let client = Rc::new(LeaderClient::new(Arc::clone(&peers), settings.clone(), clock, metrics.clone()));
         let replica = if settings.data_folder.is_some() {
-            Some(Replica::start(settings, peers, Rc::clone(&client), clock).await?)
+            Some(Replica::start(settings, peers, Rc::clone(&client), clock, metrics.clone()).await?)
         } else {
             let probing = Rc::clone(&client);
             tokio::task::spawn_local(async move { probing.probe(PROBE_INTERVAL).await });
             None
         };
-        Ok(Self { client, replica })
+        Ok(Self { client, replica, metrics })
     }
 
     /// Calls the leader.
@@ -79,6 +80,16 @@
         self.client.leader().map(crate::settings::vm_address)
     }
 
+    /// Renders the metrics, with the sizes and ages of this moment.
+    #[must_use]
+    pub fn render_metrics(&self) -> String {
+        self.metrics.leader_word_age(self.client.silence());
+        if let Some(replica) = &self.replica {
+            replica.measure();
+        }
+        self.metrics.render()
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&self, seeds: &[Ipv4Addr]) {
         self.client.set_seeds(seeds);
--- a/crates/parsleywalk-fleet/src/client.rs
+++ b/crates/parsleywalk-fleet/src/client.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::FleetClock;
 use crate::settings::{FleetSettings, vm_number};
-use crate::{LeaderReply, LeaderRequest};
+use crate::{FleetMetrics, LeaderReply, LeaderRequest};
 
 /// The longest wait for a replica's word about the leader.
 const LOCATE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -54,12 +54,18 @@
     /// When a leader last answered.
     reached: Cell<MonotonicTime>,
     searching: tokio::sync::Mutex<()>,
+    metrics: FleetMetrics,
 }
 
 impl LeaderClient {
     /// Prepares a client; nothing is sent before the first call.
     #[must_use]
-    pub(crate) fn new(settings: Arc<PeerSettings>, fleet: FleetSettings, clock: FleetClock) -> Self {
+    pub(crate) fn new(
+        settings: Arc<PeerSettings>,
+        fleet: FleetSettings,
+        clock: FleetClock,
+        metrics: FleetMetrics,
+    ) -> Self {
         let seeds = fleet.seeds.iter().map(|seed| vm_number(*seed)).collect();
         Self {
             settings,
@@ -73,6 +79,7 @@
             leaderless_since: Cell::new(MonotonicTime::ZERO),
             reached: Cell::new(MonotonicTime::ZERO),
             searching: tokio::sync::Mutex::new(()),
+            metrics,
         }
     }
 
@@ -169,6 +176,7 @@
     fn lose(&self, leader: VmNumber, error: &CallError) {
         if self.leader.get() == Some(leader) {
             let peer = self.fleet.peer_address(leader);
+            self.metrics.leader_lost();
             info!("event=leader_lost peer={peer} error={:?}", error.to_string());
             self.forget_leader();
             // A link that did not answer may be silent for good; the next call opens another.
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -19,7 +19,7 @@
 use crate::members::{self, MemberView};
 use crate::office::{LeaderOffice, log_orders};
 use crate::settings::FleetSettings;
-use crate::{LeaderReply, LeaderRequest, LogMessage};
+use crate::{FleetMetrics, LeaderReply, LeaderRequest, LogMessage};
 
 /// The wait between two looks at leases and members.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
@@ -107,10 +107,11 @@
     held_changed: bool,
     zones: SortedTable<VmNumber, ZoneName>,
     outputs: Vec<CoreOutput>,
+    metrics: FleetMetrics,
 }
 
 impl ReplicaCore {
-    pub(crate) fn new(settings: FleetSettings, node: ConsensusNode) -> Self {
+    pub(crate) fn new(settings: FleetSettings, node: ConsensusNode, metrics: FleetMetrics) -> Self {
         let mut zones = SortedTable::default();
         zones.insert(settings.vm(), settings.zone.clone());
         Self {
@@ -127,6 +128,7 @@
             held_changed: false,
             zones,
             outputs: Vec::new(),
+            metrics,
         }
     }
 
@@ -159,6 +161,11 @@
         self.node.leader().is_some()
     }
 
+    /// Brings the metrics of the state up to date.
+    pub(crate) fn measure(&self) {
+        self.metrics.state(&self.state, crate::clock::FleetClock::unix_ms());
+    }
+
     fn located(&self) -> LeaderReply {
         LeaderReply::Located {
             leader: self.leader(),
@@ -250,20 +257,30 @@
                 let unix_ms = crate::clock::FleetClock::unix_ms();
                 match admission::decide(&self.state, unix_ms, &host, &path, action) {
                     admission::Decision::Answer(answer) => drop(reply.send(answer)),
-                    admission::Decision::Commit(command) => match self.refusal(now, &command) {
-                        Some(refusal) => drop(reply.send(refusal)),
-                        None => self.propose(vec![command], Waiter::Reply(reply)),
-                    },
+                    admission::Decision::Commit(command) => self.take_request(now, command, reply),
                 }
             }
         }
         self.settle(now);
     }
 
+    /// Commits a caller's request, or refuses it.
+    fn take_request(&mut self, now: MonotonicTime, command: BatchCommand, reply: ReplySender) {
+        if let Some(refusal) = self.refusal(now, &command) {
+            drop(reply.send(refusal));
+            return;
+        }
+        if matches!(command, BatchCommand::Submit(_)) {
+            self.metrics.job_accepted();
+        }
+        self.propose(vec![command], Waiter::Reply(reply));
+    }
+
     /// Returns the answer to a submission for which the service has no room.
     fn refusal(&mut self, now: MonotonicTime, command: &BatchCommand) -> Option<LeaderReply> {
         let BatchCommand::Submit(submission) = command else { return None };
         let refusal = self.office.as_mut()?.dispatcher.admit(now, &self.state, submission)?;
+        self.metrics.refused(refusal.reason);
         info!("event=job_refused job={} queue={} reason={:?}", submission.job, submission.queue, refusal.reason);
         Some(LeaderReply::Refused { retry_after: refusal.retry_after, reason: refusal.reason.to_owned() })
     }
@@ -277,6 +294,7 @@
                 drop(reply.send(LeaderReply::Report(Box::new(answer))));
             }
             ReportStep::Commit(commands) => {
+                self.metrics.runs_ended(&commands);
                 office.plan_due = true;
                 let hold_until = now + office.dispatcher.hold(&self.state, &worker);
                 let waiting = WaitingReport { worker, sequence, hold_until, reply };
@@ -359,6 +377,7 @@
         for report in due {
             let answer = office.dispatcher.answer(state, &report.worker, report.sequence);
             log_orders(&report.worker, &answer);
+            self.metrics.answered(&answer);
             drop(report.reply.send(LeaderReply::Report(Box::new(answer))));
         }
     }
@@ -370,6 +389,7 @@
         let mut commands = Vec::new();
         if !office.expiring {
             commands = office.dispatcher.expire(now, &self.state);
+            self.metrics.leases_expired(commands.len());
             commands.extend(office.forget(&self.state, now, self.settings.retention));
             office.expiring = !commands.is_empty();
         }
@@ -540,6 +560,7 @@
         if self.office.is_some() {
             for (job, status) in ended {
                 let failures = self.state.job(job).map_or(0, parsleywalk_batch::JobRecord::failures);
+                self.metrics.job_ended(status);
                 info!("event=job_ended job={job} status={status:?} failed_runs={failures} index={}", entry.index);
             }
         }
@@ -568,6 +589,7 @@
         if self.office.is_some() || self.node.role() != ReplicaRole::Leader || term != self.node.term() {
             return;
         }
+        self.metrics.election_won();
         info!("event=office_taken term={term} jobs={}", self.state.active_count());
         self.office = Some(LeaderOffice::new(self.settings.dispatch.clone(), FenceToken::new(term.get()), now));
     }
--- a/crates/parsleywalk-fleet/src/http.rs
+++ b/crates/parsleywalk-fleet/src/http.rs
@@ -25,6 +25,11 @@
 /// The wait after a failed accept, such as one for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// The media type of most bodies.
+const JSON: &str = "application/json";
+/// The media type of metrics.
+const PLAIN_TEXT: &str = "text/plain; charset=utf-8";
+
 /// Bounds of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct HttpLimits {
@@ -77,8 +82,10 @@
 pub struct HttpAnswer {
     /// The status code.
     pub status: u16,
-    /// A JSON body; may be empty.
+    /// The body; may be empty.
     pub body: Vec<u8>,
+    /// What the body is.
+    pub media_type: &'static str,
     /// When to come back.
     pub retry_after: Option<Duration>,
 }
@@ -87,13 +94,19 @@
     /// A response with a status only.
     #[must_use]
     pub const fn status(status: u16) -> Self {
-        Self { status, body: Vec::new(), retry_after: None }
+        Self { status, body: Vec::new(), media_type: JSON, retry_after: None }
     }
 
     /// A 200 with a JSON body.
     #[must_use]
     pub const fn json(body: Vec<u8>) -> Self {
-        Self { status: 200, body, retry_after: None }
+        Self { status: 200, body, media_type: JSON, retry_after: None }
+    }
+
+    /// A 200 with a body of plain text.
+    #[must_use]
+    pub const fn text(body: Vec<u8>) -> Self {
+        Self { status: 200, body, media_type: PLAIN_TEXT, retry_after: None }
     }
 
     /// The response with a time to come back.
@@ -107,7 +120,7 @@
         let mut response = Response::new(Full::new(Bytes::from(self.body)));
         *response.status_mut() = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(self.media_type));
         if let Some(wait) = self.retry_after {
             let seconds = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
             headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
--- /dev/null
+++ b/crates/parsleywalk-fleet/src/metrics.rs
@@ -0,0 +1,188 @@
+//! The instruments of a daemon of the fleet.
+
+use std::time::Duration;
+
+use parsleywalk_batch::{BatchCommand, BatchState, JobStatus, ReportAnswer, RunOutcome};
+use parsleywalk_metrics::{Counter, Gauge, Histogram, KeyValue, MetricRegistry};
+
+/// Counts and durations of what a daemon does. Cloning shares the instruments.
+#[derive(Debug, Clone)]
+pub struct FleetMetrics {
+    registry: MetricRegistry,
+    requests: Counter<u64>,
+    request_durations: Histogram<f64>,
+    leaders_lost: Counter<u64>,
+    leader_word_age: Gauge<u64>,
+    log_lines_dropped: Gauge<u64>,
+    sync_durations: Histogram<f64>,
+    elections_won: Counter<u64>,
+    jobs: Counter<u64>,
+    refusals: Counter<u64>,
+    orders: Counter<u64>,
+    runs_ended: Counter<u64>,
+    leases: Counter<u64>,
+    active_jobs: Gauge<u64>,
+    oldest_waiting: Gauge<u64>,
+    workers: Gauge<u64>,
+    configuration: Gauge<u64>,
+}
+
+impl Default for FleetMetrics {
+    fn default() -> Self {
+        let registry = MetricRegistry::new();
+        Self {
+            requests: registry.counter("parsleywalk_requests", "Requests answered, by status"),
+            request_durations: registry
+                .duration_histogram("parsleywalk_request_duration", "Time from a request's arrival to its answer"),
+            leaders_lost: registry.counter("parsleywalk_leaders_lost", "Leaders that stopped answering this daemon"),
+            leader_word_age: registry
+                .gauge("parsleywalk_leader_word_age_milliseconds", "Time since a leader last answered this daemon"),
+            log_lines_dropped: registry
+                .gauge("parsleywalk_log_lines_dropped", "Log lines that a slow reader of standard output cost"),
+            sync_durations: registry
+                .duration_histogram("parsleywalk_log_sync_duration", "Time of a synced write to the log"),
+            elections_won: registry.counter("parsleywalk_elections_won", "Times that this replica became leader"),
+            jobs: registry.counter("parsleywalk_jobs", "Jobs accepted, and jobs that ended, by event"),
+            refusals: registry.counter("parsleywalk_refusals", "Submissions refused, by reason"),
+            orders: registry.counter("parsleywalk_orders", "Orders to workers, by kind"),
+            runs_ended: registry.counter("parsleywalk_runs_ended", "Ends of runs that were committed, by outcome"),
+            leases: registry.counter("parsleywalk_leases", "Leases of workers renewed and expired, by event"),
+            active_jobs: registry.gauge("parsleywalk_active_jobs", "Jobs that are not final, by priority and status"),
+            oldest_waiting: registry.gauge(
+                "parsleywalk_oldest_waiting_milliseconds",
+                "Age of the oldest job of which no task has started, by priority",
+            ),
+            workers: registry.gauge("parsleywalk_workers", "Workers with runs"),
+            configuration: registry.gauge("parsleywalk_configuration_version", "Version of the configuration held"),
+            registry,
+        }
+    }
+}
+
+/// Commands.
+impl FleetMetrics {
+    /// Counts an answered request.
+    pub fn request(&self, status: u16, duration: Duration) {
+        let labels = [KeyValue::new("status", i64::from(status))];
+        self.requests.add(1, &labels);
+        self.request_durations.record(duration.as_secs_f64(), &labels);
+    }
+
+    /// Takes the number of log lines that were dropped since the start.
+    pub fn log_lines_dropped(&self, lines: u64) {
+        self.log_lines_dropped.record(lines, &[]);
+    }
+
+    pub(crate) fn leader_lost(&self) {
+        self.leaders_lost.add(1, &[]);
+    }
+
+    pub(crate) fn leader_word_age(&self, age: Duration) {
+        self.leader_word_age.record(milliseconds(age), &[]);
+    }
+
+    pub(crate) fn log_synced(&self, duration: Duration) {
+        self.sync_durations.record(duration.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn election_won(&self) {
+        self.elections_won.add(1, &[]);
+    }
+
+    pub(crate) fn job_accepted(&self) {
+        self.jobs.add(1, &[KeyValue::new("event", "accepted")]);
+    }
+
+    pub(crate) fn job_ended(&self, status: JobStatus) {
+        self.jobs.add(1, &[KeyValue::new("event", status_name(status))]);
+    }
+
+    pub(crate) fn refused(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    pub(crate) fn answered(&self, answer: &ReportAnswer) {
+        let Some(orders) = &answer.orders else { return };
+        self.leases.add(1, &[KeyValue::new("event", "renewed")]);
+        for (kind, count) in
+            [("start", orders.starts.len()), ("stop", orders.stops.len()), ("rate", orders.rates.len())]
+        {
+            if count > 0 {
+                self.orders.add(u64::try_from(count).unwrap_or(u64::MAX), &[KeyValue::new("kind", kind)]);
+            }
+        }
+    }
+
+    pub(crate) fn leases_expired(&self, count: usize) {
+        self.leases.add(u64::try_from(count).unwrap_or(u64::MAX), &[KeyValue::new("event", "expired")]);
+    }
+
+    /// Counts the ends of runs that a report's commands record.
+    pub(crate) fn runs_ended(&self, commands: &[BatchCommand]) {
+        for command in commands {
+            if let BatchCommand::Settle { ends, .. } = command {
+                for end in ends {
+                    self.runs_ended.add(1, &[KeyValue::new("outcome", outcome_name(end.outcome))]);
+                }
+            }
+        }
+    }
+
+    /// Takes the sizes and ages of the state.
+    pub(crate) fn state(&self, state: &BatchState, unix_ms: u64) {
+        for priority in 0..=LOWEST_PRIORITY {
+            let of_priority = || state.active_jobs().filter(|(_, job)| job.submission.priority == priority);
+            let label = KeyValue::new("priority", i64::from(priority));
+            for status in [JobStatus::Pending, JobStatus::Running] {
+                let count = of_priority().filter(|(_, job)| job.status == status).count();
+                let labels = [label.clone(), KeyValue::new("status", status_name(status))];
+                self.active_jobs.record(u64::try_from(count).unwrap_or(u64::MAX), &labels);
+            }
+            let pending = of_priority().filter(|(_, job)| job.status == JobStatus::Pending);
+            let oldest = pending.map(|(_, job)| job.submission.accepted_unix_ms).min();
+            self.oldest_waiting.record(oldest.map_or(0, |oldest| unix_ms.saturating_sub(oldest)), &[label]);
+        }
+        let busy = state.workers().filter(|(_, record)| !record.runs.is_empty()).count();
+        self.workers.record(u64::try_from(busy).unwrap_or(u64::MAX), &[]);
+        let version = state.configuration().map_or(0, |configuration| configuration.version.get());
+        self.configuration.record(version, &[]);
+    }
+}
+
+/// Queries.
+impl FleetMetrics {
+    /// The values in the Prometheus text format.
+    #[must_use]
+    pub fn render(&self) -> String {
+        self.registry.render()
+    }
+}
+
+/// Priorities beyond this are not told apart.
+const LOWEST_PRIORITY: u8 = 3;
+
+fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn status_name(status: JobStatus) -> &'static str {
+    match status {
+        JobStatus::Pending => "pending",
+        JobStatus::Running => "running",
+        JobStatus::Completed => "completed",
+        JobStatus::Failed => "failed",
+        JobStatus::Cancelled => "cancelled",
+    }
+}
+
+fn outcome_name(outcome: RunOutcome) -> &'static str {
+    match outcome {
+        RunOutcome::Done => "done",
+        RunOutcome::Failed => "failed",
+        RunOutcome::Stopped => "stopped",
+        RunOutcome::LeaseLapsed => "lease_lapsed",
+        RunOutcome::GangBroken => "gang_broken",
+        RunOutcome::GangIncomplete => "gang_incomplete",
+        RunOutcome::Refused => "refused",
+    }
+}
--- a/crates/parsleywalk-fleet/src/replica.rs
+++ b/crates/parsleywalk-fleet/src/replica.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use flume::{Receiver, Sender};
 use log::{error, info, warn};
@@ -20,7 +20,7 @@
 use crate::clock::FleetClock;
 use crate::core::{CoreOutput, ReplicaCore};
 use crate::settings::{FleetSettings, vm_number};
-use crate::{FleetError, LeaderReply, LeaderRequest, LogMessage, Result};
+use crate::{FleetError, FleetMetrics, LeaderReply, LeaderRequest, LogMessage, Result};
 
 /// The most writes in one sync.
 const GROUP_LIMIT: usize = 4096;
@@ -56,6 +56,7 @@
         peers: Arc<PeerSettings>,
         client: Rc<LeaderClient>,
         clock: FleetClock,
+        metrics: FleetMetrics,
     ) -> Result<Rc<Self>> {
         let Some(folder) = settings.data_folder.clone() else {
             unreachable!("a replica is started only where there is a data folder");
@@ -72,9 +73,9 @@
         // Not bounded by a count: the log bounds the bytes that are proposed and not yet synced.
         let (writes, write_queue) = flume::unbounded();
         let (synced, synced_queue) = flume::unbounded();
-        start_storage(store, write_queue, synced)?;
+        start_storage(store, write_queue, synced, metrics.clone())?;
         let replica = Rc::new(Self {
-            core: RefCell::new(ReplicaCore::new(settings.clone(), node)),
+            core: RefCell::new(ReplicaCore::new(settings.clone(), node, metrics)),
             network,
             writes,
             client,
@@ -182,6 +183,11 @@
         }
     }
 
+    /// Brings the metrics of the state up to date.
+    pub(crate) fn measure(&self) {
+        self.core.borrow().measure();
+    }
+
     fn serve(&self, request: LeaderRequest) -> oneshot::Receiver<LeaderReply> {
         let (reply, answer) = oneshot::channel();
         self.step(|core, now| core.serve(now, request, reply));
@@ -238,12 +244,16 @@
     mut store: LogStore,
     queue: Receiver<(WriteTicket, LogWrite)>,
     synced: Sender<Vec<WriteTicket>>,
+    metrics: FleetMetrics,
 ) -> Result<()> {
     let run = move || {
         while let Ok(first) = queue.recv() {
             let (tickets, writes): (Vec<_>, Vec<_>) =
                 std::iter::once(first).chain(queue.try_iter().take(GROUP_LIMIT)).unzip();
-            if let Err(cause) = store.write(&writes) {
+            let start = Instant::now();
+            let written = store.write(&writes);
+            metrics.log_synced(start.elapsed());
+            if let Err(cause) = written {
                 error!("event=storage_failed error={:?}", cause.to_string());
                 std::process::exit(STORAGE_EXIT);
             }
--- a/crates/parsleywalk-fleet/tests/replicas.rs
+++ b/crates/parsleywalk-fleet/tests/replicas.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use parsleywalk_batch::{JobSpec, JobStatus, QueueConfiguration, StepSpec, WorkerPool};
-use parsleywalk_fleet::{CallFailure, FleetSettings, LeaderAccess, LeaderReply, LeaderRequest, QueueAction};
+use parsleywalk_fleet::{
+    CallFailure, FleetMetrics, FleetSettings, LeaderAccess, LeaderReply, LeaderRequest, QueueAction,
+};
 use parsleywalk_units::ConfigurationVersion;
 use tempfile::TempDir;
 use tokio::runtime::Builder;
@@ -35,7 +37,9 @@
             let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
             let local = LocalSet::new();
             local.block_on(&runtime, async move {
-                let access = std::rc::Rc::new(LeaderAccess::start(settings).await.expect("the daemon starts"));
+                let access = std::rc::Rc::new(
+                    LeaderAccess::start(settings, FleetMetrics::default()).await.expect("the daemon starts"),
+                );
                 while let Ok(DaemonOrder::Call(request, reply)) = queue.recv_async().await {
                     let access = std::rc::Rc::clone(&access);
                     tokio::task::spawn_local(async move {
--- /dev/null
+++ b/crates/parsleywalk-metrics/src/lib.rs
@@ -0,0 +1,18 @@
+//! Metrics in the Prometheus text format, by `opentelemetry`.
+//!
+//! [`MetricRegistry`] makes the instruments of one process and renders their values:
+//!
+//! ```
+//! use parsleywalk_metrics::MetricRegistry;
+//!
+//! let registry = MetricRegistry::new();
+//! let starts = registry.counter("parsleywalk_starts", "Runs that were ordered");
+//! starts.add(2, &[]);
+//! assert!(registry.render().contains("parsleywalk_starts_total"));
+//! ```
+
+mod registry;
+
+pub use opentelemetry::KeyValue;
+pub use opentelemetry::metrics::{Counter, Gauge, Histogram};
+pub use registry::MetricRegistry;
--- a/crates/parsleywalkd/src/logging.rs
+++ b/crates/parsleywalkd/src/logging.rs
@@ -17,21 +17,23 @@
 /// The wait before waiting lines are written together, since each write costs a system call.
 const WRITE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Sends log lines to standard output through a bounded queue, so that a slow or stuck reader stops nothing.
+/// Sends log lines to standard output through a bounded queue, so that a slow or stuck reader stops nothing. Returns the
+/// count of the lines that were dropped since the start.
 ///
 /// # Errors
 ///
 /// Returns an error when the thread can't start or a logger is already set.
-pub fn start_queued_logging() -> Result<()> {
+pub fn start_queued_logging() -> Result<Arc<AtomicU64>> {
     let (lines, queue) = flume::bounded::<String>(LINE_LIMIT);
     let dropped = Arc::new(AtomicU64::new(0));
-    let counted = Arc::clone(&dropped);
+    let (counted, total) = (Arc::clone(&dropped), Arc::clone(&dropped));
     let start_error = |cause| DaemonError::Thread { step: "start logging", cause };
     thread::Builder::new().name("log".to_owned()).spawn(move || write_lines(&queue, &counted)).map_err(start_error)?;
     formatted(log::LevelFilter::Info)
         .chain(fern::Output::call(move |record| queue_line(&lines, &dropped, record.args())))
         .apply()
-        .map_err(|cause| start_error(std::io::Error::other(cause.to_string())))
+        .map_err(|cause| start_error(std::io::Error::other(cause.to_string())))?;
+    Ok(total)
 }
 
 fn queue_line(lines: &Sender<String>, dropped: &AtomicU64, line: &Arguments<'_>) {
@@ -42,13 +44,15 @@
 
 fn write_lines(queue: &Receiver<String>, dropped: &AtomicU64) {
     let mut output = std::io::stdout();
+    let mut reported = 0;
     while let Ok(first) = queue.recv() {
         thread::sleep(WRITE_INTERVAL);
         let mut text = first;
         text.extend(queue.try_iter());
-        let lost = dropped.swap(0, Ordering::Relaxed);
-        if lost > 0 {
-            text.extend([format!("event=log_lines_dropped count={lost}\n")]);
+        let lost = dropped.load(Ordering::Relaxed);
+        if lost > reported {
+            text.extend([format!("event=log_lines_dropped count={}\n", lost - reported)]);
+            reported = lost;
         }
         // Without a reader there is nobody to tell.
         if output.write_all(text.as_bytes()).and_then(|()| output.flush()).is_err() {
--- a/crates/parsleywalkd/src/main.rs
+++ b/crates/parsleywalkd/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use parsleywalk_platform::PlatformOptions;
 use parsleywalkd::{Daemon, DaemonSettings, initialise, start_logging, start_queued_logging};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -39,13 +40,17 @@
     /// Runs the daemon; the default.
     Run,
     /// Runs a daemon on the users' platform, with the settings file that the platform names in the environment.
-    Platform,
+    Platform {
+        /// Serves metrics on this port of the VM, under /metrics.
+        #[arg(long, value_name = "PORT")]
+        metrics_port: Option<u16>,
+    },
 }
 
 fn main() -> ExitCode {
     let arguments = DaemonArguments::parse();
-    if matches!(arguments.command, Some(DaemonCommand::Platform)) {
-        return run_platform();
+    if let Some(DaemonCommand::Platform { metrics_port }) = arguments.command {
+        return run_platform(metrics_port);
     }
     let settings = match load_settings(&arguments) {
         Ok(settings) => settings,
@@ -67,12 +72,15 @@
     }
 }
 
-fn run_platform() -> ExitCode {
-    if let Err(error) = start_queued_logging() {
-        eprintln!("parsleywalkd: {error}");
-        return ExitCode::FAILURE;
-    }
-    match parsleywalk_platform::run() {
+fn run_platform(metrics_port: Option<u16>) -> ExitCode {
+    let dropped_lines = match start_queued_logging() {
+        Ok(dropped_lines) => dropped_lines,
+        Err(error) => {
+            eprintln!("parsleywalkd: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match parsleywalk_platform::run(PlatformOptions { metrics_port, dropped_lines }) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("parsleywalkd: {error}");
