--- a/crates/parsleywalk-batch/src/urgency.rs
+++ b/crates/parsleywalk-batch/src/urgency.rs
@@ -1,8 +1,9 @@
 //! The order in which waiting work is served.
 //!
 //! Under overload, first come first served makes every job late: each waits behind jobs whose callers have stopped
-//! counting on them. Within a priority, jobs that can still end on time go first, the one with the least slack before the
-//! others; then those that are late and still of use, the one with the least work left first; then the rest, in the
+//! counting on them. Within a priority, jobs that can still end on time go first, the one with the earliest deadline before
+//! the others: by slack, long jobs that are about to be late would take the workers from short ones, and then be late all
+//! the same, since estimates are rough; then those that are late and still of use, the one with the least work left first; then the rest, in the
 //! order of submission.
 
 use std::time::Duration;
@@ -16,12 +17,12 @@
 
 /// Lasting tasks lose a little with each second that they wait, and hold what they get for long: short jobs that would
 /// be late otherwise go first.
-const LASTING_SLACK: Duration = Duration::from_secs(3);
+const LASTING_DEADLINE: Duration = Duration::from_secs(3);
 
 /// What decides about a job's turn. Lower comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum JobUrgency {
-    /// Can end on time, with this slack.
+    /// Can end on time, and must end within this time.
     OnTime(Duration),
     /// Late and of use, with this much work left on its longest chain.
     Late(Duration),
@@ -36,13 +37,13 @@
             return Self::OnTime(Duration::ZERO);
         }
         if job.submission.spec.steps.iter().any(|step| step.lasting) {
-            return Self::OnTime(LASTING_SLACK);
+            return Self::OnTime(LASTING_DEADLINE);
         }
         let objective = objective(job);
         let age = now.since(since);
         let left = longest_chain(job, |step| !step.is_done());
-        if let Some(slack) = objective.checked_sub(age + left) {
-            Self::OnTime(slack)
+        if age + left <= objective {
+            Self::OnTime(objective.saturating_sub(age))
         } else if age + left <= objective * LATE_FACTOR {
             Self::Late(left)
         } else {
--- a/crates/parsleywalk-batch/tests/load.rs
+++ b/crates/parsleywalk-batch/tests/load.rs
@@ -34,6 +34,31 @@
     assert!(on_time * 3 >= accepted.len(), "{on_time} of {} jobs on time", accepted.len());
 }
 
+/// Long jobs arrive faster than the workers can do them, and short ones among them. Long jobs without slack must not hold
+/// up short ones, which take little and are late soon.
+#[test]
+fn short_jobs_end_on_time_among_too_many_long_ones() {
+    let mut fleet = FakeFleet::new(3, 1);
+    let mut short: Vec<(parsleywalk_batch::JobId, MonotonicTime)> = Vec::new();
+    // 96 cores; long jobs ask for 120 and short ones for 8.
+    for round in 0..40_u64 {
+        fleet.submit(submission(
+            1000 + round,
+            1,
+            vec![step(10, 4, 1500), StepSpec { depends_on: vec![0], ..step(10, 4, 1500) }],
+        ));
+        short.push((fleet.submit(submission(2000 + round, 1, vec![step(2, 4, 500)])), fleet.now));
+        fleet.run_for(Duration::from_secs(1));
+    }
+    fleet.run_for(Duration::from_secs(10));
+    // Twice the half second of work and a second, less a quarter, since estimates may be as wrong as that.
+    let on_time = |(job, since): &(parsleywalk_batch::JobId, MonotonicTime)| {
+        fleet.ended_at.get(job).is_some_and(|end| end.since(*since) <= Duration::from_millis(1500))
+    };
+    let on_time = short.iter().filter(|entry| on_time(entry)).count();
+    assert!(on_time * 10 >= short.len() * 9, "{on_time} of {} short jobs on time", short.len());
+}
+
 /// Work of a higher priority that arrives during the overload is not late.
 #[test]
 fn urgent_jobs_pass_a_backlog() {
