Explain failed requests from captured logs and metrics in a test; a new leader refuses nothing for want of workers

The test starts real daemons and finds the cause of a refused, a waiting and an unanswered request from their output. A new leader has heard of no worker yet and would have refused every lasting job; it waits 2 s before it judges the room. The test of that fails without the wait.

--- a/crates/parsleywalk-batch/src/admission.rs
+++ b/crates/parsleywalk-batch/src/admission.rs
@@ -19,6 +19,10 @@
 /// When the caller of a refused lasting job is to come back: about as long as one of a hundred lasting jobs goes on.
 const LASTING_RETRY: Duration = Duration::from_secs(5);
 
+/// A leader that took office less than this ago has not heard of all workers: they report within a second, and those that
+/// knew its predecessor look for it first.
+const HEARING_TIME: Duration = Duration::from_secs(2);
+
 /// Why a job is not accepted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JobRefusal {
@@ -74,7 +78,7 @@
     /// Decides whether a new job is refused, and takes note of one that is not.
     pub fn admit(&mut self, now: MonotonicTime, state: &BatchState, submission: &JobSubmission) -> Option<JobRefusal> {
         let asked = lasting_millicores(submission);
-        if asked > 0 {
+        if asked > 0 && now.since(self.since) >= HEARING_TIME {
             let service = &submission.service;
             let short = self.short_demand.millicores(now, service) * BURST_PERCENT / 100;
             let room = self.lasting_room(now, state, service);
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -44,7 +44,7 @@
     pub(crate) settings: DispatchSettings,
     fence: FenceToken,
     /// When this leader took office: leases that its predecessor granted count from then.
-    since: MonotonicTime,
+    pub(crate) since: MonotonicTime,
     pub(crate) workers: SortedTable<WorkerId, WorkerView>,
     /// The worker on which a task last failed or stalled; the task is placed elsewhere if there is room.
     pub(crate) avoided: SortedTable<TaskKey, WorkerId>,
--- a/crates/parsleywalk-batch/tests/load.rs
+++ b/crates/parsleywalk-batch/tests/load.rs
@@ -227,6 +227,16 @@
     assert_eq!(lasting, 6);
 }
 
+/// A new leader has heard of no worker yet, which is no reason to refuse a job.
+#[test]
+fn a_new_leader_does_not_take_silence_for_a_full_service() {
+    let mut fleet = FakeFleet::new(3, 1);
+    fleet.run_for(Duration::from_secs(5));
+    fleet.change_leader();
+    let lasting = submission(1, 0, vec![StepSpec { lasting: true, ..step(2, 4, 0) }]);
+    assert!(fleet.offer(lasting).is_some(), "the service is empty");
+}
+
 /// A service without room must not keep another service's tasks from being placed.
 #[test]
 fn a_full_service_does_not_hold_another() {
--- /dev/null
+++ b/crates/parsleywalkd/tests/explain.rs
@@ -0,0 +1,147 @@
+//! From the id of a failed request to its cause, by nothing but captured logs and metrics; see docs/OPERATIONS.md.
+
+use std::cell::Cell;
+use std::path::PathBuf;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use parsleywalk_platform_soak::{ProcessFleet, SoakSettings};
+use tempfile::TempDir;
+
+/// The longest wait for any condition. It is far above what a loaded machine needs.
+const PATIENCE: Duration = Duration::from_mins(1);
+/// Replicas have the numbers 0 to 2, entries 3 to 5.
+const ENTRY: usize = 3;
+
+/// The queue's host is the address of the first entry, since the client sends that.
+const CONFIGURATION: &str = r#"{"version":1,
+    "routes":[{"name":"jobs","host":"HOST","path_prefix":"/jobs/","service":"planning","timeout_ms":3000,
+        "target_latency_ms":1000,"priority":0,"max_attempts":3,"stretch":2.0}],
+    "services":[{"name":"planning","enforces_capacity":true}],"limits":{}}"#;
+
+const SHORT_JOB: &str = r#"{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":300}]}"#;
+const LASTING_JOB: &str = r#"{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"long_running":true}]}"#;
+
+fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "timed out waiting for {what}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Starts three replicas and three entries with a configuration.
+fn start(folder: &TempDir) -> ProcessFleet {
+    let settings =
+        SoakSettings { program: PathBuf::from(env!("CARGO_BIN_EXE_parsleywalkd")), ..SoakSettings::default() };
+    let mut fleet = ProcessFleet::prepare(&settings, folder.path()).expect("free addresses");
+    for place in 0..6 {
+        fleet.start(place).expect("the daemon starts");
+    }
+    let control = fleet.controls()[0];
+    let configuration = CONFIGURATION.replace("HOST", &fleet.fronts()[0].ip().to_string());
+    let configure = || {
+        let request = attohttpc::post(format!("http://{control}/v1/Config.Put")).text(&configuration);
+        request.send().is_ok_and(|response| response.is_success())
+    };
+    wait_until("the configuration", configure);
+    fleet
+}
+
+/// Sends a request to the first entry and returns the status.
+fn send(fleet: &ProcessFleet, job: &str, body: Option<&str>) -> Option<u16> {
+    let url = format!("http://{}/jobs/{job}", fleet.fronts()[0]);
+    let timeout = Duration::from_secs(5);
+    let response = match body {
+        Some(body) => attohttpc::post(url).header("host", "jobs.example").timeout(timeout).text(body.to_owned()).send(),
+        None => attohttpc::get(url).timeout(timeout).send(),
+    };
+    response.ok().map(|response| response.status().as_u16())
+}
+
+/// The lines of all daemons that name the job and the event.
+fn lines(fleet: &ProcessFleet, event: &str, text: &str) -> Vec<String> {
+    let logs = (0..6).map(|place| fleet.log(place).expect("a log"));
+    let lines = logs.flat_map(|log| log.lines().map(str::to_owned).collect::<Vec<_>>());
+    lines.filter(|line| line.contains(&format!("event={event} ")) && line.contains(text)).collect()
+}
+
+fn metrics(fleet: &ProcessFleet, place: usize) -> String {
+    let response = attohttpc::get(format!("http://{}/metrics", fleet.metrics(place))).send();
+    response.and_then(attohttpc::Response::text).expect("metrics are served")
+}
+
+/// Guards that a refusal names the job and the reason, at the entry and at the leader.
+#[test]
+fn a_refused_job_is_explained() {
+    let folder = TempDir::new().expect("a folder");
+    let fleet = start(&folder);
+    // A new leader waits a while before it takes a service without workers for a full one: what it accepts until then
+    // stays accepted.
+    let attempt = Cell::new(0xa0_u64);
+    let job = || format!("{:016x}", attempt.get());
+    wait_until("a refusal", || {
+        attempt.set(attempt.get() + 1);
+        send(&fleet, &job(), Some(LASTING_JOB)) == Some(429)
+    });
+    let job = &job();
+    let reason = "lasting work leaves too little";
+    wait_until("the entry's line", || lines(&fleet, "request_answered", job).iter().any(|line| line.contains("429")));
+    wait_until("the leader's line", || lines(&fleet, "job_refused", job).iter().any(|line| line.contains(reason)));
+    assert!(metrics(&fleet, ENTRY).contains("status=\"429\""), "{}", metrics(&fleet, ENTRY));
+    let refused = (0..3).any(|place| metrics(&fleet, place).contains("parsleywalk_refusals_total"));
+    assert!(refused, "the leader counts refusals by reason");
+}
+
+/// Guards that a job which waits shows as accepted and not started, beside the change of the zone that keeps it waiting.
+#[test]
+fn a_waiting_job_is_explained() {
+    let folder = TempDir::new().expect("a folder");
+    let fleet = start(&folder);
+    let control = fleet.controls()[0];
+    for zone in ["zone-a", "zone-b", "zone-c"] {
+        let order = || {
+            let request = attohttpc::post(format!("http://{control}/v1/Evacuate.Start/{zone}"));
+            request.send().is_ok_and(|response| response.is_success())
+        };
+        wait_until("the zone's change", order);
+    }
+    let job = "00000000000000b1";
+    wait_until("the job", || send(&fleet, job, Some(SHORT_JOB)) == Some(200));
+    wait_until("the leader's line", || !lines(&fleet, "job_accepted", job).is_empty());
+    assert!(lines(&fleet, "start_ordered", job).is_empty(), "the job has not started");
+    wait_until("the zone's line", || !lines(&fleet, "zone_change", "zone=zone-a direction=out").is_empty());
+    let waiting = || {
+        (0..3).any(|place| {
+            let text = metrics(&fleet, place);
+            let pending = |line: &&str| {
+                line.starts_with("parsleywalk_active_jobs{")
+                    && line.contains("status=\"pending\"")
+                    && line.contains("priority=\"0\"")
+            };
+            text.lines().any(|line| pending(&line) && line.ends_with(" 1"))
+        })
+    };
+    wait_until("the metric of waiting jobs", waiting);
+}
+
+/// Guards that a request which fails for want of a leader names that cause, and that the entry says when it lost it.
+#[test]
+fn a_lost_leader_is_explained() {
+    let folder = TempDir::new().expect("a folder");
+    let mut fleet = start(&folder);
+    let job = "00000000000000c1";
+    wait_until("a leader", || send(&fleet, job, Some(SHORT_JOB)) == Some(200));
+    for place in 0..3 {
+        fleet.kill(place);
+    }
+    let job = "00000000000000c2";
+    let status = send(&fleet, job, Some(SHORT_JOB));
+    assert!(matches!(status, Some(503 | 504)), "{status:?}");
+    wait_until("the entry's line", || {
+        let answered = lines(&fleet, "request_answered", job);
+        answered.iter().any(|line| line.contains("no leader reached") || line.contains("leader did not answer"))
+    });
+    wait_until("the lost leader", || !lines(&fleet, "leader_lost", "peer=").is_empty());
+    assert!(metrics(&fleet, ENTRY).contains("parsleywalk_leaders_lost_total"));
+}
