Place filling tasks of jobs in no hurry where they leave more headroom

Cause: every filling task was placed as soon as some worker would stay just below its target, also where its job had seconds to spare; the serving task's own load then grew, and it was over its target beside the filling task. A job that has 60% of its slack left now takes only places that leave 0.12 of load; later ones any, as before.

--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -7,7 +7,7 @@
 use crate::candidate::CandidateWorker;
 use crate::dispatcher::share;
 use crate::interference::ImageNumber;
-use crate::urgency::JobUrgency;
+use crate::urgency::{JobUrgency, has_ample_slack};
 use crate::worker_view::{LastingRuns, WorkerView};
 use crate::{
     BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunPlacement, SortedTable, StepSpec, TaskKey, WorkerRecord,
@@ -33,6 +33,9 @@
 const REPORT_WINDOW: Duration = Duration::from_millis(600);
 /// Headroom of load that is left to serving tasks when a filling task is added.
 const HARM_HEADROOM: f32 = 0.03;
+/// The headroom that is left when the filling task's job is in no hurry: about what a serving task's own load grows by in
+/// the second or two that a filling task works.
+const GENTLE_HEADROOM: f32 = 0.12;
 /// Above this headroom, workers are taken as equally harmless.
 const CALM_HEADROOM: f32 = 0.25;
 /// Levels of harm for each unit of load.
@@ -47,6 +50,8 @@
     job: JobId,
     occurrence: u32,
     step: u16,
+    /// The job is in no hurry.
+    patient: bool,
 }
 
 /// What decides whether a task finds a place. Where one found none, an equal or larger one of the same image finds none.
@@ -58,17 +63,20 @@
     size: ResourceSize,
     /// No rule but size and image limits where the task may run.
     is_plain: bool,
+    /// It takes gentle places only.
+    patient: bool,
 }
 
 impl<'a> TaskShape<'a> {
-    fn of(submission: &'a JobSubmission, spec: &'a StepSpec) -> Self {
+    fn of(submission: &'a JobSubmission, spec: &'a StepSpec, patient: bool) -> Self {
         let is_plain = !spec.gang && spec.required_label.is_none() && spec.per_worker_limit.is_none();
-        Self { service: &submission.service, image: &spec.image, filling: spec.filling, size: spec.size, is_plain }
+        let StepSpec { image, filling, size, .. } = spec;
+        Self { service: &submission.service, image, filling: *filling, size: *size, is_plain, patient }
     }
 
     fn is_harder_than(&self, known: &Self) -> bool {
         let same_kind = (self.service, self.filling, self.image) == (known.service, known.filling, known.image);
-        same_kind && known.size.fits_within(&self.size)
+        same_kind && known.size.fits_within(&self.size) && self.patient >= known.patient
     }
 }
 
@@ -99,7 +107,7 @@
             let starved = self.is_starved(now, step.job);
             let Some(job) = state.job(step.job) else { continue };
             let Some(spec) = job.step_spec(step.step) else { continue };
-            let shape = TaskShape::of(&job.submission, spec);
+            let shape = TaskShape::of(&job.submission, spec, step.patient);
             if !starved && hopeless.iter().any(|known| shape.is_harder_than(known)) {
                 continue;
             }
@@ -136,7 +144,8 @@
                     if entry.waiting > 0 && job.is_unblocked(occurrence, step) {
                         let urgency = *urgency.get_or_insert_with(|| JobUrgency::of(job, since, now));
                         let (priority, sequence) = (job.submission.priority, job.sequence);
-                        ready.push(ReadyStep { priority, urgency, sequence, job: id, occurrence, step });
+                        let patient = has_ample_slack(job, since, now);
+                        ready.push(ReadyStep { priority, urgency, sequence, job: id, occurrence, step, patient });
                     }
                 }
             }
@@ -259,7 +268,8 @@
                 continue;
             }
             let key = TaskKey { index, ..first };
-            let mut place = self.choose(&job.submission, spec, &key, rack.as_deref(), candidates);
+            let kept = if ready.patient { GENTLE_HEADROOM } else { HARM_HEADROOM };
+            let mut place = self.choose(&job.submission, spec, &key, rack.as_deref(), kept, candidates);
             if place.is_none() && starved && spec.filling && index == first_waiting(&record.tasks) {
                 place = self.choose_least_harmful(&job.submission, spec, &key, candidates);
             }
@@ -362,7 +372,8 @@
         let mut chosen = Vec::with_capacity(record.tasks.len());
         for index in 0..spec.count {
             let key = TaskKey { index, ..first };
-            let Some(place) = self.choose(&job.submission, spec, &key, rack.as_deref(), candidates) else {
+            let Some(place) = self.choose(&job.submission, spec, &key, rack.as_deref(), HARM_HEADROOM, candidates)
+            else {
                 for (place, _) in chosen {
                     let candidate: &mut CandidateWorker<'_> = &mut candidates[place];
                     candidate.give_back(spec, &first);
@@ -381,12 +392,17 @@
         spec: &StepSpec,
         task: &TaskKey,
         rack: Option<&str>,
+        kept_headroom: f32,
         candidates: &[CandidateWorker<'_>],
     ) -> Option<usize> {
         let avoided = self.avoided.get(task);
         let image = self.interference.known_number(&spec.image).filter(|_| spec.filling || spec.is_serving());
         let harm = |candidate: &CandidateWorker<'_>| {
-            if spec.filling { harm_level(self.headroom_with(candidate, image, spec.size.cores)) } else { Some(0) }
+            if spec.filling {
+                harm_level(self.headroom_with(candidate, image, spec.size.cores), kept_headroom)
+            } else {
+                Some(0)
+            }
         };
         let fitting = candidates.iter().enumerate().filter(|(_, candidate)| candidate.fits(submission, spec, task));
         let harmless = fitting.filter_map(|(place, candidate)| Some((place, candidate, harm(candidate)?)));
@@ -443,10 +459,10 @@
     }
 }
 
-/// Orders workers by the harm that a filling task would do there; `None` where a serving task would miss its target.
-fn harm_level(headroom: Option<f32>) -> Option<u32> {
+/// Orders workers by the harm that a filling task would do there; `None` where it would leave less headroom than asked for.
+fn harm_level(headroom: Option<f32>, kept_headroom: f32) -> Option<u32> {
     let Some(headroom) = headroom else { return Some(0) };
-    if headroom < HARM_HEADROOM {
+    if headroom < kept_headroom {
         return None;
     }
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small number of levels")]
--- a/crates/parsleywalk-batch/src/urgency.rs
+++ b/crates/parsleywalk-batch/src/urgency.rs
@@ -19,6 +19,9 @@
 /// be late otherwise go first.
 const LASTING_DEADLINE: Duration = Duration::from_secs(3);
 
+/// A job with this part of its slack left, in percent, is in no hurry.
+const AMPLE_PERCENT: u32 = 60;
+
 /// What decides about a job's turn. Lower comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum JobUrgency {
@@ -52,6 +55,15 @@
     }
 }
 
+/// Tells whether the job has most of its slack left, so that its tasks can wait for a good place.
+pub(crate) fn has_ample_slack(job: &JobRecord, since: MonotonicTime, now: MonotonicTime) -> bool {
+    let chain = longest_chain(job, |_| true);
+    let whole = objective(job).saturating_sub(chain);
+    let left = longest_chain(job, |step| !step.is_done());
+    let slack = objective(job).saturating_sub(now.since(since) + left);
+    slack * 100 >= whole * AMPLE_PERCENT
+}
+
 /// The time within which the job's caller expects its end.
 fn objective(job: &JobRecord) -> Duration {
     let chain = longest_chain(job, |_| true);
--- a/crates/parsleywalk-batch/tests/load.rs
+++ b/crates/parsleywalk-batch/tests/load.rs
@@ -6,7 +6,7 @@
 
 use parsleywalk_batch::{JobStatus, StepSpec};
 use parsleywalk_units::MonotonicTime;
-use support::{FakeFleet, step, submission};
+use support::{FakeFleet, size, step, submission};
 
 /// The tail of a queue that is `load` busy: 25 ms without load, over a target of 150 ms above 83%.
 fn tail(load: f64) -> u32 {
@@ -126,6 +126,27 @@
     }
 }
 
+/// A filling job in no hurry waits for a place where it disturbs nobody, and still ends on time. Placed at once, it would
+/// bring the serving task over its target.
+#[test]
+fn filling_jobs_in_no_hurry_wait_for_a_gentle_place() {
+    let mut fleet = FakeFleet::new(2, 1);
+    // 0.7 of load without filling tasks, over the target from 0.83 on.
+    fleet.tail_ms = |share| tail(0.7 + 2.0 * share);
+    fleet.submit(submission(1, 0, vec![serving("serving")]));
+    let busy = fleet.submit(submission(2, 0, vec![StepSpec { lasting: true, size: size(32, 125), ..step(1, 32, 0) }]));
+    // The serving tasks share one worker; the other has no memory left.
+    fleet.run_for(Duration::from_secs(3));
+    let start = fleet.now;
+    let job = fleet.submit(submission(3, 2, vec![StepSpec { count: 1, ..filling("heavy", 2000) }]));
+    fleet.run_for(Duration::from_millis(500));
+    fleet.cancel(busy);
+    fleet.run_for(Duration::from_secs(10));
+    assert_eq!(fleet.longest_harm, Duration::ZERO);
+    // Twice the two seconds of work, and a second.
+    assert!(fleet.ended_at[&job].since(start) <= Duration::from_secs(5), "the job is late");
+}
+
 /// Serving tasks of two images gather on workers of their own, so that images which disturb only one of them find room.
 #[test]
 fn serving_images_gather() {
--- a/crates/parsleywalkd/tests/process_soak.rs
+++ b/crates/parsleywalkd/tests/process_soak.rs
@@ -7,9 +7,10 @@
 use rstest::rstest;
 
 /// Guards the promises of the platform's pages where processes are killed, paused and restarted, disks are lost, and links
-/// between daemons fail, in series and overlapping.
+/// between daemons fail, in series and overlapping. Seeds that ever failed stay, each with its cause:
+/// - 12: the oracle took a start for one of a refused job while the answer to its submission was held up by a paused entry.
 #[rstest]
-fn promises_hold_under_faults(#[values(1, 2)] seed: u64) {
+fn promises_hold_under_faults(#[values(1, 2, 12)] seed: u64) {
     let settings = SoakSettings {
         seed,
         program: PathBuf::from(env!("CARGO_BIN_EXE_parsleywalkd")),
