--- a/crates/parsleywalkd/tests/common/mod.rs
+++ b/crates/parsleywalkd/tests/common/mod.rs
@@ -342,12 +342,20 @@
 }
 
 /// Waits until a condition holds.
-pub(crate) fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
+/// Waits for a condition, for a while. Returns whether it came to hold.
+pub(crate) fn holds_within(time: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + time;
     while !condition() {
-        assert!(Instant::now() < end, "timed out waiting for {what}");
+        if Instant::now() >= end {
+            return false;
+        }
         thread::sleep(Duration::from_millis(5));
     }
+    true
+}
+
+pub(crate) fn wait_until(what: &str, condition: impl FnMut() -> bool) {
+    assert!(holds_within(PATIENCE, condition), "timed out waiting for {what}");
 }
 
 pub(crate) fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, Refusal> {
--- a/crates/parsleywalkd/tests/partition.rs
+++ b/crates/parsleywalkd/tests/partition.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use common::caller::CallerRequest;
-use common::{CATALOG, Deployment, DeploymentPlan, post, wait_until};
+use common::{CATALOG, Deployment, DeploymentPlan, holds_within, post, wait_until};
 use parsleywalk_api::{JobPhase, OperationOutcome, RefusalOutcome, WorkerReply, WorkerReport};
 use parsleywalk_testkit::{EndpointSettings, FakeEndpoint, FakeWorker, FaultyLink, LinkCut, RunLog, WorkerSettings};
 use parsleywalk_units::{Incarnation, MemoryBytes, MilliCores, ResourceSize, ZoneDirection};
@@ -18,6 +18,11 @@
 /// 1.2 s after it last heard from the others.
 const LEASE_END: Duration = Duration::from_millis(900);
 
+/// How long a placement behind a cut is waited for: longer than a leader takes a worker for present after its last report.
+const PLACE_PATIENCE: Duration = Duration::from_secs(8);
+/// How often it is tried.
+const PLACE_ATTEMPTS: u32 = 5;
+
 /// The target for a zone out, counted from its acceptance.
 const ZONE_OUT: Duration = Duration::from_secs(2);
 
@@ -219,6 +224,23 @@
     });
 }
 
+/// Cuts a worker's link and has ten tasks placed on the worker, whose start orders wait for its next report. Returns the
+/// job. The leader gives a silent worker nothing, so on a machine that stalls after the cut, another job is tried.
+fn place_behind_cut(deployment: &Deployment, link: &FaultyLink) -> String {
+    for attempt in 0..PLACE_ATTEMPTS {
+        let job = format!("planning/held-{attempt}");
+        link.set_cut(LinkCut::Both);
+        deployment.submit(2, &job, 10).unwrap();
+        let placed = || deployment.status(2).is_some_and(|status| status.tasks.starting == 10);
+        if holds_within(PLACE_PATIENCE, placed) {
+            return job;
+        }
+        link.set_cut(LinkCut::None);
+        wait_until("the end of the job", || deployment.job(2, &job).is_some_and(|job| job.phase == JobPhase::Done));
+    }
+    panic!("no job was placed behind the cut in {PLACE_ATTEMPTS} attempts");
+}
+
 /// Guards against a start order that arrives late: the answer to a report is held back until the zone is out.
 #[test]
 fn a_start_order_that_was_held_back_is_not_carried_out() {
@@ -235,9 +257,7 @@
     wait_until("the instances", || worker.running().len() == 2);
     // The worker learns its entries from answers; from here on it goes on over the link only.
     worker.set_entries(vec![link.address()]);
-    link.set_cut(LinkCut::Both);
-    deployment.submit(2, "planning/held", 10).unwrap();
-    wait_until("placed tasks", || deployment.status(2).is_some_and(|status| status.tasks.starting == 10));
+    let job = place_behind_cut(&deployment, &link);
     let before = log.records().len();
     link.set_cut(LinkCut::Backward);
     thread::sleep(Duration::from_millis(700));
@@ -251,6 +271,6 @@
     assert!(late.is_empty(), "started {:?} after the acceptance", late[0].start.saturating_sub(accepted));
     assert_eq!(log.records().len(), before);
     let _other = FakeWorker::start(worker_settings(&deployment, "w-2", 2), log.clone());
-    wait_until("the job's end", || deployment.job(2, "planning/held").is_some_and(|job| job.phase == JobPhase::Done));
+    wait_until("the job's end", || deployment.job(2, &job).is_some_and(|job| job.phase == JobPhase::Done));
     log.check().unwrap();
 }
