Log a job as accepted only when it is not refused; split the waiters from the core

Seen while writing docs/OPERATIONS.md: the leader wrote job_accepted before it decided about room, and job_refused after it. The test of refused jobs now asserts that no such line is there. The wire's names in that test moved to platform/soak. No decision changes.

--- a/crates/parsleywalk-batch/src/admission.rs
+++ b/crates/parsleywalk-batch/src/admission.rs
@@ -16,7 +16,8 @@
 const DEMAND_WINDOW: Duration = Duration::from_secs(10);
 /// The room that short work gets, in percent of its average demand, since it comes in bursts.
 const BURST_PERCENT: u64 = 150;
-/// When the caller of a refused lasting job is to come back: about as long as one of a hundred lasting jobs goes on.
+/// When the caller of a refused lasting job is to come back. Lasting jobs go on for a minute or more, so where there are
+/// dozens, room comes every few seconds.
 const LASTING_RETRY: Duration = Duration::from_secs(5);
 
 /// A leader that took office less than this ago has not heard of all workers: they report within a second, and those that
--- a/crates/parsleywalk-fleet/src/admission.rs
+++ b/crates/parsleywalk-fleet/src/admission.rs
@@ -53,7 +53,6 @@
     if let Some(fault) = spec.fault() {
         return Decision::Answer(LeaderReply::Invalid(fault.to_owned()));
     }
-    log::info!("event=job_accepted job={job} queue={} steps={}", queue.name, spec.steps.len());
     Decision::Commit(BatchCommand::Submit(Box::new(JobSubmission {
         job,
         spec,
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -9,16 +9,16 @@
     decode_commands, encode_commands,
 };
 use parsleywalk_consensus::{
-    ConsensusAction, ConsensusEvent, ConsensusMessage, ConsensusNode, EntryPayload, LogEntry, LogIndex, LogTerm,
-    LogWrite, ProposalId, ReplicaId, ReplicaRole, WriteTicket,
+    ConsensusAction, ConsensusEvent, ConsensusMessage, ConsensusNode, EntryPayload, LogEntry, LogTerm, LogWrite,
+    ProposalId, ReplicaId, ReplicaRole, WriteTicket,
 };
-use parsleywalk_units::{MonotonicTime, VmNumber, WorkerId, ZoneName};
-use tokio::sync::oneshot;
+use parsleywalk_units::{MonotonicTime, VmNumber, ZoneName};
 
 use crate::admission;
 use crate::members::{self, MemberView};
 use crate::office::{LeaderOffice, log_orders};
 use crate::settings::FleetSettings;
+use crate::waiter::{EntryWaiters, PlacedProposal, QueuedCommands, ReplySender, Waiter, WaitingReport};
 use crate::{FleetMetrics, LeaderReply, LeaderRequest, LogMessage};
 
 /// The wait between two looks at leases and members.
@@ -37,9 +37,6 @@
 /// The exit code when the log holds what can't be decoded.
 const CORRUPT_EXIT: i32 = 65;
 
-/// Where an answer goes. The caller may be gone.
-pub(crate) type ReplySender = oneshot::Sender<LeaderReply>;
-
 /// What the replica asks its runtime to do.
 #[derive(Debug)]
 pub(crate) enum CoreOutput {
@@ -47,46 +44,6 @@
     Persist { ticket: WriteTicket, write: LogWrite },
 }
 
-/// What waits for a proposal.
-#[derive(Debug)]
-enum Waiter {
-    /// A caller or operator.
-    Reply(ReplySender),
-    /// A worker's report.
-    Report(WaitingReport),
-    /// A round of placement.
-    Plan,
-    /// Nobody.
-    Upkeep,
-}
-
-/// A report that is answered once its commands are committed, or once there is work or the time is over.
-#[derive(Debug)]
-struct WaitingReport {
-    worker: WorkerId,
-    sequence: u64,
-    hold_until: MonotonicTime,
-    reply: ReplySender,
-}
-
-/// Commands that wait for their turn, with who waits for them.
-#[derive(Debug)]
-struct QueuedCommands {
-    commands: Vec<BatchCommand>,
-    waiter: Waiter,
-}
-
-/// Who waits for a log entry, each with the number of its commands.
-type EntryWaiters = Vec<(Waiter, usize)>;
-
-/// A proposal that is in the log.
-#[derive(Debug)]
-struct PlacedProposal {
-    index: LogIndex,
-    term: LogTerm,
-    waiters: EntryWaiters,
-}
-
 /// One replica of the batch state.
 pub(crate) struct ReplicaCore {
     settings: FleetSettings,
@@ -270,7 +227,9 @@
             drop(reply.send(refusal));
             return;
         }
-        if matches!(command, BatchCommand::Submit(_)) {
+        if let BatchCommand::Submit(submission) = &command {
+            let (job, queue, steps) = (submission.job, &submission.queue, submission.spec.steps.len());
+            info!("event=job_accepted job={job} queue={queue} steps={steps}");
             self.metrics.job_accepted();
         }
         self.propose(vec![command], Waiter::Reply(reply));
--- a/crates/parsleywalk-fleet/src/lib.rs
+++ b/crates/parsleywalk-fleet/src/lib.rs
@@ -20,6 +20,7 @@
 mod office;
 mod replica;
 mod settings;
+mod waiter;
 
 pub use access::LeaderAccess;
 pub use client::CallFailure;
--- a/crates/parsleywalkd/tests/explain.rs
+++ b/crates/parsleywalkd/tests/explain.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use parsleywalk_platform_soak::{ProcessFleet, SoakSettings};
+use parsleywalk_platform_soak::{FleetProbe, ProbeJob, ProcessFleet, SoakSettings};
 use tempfile::TempDir;
 
 /// The longest wait for any condition. It is far above what a loaded machine needs.
@@ -13,15 +13,6 @@
 /// Replicas have the numbers 0 to 2, entries 3 to 5.
 const ENTRY: usize = 3;
 
-/// The queue's host is the address of the first entry, since the client sends that.
-const CONFIGURATION: &str = r#"{"version":1,
-    "routes":[{"name":"jobs","host":"HOST","path_prefix":"/jobs/","service":"planning","timeout_ms":3000,
-        "target_latency_ms":1000,"priority":0,"max_attempts":3,"stretch":2.0}],
-    "services":[{"name":"planning","enforces_capacity":true}],"limits":{}}"#;
-
-const SHORT_JOB: &str = r#"{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":300}]}"#;
-const LASTING_JOB: &str = r#"{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"long_running":true}]}"#;
-
 fn wait_until(what: &str, condition: impl Fn() -> bool) {
     let end = Instant::now() + PATIENCE;
     while !condition() {
@@ -38,27 +29,11 @@
     for place in 0..6 {
         fleet.start(place).expect("the daemon starts");
     }
-    let control = fleet.controls()[0];
-    let configuration = CONFIGURATION.replace("HOST", &fleet.fronts()[0].ip().to_string());
-    let configure = || {
-        let request = attohttpc::post(format!("http://{control}/v1/Config.Put")).text(&configuration);
-        request.send().is_ok_and(|response| response.is_success())
-    };
-    wait_until("the configuration", configure);
+    let probe = FleetProbe::new(&fleet);
+    wait_until("the configuration", || probe.configure());
     fleet
 }
 
-/// Sends a request to the first entry and returns the status.
-fn send(fleet: &ProcessFleet, job: &str, body: Option<&str>) -> Option<u16> {
-    let url = format!("http://{}/jobs/{job}", fleet.fronts()[0]);
-    let timeout = Duration::from_secs(5);
-    let response = match body {
-        Some(body) => attohttpc::post(url).header("host", "jobs.example").timeout(timeout).text(body.to_owned()).send(),
-        None => attohttpc::get(url).timeout(timeout).send(),
-    };
-    response.ok().map(|response| response.status().as_u16())
-}
-
 /// The lines of all daemons that name the job and the event.
 fn lines(fleet: &ProcessFleet, event: &str, text: &str) -> Vec<String> {
     let logs = (0..6).map(|place| fleet.log(place).expect("a log"));
@@ -76,18 +51,20 @@
 fn a_refused_job_is_explained() {
     let folder = TempDir::new().expect("a folder");
     let fleet = start(&folder);
+    let probe = FleetProbe::new(&fleet);
     // A new leader waits a while before it takes a service without workers for a full one: what it accepts until then
     // stays accepted.
     let attempt = Cell::new(0xa0_u64);
     let job = || format!("{:016x}", attempt.get());
     wait_until("a refusal", || {
         attempt.set(attempt.get() + 1);
-        send(&fleet, &job(), Some(LASTING_JOB)) == Some(429)
+        probe.submit(&job(), ProbeJob::Lasting) == Some(429)
     });
     let job = &job();
     let reason = "lasting work leaves too little";
     wait_until("the entry's line", || lines(&fleet, "request_answered", job).iter().any(|line| line.contains("429")));
     wait_until("the leader's line", || lines(&fleet, "job_refused", job).iter().any(|line| line.contains(reason)));
+    assert!(lines(&fleet, "job_accepted", job).is_empty(), "a refused job was never accepted");
     assert!(metrics(&fleet, ENTRY).contains("status=\"429\""), "{}", metrics(&fleet, ENTRY));
     let refused = (0..3).any(|place| metrics(&fleet, place).contains("parsleywalk_refusals_total"));
     assert!(refused, "the leader counts refusals by reason");
@@ -98,16 +75,12 @@
 fn a_waiting_job_is_explained() {
     let folder = TempDir::new().expect("a folder");
     let fleet = start(&folder);
-    let control = fleet.controls()[0];
+    let probe = FleetProbe::new(&fleet);
     for zone in ["zone-a", "zone-b", "zone-c"] {
-        let order = || {
-            let request = attohttpc::post(format!("http://{control}/v1/Evacuate.Start/{zone}"));
-            request.send().is_ok_and(|response| response.is_success())
-        };
-        wait_until("the zone's change", order);
+        wait_until("the zone's change", || probe.take_out(zone));
     }
     let job = "00000000000000b1";
-    wait_until("the job", || send(&fleet, job, Some(SHORT_JOB)) == Some(200));
+    wait_until("the job", || probe.submit(job, ProbeJob::Short) == Some(200));
     wait_until("the leader's line", || !lines(&fleet, "job_accepted", job).is_empty());
     assert!(lines(&fleet, "start_ordered", job).is_empty(), "the job has not started");
     wait_until("the zone's line", || !lines(&fleet, "zone_change", "zone=zone-a direction=out").is_empty());
@@ -130,13 +103,14 @@
 fn a_lost_leader_is_explained() {
     let folder = TempDir::new().expect("a folder");
     let mut fleet = start(&folder);
+    let probe = FleetProbe::new(&fleet);
     let job = "00000000000000c1";
-    wait_until("a leader", || send(&fleet, job, Some(SHORT_JOB)) == Some(200));
+    wait_until("a leader", || probe.submit(job, ProbeJob::Short) == Some(200));
     for place in 0..3 {
         fleet.kill(place);
     }
     let job = "00000000000000c2";
-    let status = send(&fleet, job, Some(SHORT_JOB));
+    let status = probe.submit(job, ProbeJob::Short);
     assert!(matches!(status, Some(503 | 504)), "{status:?}");
     wait_until("the entry's line", || {
         let answered = lines(&fleet, "request_answered", job);
