Treat a job that has no slack at all as in a hurry

Cause: a job whose objective equals its work had 60% of no slack left, and waited for gentle places for ever (until it counted as starved). Found by reading; the test fails without the change.

--- a/crates/parsleywalk-batch/src/urgency.rs
+++ b/crates/parsleywalk-batch/src/urgency.rs
@@ -61,7 +61,7 @@
     let whole = objective(job).saturating_sub(chain);
     let left = longest_chain(job, |step| !step.is_done());
     let slack = objective(job).saturating_sub(now.since(since) + left);
-    slack * 100 >= whole * AMPLE_PERCENT
+    !whole.is_zero() && slack * 100 >= whole * AMPLE_PERCENT
 }
 
 /// The time within which the job's caller expects its end.
--- a/crates/parsleywalk-batch/tests/load.rs
+++ b/crates/parsleywalk-batch/tests/load.rs
@@ -147,6 +147,21 @@
     assert!(fleet.ended_at[&job].since(start) <= Duration::from_secs(5), "the job is late");
 }
 
+/// A job whose queue gives it no slack at all is in a hurry from the start.
+#[test]
+fn filling_jobs_without_slack_take_any_bearable_place() {
+    let mut fleet = FakeFleet::new(1, 1);
+    fleet.tail_ms = |share| tail(0.7 + 0.5 * share);
+    fleet.submit(submission(1, 0, vec![serving("serving")]));
+    fleet.run_for(Duration::from_secs(3));
+    let mut hurried = submission(2, 2, vec![StepSpec { count: 1, ..filling("light", 2000) }]);
+    (hurried.stretch, hurried.latency_objective) = (1.0, Duration::ZERO);
+    let job = fleet.submit(hurried);
+    // Well before the job counts as starved, which gets it a place in any case.
+    fleet.run_for(Duration::from_millis(500));
+    assert_eq!(fleet.status(job), Some(JobStatus::Running));
+}
+
 /// Serving tasks of two images gather on workers of their own, so that images which disturb only one of them find room.
 #[test]
 fn serving_images_gather() {
