Judge each job's turn once a round; share the tests' wait

The slack of a job was worked out for each of its ready steps. The test of explanations had its own copy of wait_until, and one doc comment stood at the wrong function. Behaviour unchanged; clippy and the tests of both packages pass.

--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -134,7 +134,7 @@
         let mut ready = Vec::new();
         for (id, job) in state.active_jobs() {
             let since = *self.accepted.entry(id, || accepted_at(job, now, unix_ms));
-            let mut urgency = None;
+            let mut judged = None;
             for (occurrence, record) in (0u32..).zip(&job.occurrences) {
                 let schedule = job.submission.spec.schedule;
                 if schedule.is_some_and(|schedule| schedule.due_unix_ms(occurrence) > unix_ms) {
@@ -142,9 +142,9 @@
                 }
                 for (step, entry) in (0u16..).zip(&record.steps) {
                     if entry.waiting > 0 && job.is_unblocked(occurrence, step) {
-                        let urgency = *urgency.get_or_insert_with(|| JobUrgency::of(job, since, now));
+                        let (urgency, patient) = *judged
+                            .get_or_insert_with(|| (JobUrgency::of(job, since, now), has_ample_slack(job, since, now)));
                         let (priority, sequence) = (job.submission.priority, job.sequence);
-                        let patient = has_ample_slack(job, since, now);
                         ready.push(ReadyStep { priority, urgency, sequence, job: id, occurrence, step, patient });
                     }
                 }
--- a/crates/parsleywalkd/tests/common/mod.rs
+++ b/crates/parsleywalkd/tests/common/mod.rs
@@ -341,7 +341,6 @@
     text.parse().expect("an operation id")
 }
 
-/// Waits until a condition holds.
 /// Waits for a condition, for a while. Returns whether it came to hold.
 pub(crate) fn holds_within(time: Duration, mut condition: impl FnMut() -> bool) -> bool {
     let end = Instant::now() + time;
@@ -354,6 +353,7 @@
     true
 }
 
+/// Waits until a condition holds.
 pub(crate) fn wait_until(what: &str, condition: impl FnMut() -> bool) {
     assert!(holds_within(PATIENCE, condition), "timed out waiting for {what}");
 }
--- a/crates/parsleywalkd/tests/explain.rs
+++ b/crates/parsleywalkd/tests/explain.rs
@@ -1,26 +1,17 @@
 //! From the id of a failed request to its cause, by nothing but captured logs and metrics; see docs/OPERATIONS.md.
 
+mod common;
+
 use std::cell::Cell;
 use std::path::PathBuf;
-use std::thread;
-use std::time::{Duration, Instant};
 
+use common::wait_until;
 use parsleywalk_platform_soak::{FleetProbe, ProbeJob, ProcessFleet, SoakSettings};
 use tempfile::TempDir;
 
-/// The longest wait for any condition. It is far above what a loaded machine needs.
-const PATIENCE: Duration = Duration::from_mins(1);
 /// Replicas have the numbers 0 to 2, entries 3 to 5.
 const ENTRY: usize = 3;
 
-fn wait_until(what: &str, condition: impl Fn() -> bool) {
-    let end = Instant::now() + PATIENCE;
-    while !condition() {
-        assert!(Instant::now() < end, "timed out waiting for {what}");
-        thread::sleep(Duration::from_millis(50));
-    }
-}
-
 /// Starts three replicas and three entries with a configuration.
 fn start(folder: &TempDir) -> ProcessFleet {
     let settings =
