Reports: hold them by worker, and let followers relay the reports of their zone

Every commit examined every held report; every worker had a connection, an HTTP request and a JSON body at the leader, about 2,200 a second; a call that timed out ended the connection and started a search, which added load; and keepalive and probes of 147 entries cost another thousand messages a second.

Change: held reports are kept by worker and deadline, so a commit looks at the workers that it places runs on. With more than 500 workers, each reports to a follower of its zone, which sends the leader one message every 20 ms and gets the responses that are ready; the leader alone still gives leases and orders. An unanswered report goes to the next leader. A call that times out keeps the leader, and keeps its connection if that has carried a reply since; another replica is asked whether the leader still leads. Accepted connections are pinged every 4 s, and entries probe every second.

--- a/crates/parsleywalk-batch/src/settings.rs
+++ b/crates/parsleywalk-batch/src/settings.rs
@@ -15,6 +15,9 @@
     pub report_interval: Duration,
     /// The number of reports that a leader handles per second; with more workers, each reports less often.
     pub reports_per_second: u32,
+    /// With more workers than this, each reports to a replica of its zone that relays the reports, because connections
+    /// to all of them would take most of the leader's processor time.
+    pub direct_workers: usize,
     /// How long the response to an idle worker's report may be held. Less than the second after which workers give up
     /// waiting.
     pub idle_hold: Duration,
@@ -35,6 +38,7 @@
             clock_drift_permille: 40,
             report_interval: Duration::from_millis(100),
             reports_per_second: 900,
+            direct_workers: 500,
             idle_hold: Duration::from_millis(600),
             worker_timeout: Duration::from_secs(1),
             stall_timeout: Duration::from_millis(1200),
--- a/crates/parsleywalk-batch/src/state.rs
+++ b/crates/parsleywalk-batch/src/state.rs
@@ -156,6 +156,12 @@
         self.workers.get(worker)
     }
 
+    /// Returns the number of workers that runs have been placed on.
+    #[must_use]
+    pub fn worker_count(&self) -> usize {
+        self.workers.len()
+    }
+
     /// Returns the records of all workers.
     pub fn workers(&self) -> impl Iterator<Item = (&WorkerId, &WorkerRecord)> {
         self.workers.iter()
--- a/crates/parsleywalk-fleet/src/access.rs
+++ b/crates/parsleywalk-fleet/src/access.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use parsleywalk_batch::{ReportResponse, WorkerReport};
 use parsleywalk_peer::PeerSettings;
 
 use crate::client::{CallFailure, LeaderClient};
@@ -14,7 +15,7 @@
 use crate::{FleetMetrics, LeaderReply, LeaderRequest, Result};
 
 /// The interval at which an entry daemon checks that the leader answers.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// An entry daemon is ready while a leader has answered within this time.
 const LEADER_CONTACT_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -68,6 +69,25 @@
         }
     }
 
+    /// Sends a worker's report to the leader. Returns the response and the address to which the worker is to report next.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no leader responded in time.
+    pub async fn report(
+        &self,
+        report: WorkerReport,
+        timeout: Duration,
+    ) -> std::result::Result<(ReportResponse, Option<Ipv4Addr>), CallFailure> {
+        let Some(replica) = &self.replica else {
+            let reply = self.client.call(&LeaderRequest::Report(Box::new(report)), timeout).await?;
+            let LeaderReply::Report(response) = reply else { return Err(CallFailure::Unknown) };
+            return Ok((*response, self.leader_address()));
+        };
+        let (response, next) = replica.report(report, timeout).await?;
+        Ok((response, next.map(crate::settings::vm_address)))
+    }
+
     /// Returns true if a leader has replied recently.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/parsleywalk-fleet/src/client.rs
+++ b/crates/parsleywalk-fleet/src/client.rs
@@ -9,7 +9,7 @@
 use log::info;
 use parsleywalk_batch::SortedMap;
 use parsleywalk_consensus::LogTerm;
-use parsleywalk_peer::{CallClient, CallError, PeerSettings};
+use parsleywalk_peer::{CallClient, CallError, PeerError, PeerSettings};
 use parsleywalk_units::{MonotonicTime, VmNumber};
 use tokio::time;
 
@@ -54,6 +54,8 @@
     last_contact: Cell<MonotonicTime>,
     /// Locked during a search, so that only one runs at a time.
     searching: tokio::sync::Mutex<()>,
+    /// When the last search began.
+    last_search: Cell<MonotonicTime>,
     metrics: FleetMetrics,
 }
 
@@ -79,6 +81,7 @@
             leaderless_since: Cell::new(MonotonicTime::ZERO),
             last_contact: Cell::new(MonotonicTime::ZERO),
             searching: tokio::sync::Mutex::new(()),
+            last_search: Cell::new(MonotonicTime::ZERO),
             metrics,
         }
     }
@@ -162,7 +165,10 @@
                 }
                 Err(error) => {
                     sent |= matches!(error, CallError::Unknown(_));
-                    self.handle_call_error(leader, &error);
+                    self.handle_call_error(leader, now, &error);
+                    if is_timeout(&error) {
+                        self.verify_leader(leader, now).await;
+                    }
                 }
             }
         }
@@ -173,8 +179,14 @@
         self.leaderless_since.set(self.clock.now());
     }
 
-    fn handle_call_error(&self, leader: VmNumber, error: &CallError) {
-        if self.leader.get() == Some(leader) {
+    /// Forgets the leader after a failed call that began at `since`. A call that only timed out says little about a busy
+    /// leader, so the leader stays, and so does the connection if it has carried a reply since.
+    fn handle_call_error(&self, leader: VmNumber, since: MonotonicTime, error: &CallError) {
+        if is_timeout(error) {
+            if self.last_contact.get() < since {
+                self.call_clients.borrow_mut().remove(&leader);
+            }
+        } else if self.leader.get() == Some(leader) {
             let peer = self.fleet.peer_address(leader);
             self.metrics.leader_lost();
             info!("event=leader_lost peer={peer} error={:?}", error.to_string());
@@ -190,8 +202,24 @@
         if self.leader.get().is_some() {
             return true;
         }
+        self.ask_replicas(None).await;
+        self.leader.get().is_some()
+    }
+
+    /// Asks the other replicas whether a leader that has not replied in time still leads, unless a search has begun since
+    /// `since`.
+    async fn verify_leader(&self, leader: VmNumber, since: MonotonicTime) {
+        let _guard = self.searching.lock().await;
+        if self.leader.get() == Some(leader) && self.last_search.get() <= since {
+            self.ask_replicas(Some(leader)).await;
+        }
+    }
+
+    /// Asks all known replicas but one concurrently who leads, until one of them names a leader.
+    async fn ask_replicas(&self, except: Option<VmNumber>) {
+        self.last_search.set(self.clock.now());
         let (sender, replies) = flume::unbounded();
-        for vm in self.contact_points() {
+        for vm in self.contact_points().into_iter().filter(|vm| Some(*vm) != except) {
             let (call_client, sender) = (self.call_client(vm), sender.clone());
             tokio::task::spawn_local(async move {
                 let reply = call_client.call(&LeaderRequest::Locate, LOCATE_TIMEOUT).await;
@@ -201,17 +229,18 @@
         drop(sender);
         while let Ok((vm, reply)) = replies.recv_async().await {
             match reply {
-                Ok(LeaderReply::Located { leader, term, members }) => self.record_location(leader, term, members),
+                Ok(LeaderReply::Located { leader, term, members }) => {
+                    self.record_location(leader, term, members);
+                    if leader.is_some() && self.leader.get().is_some() {
+                        return;
+                    }
+                }
                 Ok(_) => {}
                 Err(_) => {
                     self.call_clients.borrow_mut().remove(&vm);
                 }
             }
-            if self.leader.get().is_some() {
-                return true;
-            }
         }
-        false
     }
 
     fn record_location(&self, leader: Option<VmNumber>, term: LogTerm, members: Vec<VmNumber>) {
@@ -222,9 +251,10 @@
         if !members.is_empty() {
             *self.members.borrow_mut() = members;
         }
-        if let Some(leader) = leader {
+        if let Some(leader) = leader
+            && self.leader.replace(Some(leader)) != Some(leader)
+        {
             info!("event=leader_found peer={} term={term}", self.fleet.peer_address(leader));
-            self.leader.set(Some(leader));
         }
     }
 
@@ -233,6 +263,7 @@
     pub(crate) async fn probe(&self, interval: Duration) {
         loop {
             time::sleep(interval).await;
+            let now = self.clock.now();
             if self.contact_age() >= interval {
                 match self.leader.get() {
                     None => {
@@ -252,7 +283,10 @@
                                 }
                             }
                             Ok(_) => {}
-                            Err(error) => self.handle_call_error(leader, &error),
+                            Err(error) => {
+                                self.handle_call_error(leader, now, &error);
+                                self.verify_leader(leader, now).await;
+                            }
                         }
                     }
                 }
@@ -266,3 +300,8 @@
         Rc::clone(call_clients.entry(vm, make))
     }
 }
+
+/// Returns true if the connection was open and no reply arrived in time.
+fn is_timeout(error: &CallError) -> bool {
+    matches!(error, CallError::Unknown(PeerError::Timeout { .. }))
+}
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -1,24 +1,28 @@
 //! State machine of one replica: its log, its state and, while it leads, its management of workers.
 
 use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::{debug, error, info};
 use parsleywalk_batch::{
-    BatchCommand, BatchReply, BatchState, Dispatcher, FencingToken, ReportAction, ReportResponse, SortedMap,
-    WorkerReport, decode_commands, encode_commands,
+    BatchCommand, BatchReply, BatchState, FencingToken, ReportAction, ReportResponse, SortedMap, WorkerReport,
+    decode_commands, encode_commands,
 };
 use parsleywalk_consensus::{
     ConsensusAction, ConsensusEvent, ConsensusMessage, ConsensusNode, EntryPayload, LogEntry, LogTerm, LogWrite,
     ProposalId, ReplicaId, ReplicaRole, WriteTicket,
 };
-use parsleywalk_units::{MonotonicTime, VmNumber, ZoneName};
+use parsleywalk_units::{MonotonicTime, VmNumber, WorkerId, ZoneName};
 
+use crate::held_reports::HeldReports;
 use crate::leader_state::{LeaderState, log_orders};
 use crate::members::{self, MemberView};
 use crate::queue_decision;
+use crate::report_replica;
 use crate::settings::FleetSettings;
-use crate::waiter::{AppendedProposal, EntryWaiters, QueuedCommands, ReplySender, Waiter, WaitingReport};
+use crate::waiter::{AppendedProposal, EntryWaiters, QueuedCommands, RelayOutbox, ReplySender, Waiter, WaitingReport};
 use crate::{FleetMetrics, LeaderReply, LeaderRequest, LogMessage};
 
 /// The interval between two checks of leases and members.
@@ -35,6 +39,8 @@
 const MAX_PLACEMENT_WAIT: Duration = Duration::from_millis(30);
 /// The minimum interval between two scheduling cycles, because each examines all workers.
 const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(15);
+/// Workers are sent only to followers heard from within this time: three heartbeats.
+const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(450);
 /// The exit code used when the log cannot be decoded.
 const CORRUPT_LOG_EXIT_CODE: i32 = 65;
 
@@ -61,11 +67,9 @@
     /// Proposals that are in the log but not yet committed, in the order of their indexes.
     appended: VecDeque<AppendedProposal>,
     /// Reports whose commands are committed and whose responses are held.
-    held: Vec<WaitingReport>,
-    /// The earliest deadline of the held reports.
-    next_held_deadline: MonotonicTime,
-    /// Whether the state has changed since the held reports were last examined.
-    held_reports_changed: bool,
+    held: HeldReports,
+    /// The workers on which runs have been placed since the held reports were last examined.
+    placed_workers: Vec<WorkerId>,
     zones: SortedMap<VmNumber, ZoneName>,
     outputs: Vec<CoreOutput>,
     metrics: FleetMetrics,
@@ -84,9 +88,8 @@
             queued: Vec::new(),
             proposed: SortedMap::default(),
             appended: VecDeque::new(),
-            held: Vec::new(),
-            next_held_deadline: MonotonicTime::NEVER,
-            held_reports_changed: false,
+            held: HeldReports::default(),
+            placed_workers: Vec::new(),
             zones,
             outputs: Vec::new(),
             metrics,
@@ -107,7 +110,14 @@
         if let Some(leader_state) = &self.leader_state {
             next = next.min(leader_state.next_plan).min(leader_state.next_check);
         }
-        next.min(self.next_held_deadline)
+        next.min(self.held.next_deadline() + self.placement_wait())
+    }
+
+    /// Returns how long responses are held beyond their deadline, because placements that are being committed may add
+    /// orders to them.
+    fn placement_wait(&self) -> Duration {
+        let pending = self.leader_state.as_ref().is_some_and(|leader_state| leader_state.placement_pending);
+        if pending { MAX_PLACEMENT_WAIT } else { Duration::ZERO }
     }
 
     pub(crate) fn leader(&self) -> Option<VmNumber> {
@@ -123,6 +133,25 @@
         self.node.leader().is_some()
     }
 
+    /// Returns true if there are so many workers that those of each zone are to report to a replica of their zone.
+    pub(crate) fn is_gathering(&self, now: MonotonicTime) -> bool {
+        self.leader_state.as_ref().is_some_and(|leader_state| leader_state.dispatcher.is_gathering(now, &self.state))
+    }
+
+    /// Returns the replica to which a worker is to report, as the leader sees it.
+    pub(crate) fn report_replica(&self, now: MonotonicTime, worker: &WorkerId, zone: &ZoneName) -> VmNumber {
+        let own = self.node.id().vm;
+        if *zone == self.settings.zone || !self.is_gathering(now) {
+            return own;
+        }
+        let peers = self.node.status().peers;
+        let followers = peers.iter().filter(|peer| {
+            peer.role == ReplicaRole::Follower && Duration::from_millis(peer.silent_ms) < FOLLOWER_TIMEOUT
+        });
+        let followers: Vec<VmNumber> = followers.map(|peer| peer.id.vm).collect();
+        report_replica::choose(worker, zone, &followers, &self.zones).unwrap_or(own)
+    }
+
     /// Updates the metrics that describe the state.
     pub(crate) fn record_state_metrics(&self) {
         self.metrics.record_state(&self.state, crate::clock::FleetClock::unix_ms());
@@ -177,36 +206,37 @@
     /// Handles a request; the reply is sent now or once the command is committed.
     pub(crate) fn handle_request(&mut self, now: MonotonicTime, request: LeaderRequest, sender: ReplySender) {
         if matches!(request, LeaderRequest::Locate) {
-            drop(sender.send(self.locate_reply()));
+            sender.send(self.locate_reply());
             return;
         }
         if !self.is_leader(now) {
             let leader = self.leader().filter(|leader| *leader != self.node.id().vm);
-            drop(sender.send(LeaderReply::NotLeader { leader }));
+            sender.send(LeaderReply::NotLeader { leader });
             return;
         }
         match request {
-            LeaderRequest::Locate => {}
+            // Answered by the runtime, because it keeps the followers' outboxes.
+            LeaderRequest::Locate | LeaderRequest::Relay { .. } => {}
             LeaderRequest::Report(report) => self.handle_report(now, &report, sender),
             LeaderRequest::Leave { worker, incarnation } => {
                 info!("event=worker_leaving worker={worker} incarnation={incarnation:?}");
                 if let Some(leader_state) = &mut self.leader_state {
                     leader_state.dispatcher.mark_departed(&worker, incarnation);
                 }
-                drop(sender.send(LeaderReply::Done));
+                sender.send(LeaderReply::Done);
             }
             LeaderRequest::ReadConfiguration => {
                 let configuration = self.state.configuration();
                 let reply = configuration.map_or(LeaderReply::NoConfiguration, |configuration| {
                     LeaderReply::Configuration { version: configuration.version, text: configuration.text.clone() }
                 });
-                drop(sender.send(reply));
+                sender.send(reply);
             }
             LeaderRequest::Configure(configuration) => {
                 let active = self.state.configuration().map(|current| current.version);
                 info!("event=configuration_received version={} held={active:?}", configuration.version);
                 if active.is_some_and(|active| active >= configuration.version) {
-                    drop(sender.send(LeaderReply::Done));
+                    sender.send(LeaderReply::Done);
                 } else {
                     self.propose(vec![BatchCommand::Configure(configuration)], Waiter::Reply(sender));
                 }
@@ -218,7 +248,7 @@
             LeaderRequest::Queue { host, path, action } => {
                 let unix_ms = crate::clock::FleetClock::unix_ms();
                 match queue_decision::decide(&self.state, unix_ms, &host, &path, action) {
-                    queue_decision::QueueDecision::Reply(reply) => drop(sender.send(reply)),
+                    queue_decision::QueueDecision::Reply(reply) => sender.send(reply),
                     queue_decision::QueueDecision::Commit(command) => self.commit_or_refuse(now, command, sender),
                 }
             }
@@ -226,10 +256,19 @@
         self.advance(now);
     }
 
+    /// Handles the reports that a follower has relayed. The responses go to its outbox.
+    pub(crate) fn handle_relayed(&mut self, now: MonotonicTime, reports: &[Arc<WorkerReport>], outbox: &RelayOutbox) {
+        for report in reports {
+            let (worker, sequence) = (report.worker.clone(), report.sequence);
+            self.handle_report(now, report, ReplySender::Relay { outbox: Rc::clone(outbox), worker, sequence });
+        }
+        self.advance(now);
+    }
+
     /// Proposes a caller's command, unless admission control refuses it.
     fn commit_or_refuse(&mut self, now: MonotonicTime, command: BatchCommand, sender: ReplySender) {
         if let Some(refusal) = self.refusal(now, &command) {
-            drop(sender.send(refusal));
+            sender.send(refusal);
             return;
         }
         if let BatchCommand::Submit(submission) = &command {
@@ -255,7 +294,7 @@
         match leader_state.dispatcher.receive(now, &self.state, report) {
             ReportAction::Stale => {
                 let response = ReportResponse { orders: None, next_report: Duration::from_millis(100) };
-                drop(sender.send(LeaderReply::Report(Box::new(response))));
+                sender.send(LeaderReply::Report(Box::new(response)));
             }
             ReportAction::Commit(commands) => {
                 self.metrics.runs_ended(&commands);
@@ -303,50 +342,40 @@
 
     /// Holds a report until there are orders for the worker or its deadline has passed.
     fn hold(&mut self, now: MonotonicTime, report: WaitingReport) {
-        if let Some(leader_state) = &self.leader_state
-            && (report.hold_until <= now && !leader_state.placement_pending
-                || leader_state.dispatcher.has_pending_starts(&self.state, &report.worker))
-        {
-            self.held_reports_changed = true;
+        let has_orders =
+            |leader_state: &LeaderState| leader_state.dispatcher.has_pending_starts(&self.state, &report.worker);
+        if self.leader_state.as_ref().is_none_or(has_orders) {
+            return self.respond(now, report);
+        }
+        if let Some(replaced) = self.held.insert(report) {
+            self.respond(now, replaced);
         }
-        self.next_held_deadline = self.next_held_deadline.min(report.hold_until);
-        self.held.push(report);
     }
 
+    /// Answers the held reports of workers that have got runs, and those whose deadline has passed.
     fn answer_held(&mut self, now: MonotonicTime) {
-        if self.held.is_empty() || (!self.held_reports_changed && now < self.next_held_deadline) {
-            return;
+        let placed = std::mem::take(&mut self.placed_workers);
+        let limit = now.saturating_sub(self.placement_wait());
+        let mut due: Vec<WaitingReport> = placed.iter().filter_map(|worker| self.held.take(worker)).collect();
+        due.extend(self.held.take_due(limit));
+        for report in due {
+            self.respond(now, report);
         }
-        self.held_reports_changed = false;
-        if !self.is_leader(now) {
-            let leader = self.leader().filter(|leader| *leader != self.node.id().vm);
-            for report in self.held.drain(..) {
-                drop(report.sender.send(LeaderReply::NotLeader { leader }));
+    }
+
+    /// Responds to a report. Only a leader with a valid lease gives orders.
+    fn respond(&mut self, now: MonotonicTime, report: WaitingReport) {
+        let leads = self.is_leader(now);
+        let reply = match self.leader_state.as_mut().filter(|_| leads) {
+            Some(leader_state) => {
+                let response = leader_state.dispatcher.build_response(&self.state, &report.worker, report.sequence);
+                log_orders(&report.worker, &response);
+                self.metrics.record_response(&response);
+                LeaderReply::Report(Box::new(response))
             }
-            return;
-        }
-        let Some(leader_state) = &mut self.leader_state else { return };
-        let state = &self.state;
-        // A report held while placements are being committed can get its orders with the response.
-        let placement_pending = leader_state.placement_pending;
-        let is_due = |dispatcher: &Dispatcher, report: &WaitingReport| {
-            let over =
-                report.hold_until <= now && (!placement_pending || report.hold_until + MAX_PLACEMENT_WAIT <= now);
-            over || dispatcher.has_pending_starts(state, &report.worker)
+            None => LeaderReply::NotLeader { leader: self.leader().filter(|leader| *leader != self.node.id().vm) },
         };
-        let due: Vec<WaitingReport> =
-            self.held.extract_if(.., |report| is_due(&leader_state.dispatcher, report)).collect();
-        self.next_held_deadline =
-            self.held.iter().map(|report| report.hold_until).min().unwrap_or(MonotonicTime::NEVER);
-        if self.next_held_deadline <= now {
-            self.next_held_deadline = now + MAX_PLACEMENT_WAIT;
-        }
-        for report in due {
-            let response = leader_state.dispatcher.build_response(state, &report.worker, report.sequence);
-            log_orders(&report.worker, &response);
-            self.metrics.record_response(&response);
-            drop(report.sender.send(LeaderReply::Report(Box::new(response))));
-        }
+        report.sender.send(reply);
     }
 
     fn run_maintenance(&mut self, now: MonotonicTime) {
@@ -481,8 +510,8 @@
             info!("event=leadership_ended term={term}");
         }
         let leader = leader.map(|leader| leader.vm);
-        for held in std::mem::take(&mut self.held) {
-            drop(held.sender.send(LeaderReply::NotLeader { leader }));
+        for held in self.held.take_all() {
+            held.sender.send(LeaderReply::NotLeader { leader });
         }
         for queued in std::mem::take(&mut self.queued) {
             self.abandon(queued.waiter, LeaderReply::NotLeader { leader });
@@ -498,8 +527,8 @@
     /// Releases a waiter whose commands were not committed or may not have been.
     fn abandon(&mut self, waiter: Waiter, reply: LeaderReply) {
         match waiter {
-            Waiter::Reply(sender) => drop(sender.send(reply)),
-            Waiter::Report(report) => drop(report.sender.send(LeaderReply::NotLeader { leader: None })),
+            Waiter::Reply(sender) => sender.send(reply),
+            Waiter::Report(report) => report.sender.send(LeaderReply::NotLeader { leader: None }),
             Waiter::Plan => {
                 if let Some(leader_state) = &mut self.leader_state {
                     leader_state.placement_pending = false;
@@ -520,6 +549,9 @@
             match decode_commands(payload) {
                 Ok(commands) => {
                     replies.extend(commands.iter().map(|command| self.state.apply(command)));
+                    if self.leader_state.is_some() {
+                        self.placed_workers.extend(commands.iter().flat_map(placed_workers).cloned());
+                    }
                 }
                 Err(cause) => exit_on_corrupt_log(&format!("entry at index {}: {cause}", entry.index)),
             }
@@ -532,7 +564,6 @@
                 info!("event=job_ended job={job} status={status:?} failed_runs={failures} index={}", entry.index);
             }
         }
-        self.held_reports_changed = true;
         self.begin_term(now, entry.term);
         if let Some(leader_state) = &mut self.leader_state {
             leader_state.plan_due = true;
@@ -545,7 +576,7 @@
                 commands_seen += commands;
                 if committed {
                     let reply = replies.get(commands_seen.wrapping_sub(1)).copied();
-                    self.complete(waiter, reply.unwrap_or(BatchReply::Done));
+                    self.complete(now, waiter, reply.unwrap_or(BatchReply::Done));
                 } else {
                     self.abandon(waiter, LeaderReply::Uncertain);
                 }
@@ -563,19 +594,16 @@
         self.leader_state = Some(LeaderState::new(self.settings.dispatch.clone(), FencingToken::new(term.get()), now));
     }
 
-    fn complete(&mut self, waiter: Waiter, reply: BatchReply) {
+    fn complete(&mut self, now: MonotonicTime, waiter: Waiter, reply: BatchReply) {
         match waiter {
             Waiter::Reply(sender) => {
                 let reply = match reply {
                     BatchReply::Done => LeaderReply::Done,
                     BatchReply::NoJob => LeaderReply::NoJob,
                 };
-                drop(sender.send(reply));
-            }
-            Waiter::Report(report) => {
-                self.next_held_deadline = self.next_held_deadline.min(report.hold_until);
-                self.held.push(report);
+                sender.send(reply);
             }
+            Waiter::Report(report) => self.hold(now, report),
             Waiter::Plan => {
                 if let Some(leader_state) = &mut self.leader_state {
                     leader_state.placement_pending = false;
@@ -590,6 +618,12 @@
     }
 }
 
+/// Returns the workers on which a command places runs.
+fn placed_workers(command: &BatchCommand) -> impl Iterator<Item = &WorkerId> {
+    let runs = if let BatchCommand::Place { runs } = command { runs.as_slice() } else { &[] };
+    runs.iter().map(|placement| &placement.worker)
+}
+
 /// Ends the process. A replica whose state differs from the log must not continue, because it could break the
 /// guarantees.
 fn exit_on_corrupt_log(reason: &str) {
--- a/crates/parsleywalk-fleet/src/message.rs
+++ b/crates/parsleywalk-fleet/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between daemons.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use parsleywalk_batch::{JobSpec, JobStatus, QueueConfiguration, ReportResponse, WorkerReport};
@@ -63,6 +64,23 @@
         /// Whether the zone goes out of or back into service.
         direction: ZoneDirection,
     },
+    /// Reports that a follower has gathered from workers. The reply carries the responses that have become ready for the
+    /// calling daemon since its last such request.
+    Relay {
+        /// The reports, at most one for each worker.
+        reports: Vec<Arc<WorkerReport>>,
+    },
+}
+
+/// The leader's response to a report that a follower has relayed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RelayedResponse {
+    /// The worker that sent the report.
+    pub worker: WorkerId,
+    /// The report's sequence number.
+    pub sequence: u64,
+    /// The response.
+    pub response: ReportResponse,
 }
 
 /// The reply to a [`LeaderRequest`].
@@ -114,4 +132,11 @@
         /// The text as sent by the operator.
         text: String,
     },
+    /// Responses to relayed reports.
+    Relayed {
+        /// The responses that have become ready.
+        responses: Vec<RelayedResponse>,
+        /// Whether the workers of the calling daemon's zone are to report to it and not to the leader.
+        is_gathering: bool,
+    },
 }
--- a/crates/parsleywalk-fleet/src/metrics.rs
+++ b/crates/parsleywalk-fleet/src/metrics.rs
@@ -21,6 +21,7 @@
     orders: Counter<u64>,
     runs_ended: Counter<u64>,
     leases: Counter<u64>,
+    reports_relayed: Counter<u64>,
     active_jobs: Gauge<u64>,
     oldest_waiting: Gauge<u64>,
     workers: Gauge<u64>,
@@ -47,6 +48,8 @@
             orders: registry.counter("parsleywalk_orders", "Orders to workers, by kind"),
             runs_ended: registry.counter("parsleywalk_runs_ended", "Ends of runs that were committed, by outcome"),
             leases: registry.counter("parsleywalk_leases", "Leases of workers renewed and expired, by event"),
+            reports_relayed: registry
+                .counter("parsleywalk_reports_relayed", "Reports of workers that this replica sent to the leader"),
             active_jobs: registry.gauge("parsleywalk_active_jobs", "Jobs that are not final, by priority and status"),
             oldest_waiting: registry.gauge(
                 "parsleywalk_oldest_waiting_milliseconds",
@@ -113,6 +116,10 @@
         }
     }
 
+    pub(crate) fn reports_relayed(&self, count: usize) {
+        self.reports_relayed.add(u64::try_from(count).unwrap_or(u64::MAX), &[]);
+    }
+
     pub(crate) fn leases_expired(&self, count: usize) {
         self.leases.add(u64::try_from(count).unwrap_or(u64::MAX), &[KeyValue::new("event", "expired")]);
     }
--- a/crates/parsleywalk-fleet/src/replica.rs
+++ b/crates/parsleywalk-fleet/src/replica.rs
@@ -9,6 +9,7 @@
 
 use flume::{Receiver, Sender};
 use log::{error, info, warn};
+use parsleywalk_batch::{ReportResponse, SortedMap, WorkerReport};
 use parsleywalk_consensus::{ConsensusNode, ConsensusSettings, LogWrite, RecoveredLog, WriteTicket};
 use parsleywalk_peer::{PeerAddress, PeerNetwork, PeerReceivers, PeerSettings, StreamKind};
 use parsleywalk_storage::LogStore;
@@ -19,7 +20,9 @@
 use crate::client::{CallFailure, LeaderClient};
 use crate::clock::FleetClock;
 use crate::core::{CoreOutput, ReplicaCore};
+use crate::report_relay::ReportRelay;
 use crate::settings::{FleetSettings, vm_number};
+use crate::waiter::{RelayOutbox, ReplySender};
 use crate::{FleetError, FleetMetrics, LeaderReply, LeaderRequest, LogMessage, Result};
 
 /// The maximum number of further writes that join the first one of a sync.
@@ -43,6 +46,9 @@
     clock: FleetClock,
     /// Wakes the timer task when the next deadline has become earlier.
     deadline_moved: Notify,
+    relay: ReportRelay,
+    /// The responses to relayed reports, by the follower that fetches them.
+    outboxes: RefCell<SortedMap<VmNumber, RelayOutbox>>,
 }
 
 impl Replica {
@@ -74,6 +80,7 @@
         let (writes, write_queue) = flume::unbounded();
         let (synced, synced_queue) = flume::unbounded();
         start_storage(store, write_queue, synced, metrics.clone())?;
+        let relay = ReportRelay::new(Rc::clone(&client), metrics.clone());
         let replica = Rc::new(Self {
             core: RefCell::new(ReplicaCore::new(settings.clone(), node, metrics)),
             network,
@@ -82,6 +89,8 @@
             settings,
             clock,
             deadline_moved: Notify::new(),
+            relay,
+            outboxes: RefCell::default(),
         });
         replica.clone().run_tasks(receivers, synced_queue);
         Ok(replica)
@@ -101,6 +110,10 @@
         tokio::task::spawn_local(async move {
             while let Ok(call) = calls.recv_async().await {
                 match call.decode::<LeaderRequest>() {
+                    Ok(LeaderRequest::Relay { reports }) => {
+                        let reply = replica.handle_relayed(call.from.vm, &reports);
+                        call.reply(&reply);
+                    }
                     Ok(request) => {
                         let reply = replica.handle_request(request);
                         tokio::task::spawn_local(async move {
@@ -121,6 +134,8 @@
         });
         let replica = Rc::clone(&self);
         tokio::task::spawn_local(async move { replica.run_timer().await });
+        let replica = Rc::clone(&self);
+        tokio::task::spawn_local(async move { replica.relay.run().await });
         tokio::task::spawn_local(async move { self.search_members().await });
     }
 
@@ -192,10 +207,45 @@
 
     fn handle_request(&self, request: LeaderRequest) -> oneshot::Receiver<LeaderReply> {
         let (sender, reply) = oneshot::channel();
-        self.step(|core, now| core.handle_request(now, request, sender));
+        self.step(|core, now| core.handle_request(now, request, ReplySender::Task(sender)));
         reply
     }
 
+    /// Handles the reports that a follower has relayed, and returns the responses that are ready for it.
+    fn handle_relayed(&self, follower: VmNumber, reports: &[Arc<WorkerReport>]) -> LeaderReply {
+        let outbox = Rc::clone(self.outboxes.borrow_mut().entry(follower, RelayOutbox::default));
+        self.step(|core, now| core.handle_relayed(now, reports, &outbox));
+        let responses = outbox.take();
+        let (core, now) = (self.core.borrow(), self.clock.now());
+        if !core.is_leader(now) {
+            // Responses from before the end of the lease must not go out after it.
+            return LeaderReply::NotLeader { leader: core.leader().filter(|leader| *leader != self.settings.vm()) };
+        }
+        LeaderReply::Relayed { responses, is_gathering: core.is_gathering(now) }
+    }
+
+    /// Passes a worker's report to the leader. Returns the response and the replica to which the worker is to report
+    /// next.
+    pub(crate) async fn report(
+        &self,
+        report: WorkerReport,
+        timeout: Duration,
+    ) -> std::result::Result<(ReportResponse, Option<VmNumber>), CallFailure> {
+        let (worker, zone) = (report.worker.clone(), report.zone.clone());
+        let is_leader = self.core.borrow().is_leader(self.clock.now());
+        if is_leader {
+            let reply = self.handle_request(LeaderRequest::Report(Box::new(report)));
+            let Ok(Ok(LeaderReply::Report(response))) = time::timeout(timeout, reply).await else {
+                return Err(CallFailure::Unknown);
+            };
+            let next = self.core.borrow().report_replica(self.clock.now(), &worker, &zone);
+            return Ok((*response, Some(next)));
+        }
+        let response = self.relay.call(report, timeout).await?;
+        let gathers = self.relay.is_gathering() && zone == self.settings.zone;
+        Ok((response, if gathers { Some(self.settings.vm()) } else { self.client.leader() }))
+    }
+
     /// Handles a request locally while this replica leads, and otherwise forwards it to the leader.
     pub(crate) async fn call(
         &self,
--- a/crates/parsleywalk-fleet/src/waiter.rs
+++ b/crates/parsleywalk-fleet/src/waiter.rs
@@ -1,14 +1,43 @@
 //! Requests and reports that wait for a log entry.
 
+use std::cell::RefCell;
+use std::rc::Rc;
+
 use parsleywalk_batch::BatchCommand;
 use parsleywalk_consensus::{LogIndex, LogTerm};
 use parsleywalk_units::{MonotonicTime, WorkerId};
 use tokio::sync::oneshot;
 
 use crate::LeaderReply;
+use crate::message::RelayedResponse;
+
+/// The responses that a follower has not fetched yet.
+pub(crate) type RelayOutbox = Rc<RefCell<Vec<RelayedResponse>>>;
+
+/// The receiver of the reply to a request.
+#[derive(Debug)]
+pub(crate) enum ReplySender {
+    /// A task that waits for the reply.
+    Task(oneshot::Sender<LeaderReply>),
+    /// A follower that has relayed a worker's report.
+    Relay { outbox: RelayOutbox, worker: WorkerId, sequence: u64 },
+}
 
-/// Sends the reply to a request. The receiver may be gone.
-pub(crate) type ReplySender = oneshot::Sender<LeaderReply>;
+impl ReplySender {
+    /// Sends the reply. The receiver may be gone.
+    pub(crate) fn send(self, reply: LeaderReply) {
+        match self {
+            Self::Task(sender) => drop(sender.send(reply)),
+            Self::Relay { outbox, worker, sequence } => {
+                // Any other reply means that this replica has stopped leading. The follower sends the report to the next
+                // leader then.
+                if let LeaderReply::Report(response) = reply {
+                    outbox.borrow_mut().push(RelayedResponse { worker, sequence, response: *response });
+                }
+            }
+        }
+    }
+}
 
 /// A request, report or internal action that waits for its proposal to be committed.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/parsleywalk-fleet/tests/relay.rs
@@ -0,0 +1,141 @@
+//! Tests with real daemons: followers that relay workers' reports to the leader.
+
+mod support;
+
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use parsleywalk_batch::{DispatchSettings, ReportResponse, WorkerReport};
+use parsleywalk_fleet::{FleetSettings, LeaderReply, QueueAction};
+use parsleywalk_units::{Incarnation, MemoryBytes, MilliCores, ResourceSize};
+use support::{ReportOutcome, TestDaemon, TestFleet, WAIT_TIMEOUT, configuration, job, queue};
+
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+/// Three replicas, one in each zone, whose leader wants workers to report in their zone from the first worker on.
+struct RelayFleet {
+    fleet: TestFleet,
+    replicas: Vec<Option<TestDaemon>>,
+}
+
+impl RelayFleet {
+    fn start(network: u8) -> Self {
+        let fleet = TestFleet::new(network);
+        let start = |number| {
+            let dispatch = DispatchSettings { direct_workers: 0, ..DispatchSettings::default() };
+            let data_folder = Some(fleet.data_folder(number));
+            let settings = FleetSettings { data_folder, bootstrap: true, dispatch, ..fleet.settings(number) };
+            Some(TestDaemon::start(settings))
+        };
+        let replicas = (1..=3).map(start).collect();
+        let fleet = Self { fleet, replicas };
+        fleet.replica(0).wait_for(&configuration(1), |reply| *reply == LeaderReply::Done);
+        fleet
+    }
+
+    fn replica(&self, index: usize) -> &TestDaemon {
+        self.replicas[index].as_ref().expect("the replica runs")
+    }
+
+    fn leader_index(&self, any: usize) -> usize {
+        usize::from(self.replica(any).leader().octets()[3]) - 1
+    }
+
+    fn address(&self, index: usize) -> Ipv4Addr {
+        self.fleet.address(u8::try_from(index + 1).expect("a small index"))
+    }
+
+    /// Returns the zone of a replica.
+    fn zone(index: usize) -> &'static str {
+        ZONES[(index + 1) % ZONES.len()]
+    }
+
+    /// Reports with new sequence numbers until the outcome satisfies the predicate.
+    fn report_until(
+        &self,
+        index: usize,
+        worker: &mut TestWorker,
+        accept: impl Fn(&(ReportResponse, Option<Ipv4Addr>)) -> bool,
+    ) -> (ReportResponse, Option<Ipv4Addr>) {
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        loop {
+            let outcome: ReportOutcome = self.replica(index).report(worker.next()).recv().expect("an outcome");
+            match outcome {
+                Ok(accepted) if accept(&accepted) => return accepted,
+                other => assert!(Instant::now() < deadline, "no such response: {other:?}"),
+            }
+        }
+    }
+
+    fn stop(self) {
+        self.replicas.into_iter().flatten().for_each(TestDaemon::stop);
+    }
+}
+
+struct TestWorker {
+    zone: &'static str,
+    sequence: u64,
+}
+
+impl TestWorker {
+    fn next(&mut self) -> WorkerReport {
+        self.sequence += 1;
+        WorkerReport {
+            worker: "worker-1".parse().expect("a name"),
+            incarnation: Incarnation::new(1),
+            service: "planning".parse().expect("a name"),
+            zone: self.zone.parse().expect("a zone"),
+            labels: vec!["kind".to_owned(), "rack".to_owned()],
+            capacity: ResourceSize::new(MilliCores::new(8000), MemoryBytes::new(16_000_000_000)),
+            draining: false,
+            sequence: self.sequence,
+            clock: Duration::from_millis(self.sequence * 100),
+            running: Vec::new(),
+            ended: Vec::new(),
+        }
+    }
+}
+
+/// Guards against a leader that spends its processor time on connections to workers: a worker that reports to the leader
+/// is sent to the replica of its zone, stays there, and gets its orders from there.
+#[test]
+fn a_worker_reports_to_the_replica_of_its_zone() {
+    let fleet = RelayFleet::start(21);
+    let leader = fleet.leader_index(0);
+    let follower = (leader + 1) % 3;
+    let mut worker = TestWorker { zone: RelayFleet::zone(follower), sequence: 0 };
+    fleet.report_until(leader, &mut worker, |(_, next)| *next == Some(fleet.address(follower)));
+    fleet.report_until(follower, &mut worker, |(_, next)| *next == Some(fleet.address(follower)));
+    let submit = queue("/checks/00000000000000aa", QueueAction::Submit(Box::new(job())));
+    fleet.replica(follower).wait_for(&submit, |reply| *reply == LeaderReply::Done);
+    let started = |response: &ReportResponse| response.orders.as_ref().is_some_and(|orders| orders.starts.len() == 2);
+    fleet.report_until(follower, &mut worker, |(response, _)| started(response));
+    // A worker of another zone is sent on to the leader, which knows the replica of that zone.
+    let mut other = TestWorker { zone: RelayFleet::zone((leader + 2) % 3), ..worker };
+    fleet.report_until(follower, &mut other, |(_, next)| *next == Some(fleet.address(leader)));
+    fleet.stop();
+}
+
+/// Guards against lost reports, and against orders from two leaders: a report that the old leader held when it was lost
+/// is answered by its successor, with the successor's fencing token.
+#[test]
+fn a_held_report_is_answered_by_the_next_leader() {
+    let mut fleet = RelayFleet::start(22);
+    let leader = fleet.leader_index(0);
+    let follower = (leader + 1) % 3;
+    let mut worker = TestWorker { zone: RelayFleet::zone(follower), sequence: 0 };
+    let (first, _) = fleet.report_until(follower, &mut worker, |(response, _)| response.orders.is_some());
+    let first_fence = first.orders.expect("checked above").fence;
+    let held = fleet.replica(follower).report(worker.next());
+    fleet.replicas[leader].take().expect("the replica runs").stop();
+    // Answered by the old leader just before its end, by the new one, or not at all; never with a lower token.
+    if let Ok(Ok((response, _))) = held.recv_timeout(WAIT_TIMEOUT) {
+        assert!(response.orders.is_none_or(|orders| orders.fence >= first_fence));
+    }
+    let survivor = fleet.replicas.iter().position(Option::is_some).expect("a survivor");
+    let (next, _) = fleet.report_until(survivor, &mut worker, |(response, _)| {
+        response.orders.as_ref().is_some_and(|orders| orders.fence > first_fence)
+    });
+    assert!(next.orders.is_some_and(|orders| !orders.lease.is_zero()));
+    fleet.stop();
+}
--- a/crates/parsleywalk-peer/src/inbound.rs
+++ b/crates/parsleywalk-peer/src/inbound.rs
@@ -21,6 +21,10 @@
 /// The flow-control window of a stream, and half that of a connection. A snapshot chunk fits into it.
 const STREAM_WINDOW_BYTES: u32 = 1024 * 1024;
 
+/// The keepalive interval of an accepted connection as a multiple of the setting. The peer that opened the connection
+/// detects its failure; here, keepalive only frees the memory of dead connections, of which a leader has hundreds.
+const INBOUND_KEEPALIVE_FACTOR: u32 = 8;
+
 /// The delay after a failed accept, for example when no file descriptor is available, in milliseconds.
 const ACCEPT_RETRY_DELAY_MS: u64 = 50;
 
@@ -77,8 +81,8 @@
     let mut connection =
         handshake.map_err(|_| PeerError::Timeout { step: "handshake", peer })?.map_err(stream_error)?;
     let ping_pong = connection.ping_pong().ok_or(PeerError::Closed { peer })?;
-    let mut keepalive =
-        std::pin::pin!(keepalive::run(ping_pong, peer, settings.keepalive_interval, settings.keepalive_timeout));
+    let interval = settings.keepalive_interval * INBOUND_KEEPALIVE_FACTOR;
+    let mut keepalive = std::pin::pin!(keepalive::run(ping_pong, peer, interval, settings.keepalive_timeout));
     loop {
         let accepted = tokio::select! {
             accepted = connection.accept() => accepted,
