--- a/crates/parsleywalk-batch/src/admission.rs
+++ b/crates/parsleywalk-batch/src/admission.rs
@@ -126,5 +126,7 @@
 /// Returns the CPU time of the job's short tasks in millicore-seconds.
 fn short_millicore_seconds(submission: &JobSubmission) -> f64 {
     let short = submission.spec.steps.iter().filter(|step| !step.long_running && !step.best_effort);
-    short.map(|step| f64::from(step.count) * f64::from(step.size.cores.get()) * step.estimate.as_secs_f64()).sum()
+    short
+        .map(|step| f64::from(step.count) * f64::from(step.size.cores.get()) * step.bounded_estimate().as_secs_f64())
+        .sum()
 }
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -255,7 +255,7 @@
                 *shares.entry(image, || 0.0) += ratio(run.figure.min(step.size.cores.get()), capacity);
             }
             if step.long_running && !step.best_effort {
-                view.long_running_cores += step.size.cores.get();
+                view.long_running_cores = view.long_running_cores.saturating_add(step.size.cores.get());
             }
             if run.rate < MIN_USEFUL_RATE_PERCENT {
                 run.throttled_since.get_or_insert(now);
@@ -268,7 +268,7 @@
             } else {
                 // A best-effort task may also wait for CPU time.
                 let stall_factor = if step.best_effort { BEST_EFFORT_STALL_FACTOR } else { 1 };
-                run.rate == 100 && idle >= self.settings.stall_timeout.max(step.estimate / 4) * stall_factor
+                run.rate == 100 && idle >= self.settings.stall_timeout.max(step.bounded_estimate() / 4) * stall_factor
             };
             if hung && !view.evicting.contains(task) {
                 hung_runs.push((*task, run.run));
@@ -386,7 +386,7 @@
 
 /// Returns true if a run on a draining worker should be evicted now, since it would not end before the worker exits.
 fn outlasts_drain(step: &crate::StepSpec, percent: u8) -> bool {
-    let remaining = step.estimate * u32::from(100 - percent.min(100)) / 100;
+    let remaining = step.bounded_estimate() * u32::from(100 - percent.min(100)) / 100;
     step.long_running || (step.checkpointable && remaining > MIN_DRAIN_TIME)
 }
 
--- a/crates/parsleywalk-batch/src/error.rs
+++ b/crates/parsleywalk-batch/src/error.rs
@@ -18,6 +18,10 @@
     }
 }
 
+/// The most memory that decoding may allocate for lengths read from the input. A damaged length would otherwise be
+/// allocated before its bytes are found missing, which aborts the process.
+const DECODE_LIMIT_BYTES: usize = 512 * 1024 * 1024;
+
 /// Encodes a value for the log or a snapshot.
 pub(crate) fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
     bincode::serde::encode_to_vec(value, bincode::config::standard()).expect("plain data always encodes")
@@ -25,7 +29,8 @@
 
 /// Decodes a value from the log or a snapshot and rejects trailing bytes.
 pub(crate) fn decode<T: serde::de::DeserializeOwned>(step: &'static str, bytes: &[u8]) -> Result<T> {
-    let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+    let limited = bincode::config::standard().with_limit::<DECODE_LIMIT_BYTES>();
+    let decoded = bincode::serde::decode_from_slice(bytes, limited);
     let (value, used) = decoded.map_err(|cause| BatchError::Decode { step, reason: cause.to_string() })?;
     if used == bytes.len() {
         Ok(value)
--- a/crates/parsleywalk-batch/src/spec.rs
+++ b/crates/parsleywalk-batch/src/spec.rs
@@ -73,7 +73,15 @@
     pub interval_ms: u64,
 }
 
+/// The longest estimate that decisions use. Callers may send any number, and sums of unbounded durations overflow.
+const MAX_ESTIMATE: Duration = Duration::from_hours(24);
+
 impl StepSpec {
+    /// Returns the estimated duration of a task, at most a day.
+    pub(crate) fn bounded_estimate(&self) -> Duration {
+        self.estimate.min(MAX_ESTIMATE)
+    }
+
     /// Returns true if the tasks are long-running and have a tail-latency objective.
     #[must_use]
     pub fn is_latency_critical(&self) -> bool {
--- a/crates/parsleywalk-batch/src/urgency.rs
+++ b/crates/parsleywalk-batch/src/urgency.rs
@@ -21,6 +21,12 @@
 /// long, so short jobs that would otherwise be late go first.
 const LONG_RUNNING_DEADLINE: Duration = Duration::from_secs(3);
 
+/// The highest stretch that decisions use.
+const MAX_STRETCH: f32 = 100.0;
+/// The longest latency objective that decisions use. An operator may configure any number, and sums of unbounded
+/// durations overflow.
+const MAX_LATENCY_OBJECTIVE: Duration = Duration::from_hours(24);
+
 /// A job with at least this percentage of its slack left has ample slack.
 const AMPLE_SLACK_PERCENT: u32 = 60;
 
@@ -69,7 +75,8 @@
 /// Returns the latency objective of the job, counted from its acceptance.
 fn objective(job: &JobRecord) -> Duration {
     let path_length = critical_path(job, |_| true);
-    path_length.mul_f32(job.submission.stretch.clamp(1.0, 100.0)) + job.submission.latency_objective
+    let stretch = job.submission.stretch.clamp(1.0, MAX_STRETCH);
+    path_length.mul_f32(stretch) + job.submission.latency_objective.min(MAX_LATENCY_OBJECTIVE)
 }
 
 /// Returns the estimated duration of the critical path, counting only the steps for which `counts` returns true.
@@ -79,7 +86,7 @@
     let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
     for (spec, record) in steps.iter().zip(&occurrence.steps) {
         let start = spec.depends_on.iter().filter_map(|earlier| ends.get(usize::from(*earlier))).max();
-        let duration = if counts(record) { spec.estimate } else { Duration::ZERO };
+        let duration = if counts(record) { spec.bounded_estimate() } else { Duration::ZERO };
         ends.push(start.copied().unwrap_or_default() + duration);
     }
     ends.into_iter().max().unwrap_or_default()
--- a/crates/parsleywalk-batch/tests/guarantees.rs
+++ b/crates/parsleywalk-batch/tests/guarantees.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-use parsleywalk_units::ZoneDirection;
+use parsleywalk_batch::{JobId, JobStatus, JobSubmission, RunNumber, RunningTask, StepSpec, TaskKey, WorkerReport};
+use parsleywalk_units::{MemoryBytes, MilliCores, ResourceSize, ZoneDirection};
 use rstest::rstest;
 use support::{FakeFleet, RandomSteps, step, submission};
 
@@ -182,3 +183,53 @@
     fleet.now = fleet.now + Duration::from_secs(4);
     assert_eq!(fleet.dispatcher.receive(fleet.now, &fleet.state, &late), ReportAction::Stale);
 }
+
+/// Guards against one odd job or report ending the leader: a chain of steps with the largest numbers that the interface
+/// permits overflowed the sum of their durations, and the leader panicked in every scheduling cycle.
+#[test]
+fn extreme_numbers_do_not_panic() {
+    let mut fleet = FakeFleet::new(3, 1);
+    let extreme = |index: u16| StepSpec {
+        estimate: Duration::from_millis(u64::MAX),
+        depends_on: (0..index).collect(),
+        size: ResourceSize::new(MilliCores::new(u32::MAX), MemoryBytes::new(u64::MAX)),
+        long_running: index % 2 == 0,
+        best_effort: index % 3 == 0,
+        tail_objective: Some(Duration::from_millis(u64::MAX)),
+        per_worker_limit: Some(u32::MAX),
+        ..step(1, 1, 0)
+    };
+    let chain = JobSubmission {
+        stretch: f32::MAX,
+        latency_objective: Duration::from_millis(u64::MAX),
+        ..submission(1, 0, (0..200).map(extreme).collect())
+    };
+    assert!(fleet.try_submit(chain.clone()).is_some(), "a new leader refuses nothing");
+    fleet.submit(chain);
+    fleet.submit(submission(2, 0, vec![StepSpec { estimate: Duration::from_millis(u64::MAX), ..step(2, 1, 0) }]));
+    for _ in 0..20 {
+        fleet.step();
+        for task in [0, 1].map(|index| TaskKey { job: JobId::new(1), occurrence: 0, step: index, index: 0 }) {
+            let odd = RunningTask {
+                task,
+                run: RunNumber::new(u32::MAX),
+                saved: String::new(),
+                percent: 255,
+                figure: u32::MAX,
+            };
+            let report = WorkerReport {
+                worker: "odd".parse().expect("a name"),
+                clock: Duration::from_millis(u64::MAX),
+                capacity: ResourceSize::new(MilliCores::new(u32::MAX), MemoryBytes::new(u64::MAX)),
+                running: vec![odd.clone(), odd],
+                ..fleet.workers[0].current_report(fleet.now)
+            };
+            drop(fleet.dispatcher.receive(fleet.now, &fleet.state, &report));
+            drop(fleet.dispatcher.build_response(&fleet.state, &report.worker, report.sequence));
+        }
+    }
+    // The sound workers still serve.
+    let sound = fleet.submit(submission(3, 0, vec![step(4, 1, 200)]));
+    fleet.run_for(Duration::from_secs(5));
+    assert_eq!(fleet.status(sound), Some(JobStatus::Completed));
+}
--- a/crates/parsleywalk-control/src/command.rs
+++ b/crates/parsleywalk-control/src/command.rs
@@ -7,6 +7,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::snapshot::DECODE_LIMIT_BYTES;
 use crate::{AttemptChange, ControlError, WorkerNumber};
 
 /// A command that changes the control state.
@@ -239,7 +240,8 @@
     ///
     /// Fails if the bytes are not exactly one encoded command.
     pub fn decode(bytes: &[u8]) -> Result<Self, ControlError> {
-        let (command, length) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())
+        let limited = bincode::config::standard().with_limit::<DECODE_LIMIT_BYTES>();
+        let (command, length) = bincode::serde::decode_from_slice(bytes, limited)
             .map_err(|cause| ControlError::Decode { what: "command", cause: Box::new(cause) })?;
         if length == bytes.len() {
             Ok(command)
--- a/crates/parsleywalk-control/src/snapshot.rs
+++ b/crates/parsleywalk-control/src/snapshot.rs
@@ -11,6 +11,10 @@
 /// The version of the snapshot format that this build writes and reads.
 const SNAPSHOT_FORMAT: u32 = 1;
 
+/// The most memory that decoding may allocate for lengths read from the input. A damaged length would otherwise be
+/// allocated before its bytes are found missing, which aborts the process.
+pub(crate) const DECODE_LIMIT_BYTES: usize = 512 * 1024 * 1024;
+
 /// The instances of each service. The service of a job's tasks is restored from the job.
 type InstancesByService = BTreeMap<ServiceName, Vec<TaskId>>;
 
@@ -47,7 +51,7 @@
     /// invariant.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         let failed = |cause| ControlError::Decode { what: "snapshot", cause: Box::new(cause) };
-        let config = bincode::config::standard();
+        let config = bincode::config::standard().with_limit::<DECODE_LIMIT_BYTES>();
         let (found, _): (u32, _) = bincode::serde::decode_from_slice(bytes, config).map_err(failed)?;
         if found != SNAPSHOT_FORMAT {
             return Err(ControlError::Format { found, expected: SNAPSHOT_FORMAT });
--- a/crates/parsleywalk-peer/src/frame.rs
+++ b/crates/parsleywalk-peer/src/frame.rs
@@ -7,6 +7,10 @@
 /// The size of a frame's length prefix.
 const LENGTH_BYTES: usize = 4;
 
+/// The most memory that decoding may allocate for lengths read from a frame. A wrong length would otherwise be allocated
+/// before its bytes are found missing, which aborts the process.
+const DECODE_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
 /// Encodes a message as a frame, including its length prefix.
 pub(crate) fn encode<M: Serialize>(message: &M) -> std::result::Result<Bytes, String> {
     let body =
@@ -21,8 +25,8 @@
 
 /// Decodes a message from the body of a frame.
 pub(crate) fn decode<M: DeserializeOwned>(body: &[u8]) -> std::result::Result<M, String> {
-    let (message, used) =
-        bincode::serde::decode_from_slice(body, bincode::config::standard()).map_err(|cause| cause.to_string())?;
+    let limited = bincode::config::standard().with_limit::<DECODE_LIMIT_BYTES>();
+    let (message, used) = bincode::serde::decode_from_slice(body, limited).map_err(|cause| cause.to_string())?;
     if used == body.len() {
         Ok(message)
     } else {
@@ -60,3 +64,7 @@
         Ok(Some(self.bytes.split_to(length).freeze()))
     }
 }
+
+#[cfg(test)]
+#[path = "frame_tests.rs"]
+mod tests;
