--- a/crates/parsleywalk-batch/examples/dispatch_load.rs
+++ b/crates/parsleywalk-batch/examples/dispatch_load.rs
@@ -1,7 +1,7 @@
 //! Measures the leader's scheduling work on simulated workers.
 //!
 //! Each row plays the same load per worker: jobs of two steps of 40 best-effort tasks, short jobs of 13 tasks, and
-//! long-running jobs of 24 tasks. It prints the processor time that the simulation took for each simulated second,
+//! latency-critical jobs of 24 tasks, of 30 images each. The best-effort tasks interfere, so that a backlog forms. It prints the processor time that the simulation took for each simulated second,
 //! which includes the simulated workers. Run it under a sampling profiler to see the leader's share.
 //!
 //! ```console
@@ -20,6 +20,8 @@
 const PLAYED_SECONDS: u64 = 20;
 /// Jobs per second on 1100 workers: short, best-effort and long-running.
 const JOBS_PER_SECOND: [f64; 3] = [16.5, 20.1, 1.2];
+/// The number of images of each kind of job.
+const IMAGES: u64 = 30;
 /// The number of workers that `JOBS_PER_SECOND` refers to.
 const REFERENCE_WORKERS: f64 = 1100.0;
 
@@ -31,29 +33,33 @@
     }
 }
 
+/// Returns the tail latency beside best-effort tasks with the given share of the cores.
+fn tail_latency_ms(share: f64) -> u32 {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "at most a second")]
+    let tail_latency_ms = (25.0 / (0.7 - share).max(0.025)) as u32;
+    tail_latency_ms
+}
+
 /// Returns the steps of a job of the given kind.
-fn steps(kind: usize) -> Vec<StepSpec> {
-    let filling = StepSpec {
-        best_effort: true,
-        checkpointable: true,
-        image: "resurvey".to_owned(),
-        per_worker_limit: Some(4),
-        ..step(40, 4, 2700)
-    };
+fn steps(kind: usize, number: u64) -> Vec<StepSpec> {
+    let image = format!("image-{}", number % IMAGES);
+    let cores = 2 + u32::try_from(number / IMAGES % 5).unwrap_or_default();
+    let filling = StepSpec { best_effort: true, checkpointable: true, image: image.clone(), ..step(40, cores, 2700) };
     match kind {
-        0 => vec![step(13, 6, 1000)],
+        0 => vec![step(13, 2 * cores, 1000)],
         1 => vec![filling.clone(), StepSpec { depends_on: vec![0], ..filling }],
         _ => vec![StepSpec {
             long_running: true,
             tail_objective: Some(Duration::from_millis(150)),
-            image: "watch".to_owned(),
-            ..step(24, 4, 320)
+            image,
+            ..step(24, cores, 320)
         }],
     }
 }
 
 fn play(workers: usize) {
     let mut fleet = FakeFleet::new(workers, 1);
+    fleet.tail_latency_ms = tail_latency_ms;
     #[allow(clippy::cast_precision_loss, reason = "a few thousand workers")]
     let scale = workers as f64 / REFERENCE_WORKERS;
     let mut due = [0.0; 3];
@@ -66,7 +72,8 @@
                 *due -= 1.0;
                 let priority = if kind == 1 { 2 } else { 0 };
                 // Ids are spread, as those that callers choose.
-                fleet.submit(submission(next_job.wrapping_mul(0x9e37_79b9_7f4a_7c15), priority, steps(kind)));
+                let number = next_job;
+                fleet.submit(submission(next_job.wrapping_mul(0x9e37_79b9_7f4a_7c15), priority, steps(kind, number)));
                 next_job += 1;
             }
         }
--- a/crates/parsleywalk-batch/tests/guarantees.rs
+++ b/crates/parsleywalk-batch/tests/guarantees.rs
@@ -193,8 +193,8 @@
         estimate: Duration::from_millis(u64::MAX),
         depends_on: (0..index).collect(),
         size: ResourceSize::new(MilliCores::new(u32::MAX), MemoryBytes::new(u64::MAX)),
-        long_running: index % 2 == 0,
-        best_effort: index % 3 == 0,
+        long_running: index.is_multiple_of(2),
+        best_effort: index.is_multiple_of(3),
         tail_objective: Some(Duration::from_millis(u64::MAX)),
         per_worker_limit: Some(u32::MAX),
         ..step(1, 1, 0)
