--- a/crates/parsleywalk-batch/src/candidate.rs
+++ b/crates/parsleywalk-batch/src/candidate.rs
@@ -1,5 +1,7 @@
 //! Workers that can receive runs in a scheduling cycle.
 
+use std::borrow::Cow;
+
 use parsleywalk_units::{MilliCores, ResourceSize, WorkerId};
 
 use crate::interference::{CriticalLoad, ImageIndex};
@@ -17,9 +19,9 @@
     pub(crate) free_best_effort: MilliCores,
     /// The loads of the latency-critical tasks, including the predicted interference of best-effort tasks that no
     /// report covers yet.
-    pub(crate) critical_loads: Vec<CriticalLoad>,
+    pub(crate) critical_loads: Cow<'a, [CriticalLoad]>,
     /// The distinct images of the latency-critical tasks placed on the worker.
-    pub(crate) critical_images: Vec<ImageIndex>,
+    pub(crate) critical_images: Cow<'a, [ImageIndex]>,
     /// The number of best-effort images compatible with all of `critical_images`.
     pub(crate) compatible_images: u32,
     /// The number of runs that may still be assigned in this cycle.
@@ -64,7 +66,7 @@
         if let Some(image) = image
             && !self.critical_images.contains(&image)
         {
-            self.critical_images.push(image);
+            self.critical_images.to_mut().push(image);
         }
     }
 
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -1,8 +1,9 @@
 //! Placement of waiting tasks on workers.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
-use parsleywalk_units::{MilliCores, MonotonicTime, ResourceSize, ServiceName};
+use parsleywalk_units::{MilliCores, MonotonicTime, ResourceSize, ServiceName, WorkerId};
 
 use crate::candidate::CandidateWorker;
 use crate::dispatcher::ratio;
@@ -173,7 +174,7 @@
     /// Returns the workers that can receive runs, with their free capacity.
     fn candidates<'a>(&'a self, now: MonotonicTime, state: &'a BatchState) -> Vec<CandidateWorker<'a>> {
         let mut candidates = Vec::with_capacity(self.workers.len());
-        for (id, view) in self.workers.iter() {
+        for (id, view, record) in with_records(self.workers.iter(), state) {
             let unresponsive = now.since(view.reported_at) >= self.settings.worker_timeout;
             if unresponsive
                 || view.loss_pending
@@ -189,14 +190,14 @@
                 free: view.capacity,
                 eventual_free: view.capacity,
                 free_best_effort: view.capacity.cores,
-                critical_loads: view.critical_loads.clone(),
-                critical_images: Vec::new(),
+                critical_loads: Cow::Borrowed(&view.critical_loads),
+                critical_images: Cow::default(),
                 compatible_images: 0,
                 remaining_slots: u32::MAX,
                 record: None,
                 placed: Vec::new(),
             };
-            if let Some(record) = state.worker(id) {
+            if let Some(record) = record {
                 // Runs of an earlier incarnation are over, but their capacity is free only once the loss is committed.
                 if record.incarnation != view.incarnation && !record.runs.is_empty() {
                     continue;
@@ -207,7 +208,7 @@
                 candidate.free_best_effort = unused.saturating_sub(record.best_effort_cores);
                 candidate.record = Some(record);
                 candidate.eventual_free = view.capacity.saturating_sub(&view.long_running.allocated);
-                candidate.critical_images.clone_from(&view.long_running.images);
+                candidate.critical_images = Cow::Borrowed(&view.long_running.images);
                 candidate.compatible_images = self.interference.count_compatible(&candidate.critical_images);
                 self.add_unreported_load(now, state, view, record, &mut candidate);
                 if view.health.is_on_probation() {
@@ -226,9 +227,8 @@
 
     /// Recomputes the placed long-running tasks of each worker whose runs have changed.
     fn refresh_long_running(&mut self, state: &BatchState) {
-        for (id, view) in self.workers.iter_mut() {
-            let Some(record) = state.worker(id).filter(|record| view.long_running.version != Some(record.version))
-            else {
+        for (_, view, record) in with_records(self.workers.iter_mut(), state) {
+            let Some(record) = record.filter(|record| view.long_running.version != Some(record.version)) else {
                 continue;
             };
             let mut tasks = LongRunningTasks { version: Some(record.version), ..LongRunningTasks::default() };
@@ -493,7 +493,7 @@
     /// Returns how many compatible best-effort images the worker would lose by running one more latency-critical image.
     fn lost_compatibility(&self, candidate: &CandidateWorker<'_>, image: Option<ImageIndex>) -> u32 {
         let Some(image) = image else { return 0 };
-        let mut images = candidate.critical_images.clone();
+        let mut images = candidate.critical_images.to_vec();
         let before = self.interference.count_compatible(&images);
         images.push(image);
         before - self.interference.count_compatible(&images)
@@ -519,12 +519,26 @@
     fn add_interference(&self, candidate: &mut CandidateWorker<'_>, image: Option<ImageIndex>, cores: MilliCores) {
         let Some(image) = image else { return };
         let share = ratio(cores.get(), candidate.view.capacity.cores.get().max(1));
-        for critical in &mut candidate.critical_loads {
+        for critical in candidate.critical_loads.to_mut() {
             critical.load += self.interference.coefficient(critical.image, image) * share;
         }
     }
 }
 
+/// Joins views of workers, in the order of their ids, with the workers' records. Searching for each record instead would
+/// compare ids a dozen times for each worker in every cycle.
+fn with_records<'s, 'v, V>(
+    views: impl Iterator<Item = (&'v WorkerId, V)>,
+    state: &'s BatchState,
+) -> impl Iterator<Item = (&'v WorkerId, V, Option<&'s WorkerRecord>)> {
+    let mut records = state.workers().peekable();
+    views.map(move |(id, view)| {
+        while records.next_if(|(known, _)| *known < id).is_some() {}
+        let record = records.next_if(|(known, _)| *known == id).map(|(_, record)| record);
+        (id, view, record)
+    })
+}
+
 /// Returns the interference level by which workers are ranked, or `None` if less than `min_headroom` would remain.
 fn interference_level(headroom: Option<f32>, min_headroom: f32) -> Option<u32> {
     let Some(headroom) = headroom else { return Some(0) };
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use log::{debug, error, info};
 use parsleywalk_batch::{
@@ -37,8 +37,6 @@
 /// How long a response is held beyond its deadline while placements are being committed; about the duration of a
 /// commit. Under load there are always such placements, so this must be bounded.
 const MAX_PLACEMENT_WAIT: Duration = Duration::from_millis(30);
-/// The minimum interval between two scheduling cycles, because each examines all workers.
-const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(15);
 /// Workers are sent only to followers heard from within this time: three heartbeats.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(450);
 /// The exit code used when the log cannot be decoded.
@@ -325,13 +323,15 @@
         if !leader_state.plan_due || leader_state.placement_pending {
             return;
         }
-        if now < leader_state.last_plan + MIN_PLAN_INTERVAL {
-            leader_state.next_plan = leader_state.next_plan.min(leader_state.last_plan + MIN_PLAN_INTERVAL);
+        let earliest = leader_state.pacer.earliest();
+        if now < earliest {
+            leader_state.next_plan = leader_state.next_plan.min(earliest);
             return;
         }
-        leader_state.last_plan = now;
         leader_state.plan_due = false;
+        let start = Instant::now();
         let runs = leader_state.dispatcher.plan(now, crate::clock::FleetClock::unix_ms(), &self.state);
+        leader_state.pacer.record(now, start.elapsed());
         if runs.is_empty() {
             return;
         }
--- a/crates/parsleywalk-fleet/src/leader_state.rs
+++ b/crates/parsleywalk-fleet/src/leader_state.rs
@@ -8,6 +8,8 @@
 };
 use parsleywalk_units::{MonotonicTime, WorkerId};
 
+use crate::plan_pacer::PlanPacer;
+
 /// The maximum number of ended jobs removed by one command.
 const MAX_FORGOTTEN_JOBS: usize = 500;
 
@@ -21,8 +23,8 @@
     pub(crate) plan_due: bool,
     /// When the next scheduling cycle becomes due without another trigger.
     pub(crate) next_plan: MonotonicTime,
-    /// When the last scheduling cycle ran.
-    pub(crate) last_plan: MonotonicTime,
+    /// Decides when the next scheduling cycle may run.
+    pub(crate) pacer: PlanPacer,
     /// When leases and members are checked next.
     pub(crate) next_check: MonotonicTime,
     /// Whether commands of the last check are being committed.
@@ -38,7 +40,7 @@
             placement_pending: false,
             plan_due: true,
             next_plan: now,
-            last_plan: MonotonicTime::ZERO,
+            pacer: PlanPacer::default(),
             next_check: now,
             maintenance_pending: false,
             ended_since: SortedMap::default(),
--- a/crates/parsleywalk-fleet/src/lib.rs
+++ b/crates/parsleywalk-fleet/src/lib.rs
@@ -18,6 +18,7 @@
 mod members;
 mod message;
 mod metrics;
+mod plan_pacer;
 mod queue_decision;
 mod replica;
 mod report_relay;
