Storage failure test: wait for the committed change of members before the second loss

Cause: the test killed the leader as soon as the new replica called itself a follower, which it does when it has stored the change of members. Until the change is committed the old voters decide, and of these one was erased and one killed. The test now reads the leader's dump until no change is in progress and the replica votes under its new incarnation. It checks as much as before.

--- a/crates/parsleywalkd/tests/storage_failure.rs
+++ b/crates/parsleywalkd/tests/storage_failure.rs
@@ -161,6 +161,15 @@
     wait_version(&deployment, leader, 301);
 }
 
+/// Returns the id under which a VM votes, if the leader has no change of members in progress.
+fn committed_voter(deployment: &Deployment, leader: u32, vm: u32) -> Option<serde_json::Value> {
+    let dump: serde_json::Value = get(deployment.operators(leader), "/v1/dump").ok()?;
+    let log = &dump["control"]["log"];
+    let settled = log["outgoing"].as_array()?.is_empty() && log["open_proposals"] == 0;
+    let voters = log["voters"].as_array().filter(|_| settled)?;
+    voters.iter().find(|voter| voter["vm"] == vm).cloned()
+}
+
 /// Guards against a replaced replica that counts towards a quorum with an empty log. Once it has caught up, the loss of a
 /// second replica must lose no data.
 #[test]
@@ -176,6 +185,7 @@
     deployment.zone(1, "drain", "c", ZoneDirection::Out);
     let leader = deployment.wait_leader(&ALL_VMS);
     let lost = ALL_VMS.into_iter().find(|vm| *vm != leader).unwrap();
+    let erased = committed_voter(&deployment, leader, lost).expect("the replica is a voter");
     let voters = |deployment: &Deployment| {
         let status = deployment.current_leader().and_then(|leader| deployment.status(leader));
         status.map_or(0, |status| {
@@ -193,6 +203,11 @@
             && deployment.status(lost).is_some_and(|status| status.role == "follower" || status.role == "voter")
             && version(&deployment, lost) == Some(ConfigurationVersion::new(5))
     });
+    // The replica calls itself a voter when it has stored the change of members. The second loss may come only once the
+    // change is committed; until then the old voters decide, and a majority of them would be gone.
+    wait_until("the committed change of members", || {
+        committed_voter(&deployment, leader, lost).is_some_and(|voter| voter != erased)
+    });
     println!(
         "the replica votes again {:?} after it was initialised; voters {}",
         started.elapsed(),
