Placement: interference looked up by position, compatibility once a second, jobs of runs kept

Each report searched the jobs four times for every run. Ruled out: the list of ready steps (0.5 ms) and relaying (0.4 ms an exchange).

Change: coefficients are kept by image and read into a list once a step; images that a worker would lose are counted among the incompatible ones only; the compatibility of images is looked at once a second; a run keeps its job.

--- a/crates/parsleywalk-batch/src/candidate.rs
+++ b/crates/parsleywalk-batch/src/candidate.rs
@@ -4,7 +4,8 @@
 
 use parsleywalk_units::{MilliCores, ResourceSize, WorkerId};
 
-use crate::interference::{CriticalLoad, ImageIndex};
+use crate::dispatcher::ratio;
+use crate::interference::{CriticalLoad, INITIAL_COEFFICIENT, ImageIndex};
 use crate::worker_view::WorkerView;
 use crate::{JobSubmission, RunNumber, RunPlacement, StepSpec, TaskKey, WorkerRecord};
 
@@ -62,6 +63,17 @@
             && spec.per_worker_limit.is_none_or(|limit| self.step_task_count(task) < limit as usize)
     }
 
+    /// Returns the lowest headroom of the worker's latency-critical tasks after adding a best-effort task, given its
+    /// coefficients by latency-critical image, or `None` if it has no such tasks.
+    pub(crate) fn headroom_with(&self, coefficients: &[f32], cores: MilliCores) -> Option<f32> {
+        let share = ratio(cores.get(), self.view.capacity.cores.get().max(1));
+        let headroom = self.critical_loads.iter().map(|critical| {
+            let coefficient = coefficients.get(critical.image.position()).copied().unwrap_or(INITIAL_COEFFICIENT);
+            critical.headroom() - coefficient * share
+        });
+        headroom.min_by(f32::total_cmp)
+    }
+
     pub(crate) fn add_image(&mut self, image: Option<ImageIndex>) {
         if let Some(image) = image
             && !self.critical_images.contains(&image)
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -58,6 +58,8 @@
     /// When each active job was accepted, on this leader's clock.
     pub(crate) accepted_times: SortedMap<JobId, MonotonicTime>,
     pub(crate) short_demand: ShortTaskDemand,
+    /// When the numbers of compatible images were last computed, and from which version of the compatibility.
+    pub(crate) compatibility: (MonotonicTime, u64),
     /// How often a worker has been ranked for a step; a measure of the work of placement.
     pub(crate) ranked_workers: Cell<u64>,
 }
@@ -77,6 +79,7 @@
             waiting_since: SortedMap::default(),
             accepted_times: SortedMap::default(),
             short_demand: ShortTaskDemand::default(),
+            compatibility: (MonotonicTime::ZERO, 0),
             ranked_workers: Cell::new(0),
         }
     }
@@ -248,10 +251,11 @@
         let capacity = view.capacity.cores.get().max(1);
         view.long_running_cores = 0;
         for (task, run) in view.running.iter_mut() {
-            let Some((_, step)) = state.step_of(task) else { continue };
+            run.resolve(task, state);
+            let Some(submission) = run.submission.clone() else { continue };
+            let Some(step) = submission.spec.steps.get(usize::from(task.step)) else { continue };
             if step.best_effort {
-                let image = self.interference.image_index(&step.image);
-                run.image = Some(image);
+                let image = *run.image.get_or_insert_with(|| self.interference.image_index(&step.image));
                 *shares.entry(image, || 0.0) += ratio(run.figure.min(step.size.cores.get()), capacity);
             }
             if step.long_running && !step.best_effort {
@@ -278,7 +282,7 @@
             shares.iter().map(|(image, share)| BestEffortLoad { image: *image, share: *share }).collect();
         let mut critical_loads = Vec::new();
         for (task, run) in view.running.iter_mut() {
-            let Some((_, step)) = state.step_of(task) else { continue };
+            let Some(step) = run.step(task) else { continue };
             let Some(objective) =
                 step.tail_objective.filter(|_| step.long_running && run.percent == 100 && run.figure > 0)
             else {
@@ -301,7 +305,7 @@
         }
         let draining = view.draining;
         let evictions = view.running.iter().filter(|(task, run)| {
-            let Some((_, step)) = state.step_of(task) else { return false };
+            let Some(step) = run.step(task) else { return false };
             if draining && outlasts_drain(step, run.percent) {
                 return true;
             }
--- a/crates/parsleywalk-batch/src/interference.rs
+++ b/crates/parsleywalk-batch/src/interference.rs
@@ -8,7 +8,7 @@
 
 /// Initial coefficient of an image pair: the load added per share of the worker's cores in use. It lies between
 /// harmless and harmful pairs, so that unknown pairs are tried where there is headroom.
-const INITIAL_COEFFICIENT: f32 = 1.0;
+pub(crate) const INITIAL_COEFFICIENT: f32 = 1.0;
 /// The fraction of a prediction error applied to the coefficients.
 const COEFFICIENT_LEARNING_RATE: f32 = 0.15;
 /// The fraction of a prediction error attributed to a change of the task's own load.
@@ -29,6 +29,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct ImageIndex(u16);
 
+impl ImageIndex {
+    /// Returns the position of the image in lists by image.
+    pub(crate) fn position(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
 /// The load of a latency-critical task.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct CriticalLoad {
@@ -57,9 +64,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct InterferenceModel {
     indexes: SortedMap<String, ImageIndex>,
-    coefficients: SortedMap<(ImageIndex, ImageIndex), f32>,
+    /// The coefficients of the best-effort images that have run beside a latency-critical one, by the index of the
+    /// latter.
+    coefficients: Vec<SortedMap<ImageIndex, f32>>,
     /// The best-effort images in the order of their first report.
     best_effort: Vec<ImageIndex>,
+    /// Incremented whenever the compatibility of a pair of images changes.
+    compatibility_version: u64,
     /// The lowest observed ratio of tail latency to objective, by image.
     base_ratios: SortedMap<ImageIndex, f32>,
 }
@@ -103,17 +114,46 @@
         for load in best_effort {
             if !self.best_effort.contains(&load.image) {
                 self.best_effort.push(load.image);
+                self.compatibility_version += 1;
+            }
+            let row = critical.image.position();
+            if self.coefficients.len() <= row {
+                self.coefficients.resize_with(row + 1, SortedMap::default);
             }
-            let coefficient = self.coefficients.entry((critical.image, load.image), || INITIAL_COEFFICIENT);
+            let coefficient = self.coefficients[row].entry(load.image, || INITIAL_COEFFICIENT);
+            let was_incompatible = *coefficient > INCOMPATIBLE_COEFFICIENT;
             *coefficient = (*coefficient + COEFFICIENT_LEARNING_RATE * error * load.share / norm).max(0.0);
+            self.compatibility_version += u64::from(was_incompatible != (*coefficient > INCOMPATIBLE_COEFFICIENT));
         }
     }
 
-    /// Returns the number of best-effort images that are compatible with all given latency-critical images.
-    pub(crate) fn count_compatible(&self, critical: &[ImageIndex]) -> u32 {
+    /// Returns a number that changes whenever the compatibility of a pair of images does.
+    pub(crate) fn compatibility_version(&self) -> u64 {
+        self.compatibility_version
+    }
+
+    /// Returns the coefficients of a best-effort image, by the position of the latency-critical image. Images beyond the
+    /// end have [`INITIAL_COEFFICIENT`].
+    pub(crate) fn coefficients_of(&self, best_effort: ImageIndex) -> Vec<f32> {
+        let coefficient = |row: &SortedMap<ImageIndex, f32>| row.get(&best_effort).copied();
+        self.coefficients.iter().map(|row| coefficient(row).unwrap_or(INITIAL_COEFFICIENT)).collect()
+    }
+
+    /// Returns the best-effort images that are incompatible with a latency-critical one.
+    pub(crate) fn incompatible_with(&self, critical: ImageIndex) -> Vec<ImageIndex> {
+        self.best_effort.iter().copied().filter(|best_effort| self.is_incompatible(critical, *best_effort)).collect()
+    }
+
+    /// Returns how many of the best-effort images are compatible with all given latency-critical images.
+    pub(crate) fn count_compatible_among(&self, best_effort: &[ImageIndex], critical: &[ImageIndex]) -> u32 {
         let is_compatible =
             |best_effort: &&ImageIndex| critical.iter().all(|image| !self.is_incompatible(*image, **best_effort));
-        u32::try_from(self.best_effort.iter().filter(is_compatible).count()).unwrap_or(u32::MAX)
+        u32::try_from(best_effort.iter().filter(is_compatible).count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the number of best-effort images that are compatible with all given latency-critical images.
+    pub(crate) fn count_compatible(&self, critical: &[ImageIndex]) -> u32 {
+        self.count_compatible_among(&self.best_effort, critical)
     }
 
     fn is_incompatible(&self, critical: ImageIndex, best_effort: ImageIndex) -> bool {
@@ -123,6 +163,7 @@
     /// Returns the load that a best-effort image adds to a latency-critical one, per share of the worker's cores in
     /// use.
     pub(crate) fn coefficient(&self, critical: ImageIndex, best_effort: ImageIndex) -> f32 {
-        self.coefficients.get(&(critical, best_effort)).copied().unwrap_or(INITIAL_COEFFICIENT)
+        let row = self.coefficients.get(critical.position());
+        row.and_then(|row| row.get(&best_effort)).copied().unwrap_or(INITIAL_COEFFICIENT)
     }
 }
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -7,7 +7,7 @@
 
 use crate::candidate::CandidateWorker;
 use crate::dispatcher::ratio;
-use crate::interference::ImageIndex;
+use crate::interference::{ImageIndex, InterferenceModel};
 use crate::placement_request::PlacementRequest;
 use crate::ranking::WorkerRanking;
 use crate::urgency::{JobUrgency, has_ample_slack};
@@ -24,6 +24,9 @@
 /// The percentage of the cores allocated to long-running tasks that best-effort tasks may use. Long-running tasks are
 /// sized for peak load; if best-effort tasks get more than what is idle, they only run more slowly.
 const LONG_RUNNING_IDLE_PERCENT: u32 = 60;
+/// The interval at which the compatibility of images is looked at again. It changes with nearly every report, and decides
+/// only which of several suitable workers is taken.
+const COMPATIBILITY_INTERVAL: Duration = Duration::from_secs(1);
 /// A job without a live run for this long gets a worker for one task even if that causes interference. Callers consider
 /// a job stuck after about twice as long.
 const STARVATION_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -110,7 +113,7 @@
                 self.interference.image_index(&step.image);
             }
         }
-        self.refresh_long_running(state);
+        self.refresh_long_running(now, state);
         let mut candidates = self.candidates(now, state);
         let mut placements = Vec::new();
         let mut unplaceable: Vec<TaskShape> = Vec::new();
@@ -209,7 +212,7 @@
                 candidate.record = Some(record);
                 candidate.eventual_free = view.capacity.saturating_sub(&view.long_running.allocated);
                 candidate.critical_images = Cow::Borrowed(&view.long_running.images);
-                candidate.compatible_images = self.interference.count_compatible(&candidate.critical_images);
+                candidate.compatible_images = view.long_running.compatible_images;
                 self.add_unreported_load(now, state, view, record, &mut candidate);
                 if view.health.is_on_probation() {
                     // Long-running tasks never end, so they do not block the probation run.
@@ -226,24 +229,21 @@
     }
 
     /// Recomputes the placed long-running tasks of each worker whose runs have changed.
-    fn refresh_long_running(&mut self, state: &BatchState) {
+    fn refresh_long_running(&mut self, now: MonotonicTime, state: &BatchState) {
+        if now.since(self.compatibility.0) >= COMPATIBILITY_INTERVAL {
+            self.compatibility = (now, self.interference.compatibility_version());
+        }
+        let compatibility_version = Some(self.compatibility.1);
         for (_, view, record) in with_records(self.workers.iter_mut(), state) {
-            let Some(record) = record.filter(|record| view.long_running.version != Some(record.version)) else {
-                continue;
-            };
-            let mut tasks = LongRunningTasks { version: Some(record.version), ..LongRunningTasks::default() };
-            for (task, entry) in record.runs.iter().filter(|(_, entry)| !entry.best_effort) {
-                let Some((_, step)) = state.step_of(task).filter(|(_, step)| step.long_running) else { continue };
-                tasks.allocated = tasks.allocated.checked_add(&entry.size).unwrap_or(tasks.allocated);
-                if !step.is_latency_critical() {
-                    continue;
-                }
-                let image = self.interference.image_index(&step.image);
-                if !tasks.images.contains(&image) {
-                    tasks.images.push(image);
-                }
+            let Some(record) = record else { continue };
+            let known = &mut view.long_running;
+            if known.version != Some(record.version) {
+                *known = long_running_tasks(&mut self.interference, state, record);
+            }
+            if known.compatibility_version != compatibility_version {
+                known.compatible_images = self.interference.count_compatible(&known.images);
+                known.compatibility_version = compatibility_version;
             }
-            view.long_running = tasks;
         }
     }
 
@@ -288,7 +288,17 @@
         }
         let rack = spec.rack_local.then(|| best_rack(job, spec, record.waiting, candidates)).flatten();
         let min_headroom = if ready.has_slack { SLACK_HEADROOM } else { MIN_HEADROOM };
-        let request = self.placement_request(&job.submission, spec, first, rack.as_deref(), min_headroom);
+        let request = PlacementRequest {
+            submission: &job.submission,
+            spec,
+            task: first,
+            rack: rack.as_deref(),
+            image: self.image_of(spec),
+            incompatible: &self.incompatible_with(spec),
+            coefficients: &self.coefficients_of(spec),
+            avoided: None,
+            min_headroom,
+        };
         let mut ranking = WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, candidate));
         for (index, task) in (0u32..).zip(&record.tasks) {
             if task.done || task.live > 0 {
@@ -315,17 +325,21 @@
         }
     }
 
-    fn placement_request<'a>(
-        &self,
-        submission: &'a JobSubmission,
-        spec: &'a StepSpec,
-        task: TaskKey,
-        rack: Option<&'a str>,
-        min_headroom: f32,
-    ) -> PlacementRequest<'a> {
-        let image =
-            self.interference.find_image(&spec.image).filter(|_| spec.best_effort || spec.is_latency_critical());
-        PlacementRequest { submission, spec, task, rack, image, avoided: None, min_headroom }
+    /// Returns the image of a best-effort or latency-critical step.
+    fn image_of(&self, spec: &StepSpec) -> Option<ImageIndex> {
+        self.interference.find_image(&spec.image).filter(|_| spec.best_effort || spec.is_latency_critical())
+    }
+
+    /// Returns the coefficients of a best-effort step by latency-critical image.
+    fn coefficients_of(&self, spec: &StepSpec) -> Vec<f32> {
+        let image = self.image_of(spec).filter(|_| spec.best_effort);
+        image.map_or_else(Vec::new, |image| self.interference.coefficients_of(image))
+    }
+
+    /// Returns the best-effort images that are incompatible with a latency-critical step.
+    fn incompatible_with(&self, spec: &StepSpec) -> Vec<ImageIndex> {
+        let image = self.image_of(spec).filter(|_| spec.is_latency_critical());
+        image.map_or_else(Vec::new, |image| self.interference.incompatible_with(image))
     }
 
     /// Tracks since when jobs with a ready step have had no live run and since when long-running steps have waited.
@@ -394,13 +408,13 @@
         task: &TaskKey,
         candidates: &[CandidateWorker<'_>],
     ) -> Option<usize> {
-        let image = self.interference.find_image(&spec.image);
+        let coefficients = self.coefficients_of(spec);
         let fitting = candidates
             .iter()
             .enumerate()
             .filter(|(_, candidate)| candidate.fits_ignoring_cores(submission, spec, task));
         let headroom = |candidate: &CandidateWorker<'_>| {
-            self.headroom_with(candidate, image, spec.size.cores).unwrap_or(f32::INFINITY)
+            candidate.headroom_with(&coefficients, spec.size.cores).unwrap_or(f32::INFINITY)
         };
         fitting
             .max_by(|left, right| headroom(left.1).total_cmp(&headroom(right.1)))
@@ -422,7 +436,17 @@
         }
         let run = record.tasks.iter().map(|task| task.last_run).max().unwrap_or_default().next();
         let rack = spec.rack_local.then(|| best_rack(job, spec, record.waiting, candidates)).flatten();
-        let request = self.placement_request(&job.submission, spec, first, rack.as_deref(), MIN_HEADROOM);
+        let request = PlacementRequest {
+            submission: &job.submission,
+            spec,
+            task: first,
+            rack: rack.as_deref(),
+            image: self.image_of(spec),
+            incompatible: &self.incompatible_with(spec),
+            coefficients: &self.coefficients_of(spec),
+            avoided: None,
+            min_headroom: MIN_HEADROOM,
+        };
         let mut ranking = WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, candidate));
         let mut chosen = Vec::with_capacity(record.tasks.len());
         for index in 0..spec.count {
@@ -444,7 +468,7 @@
     /// Returns the rank of a worker for a task, or `None` if it cannot receive the task.
     fn rank_worker(&self, request: &PlacementRequest<'_>, candidate: &CandidateWorker<'_>) -> Option<WorkerRank> {
         self.ranked_workers.set(self.ranked_workers.get() + 1);
-        let &PlacementRequest { submission, spec, task, rack, image, avoided, min_headroom } = request;
+        let &PlacementRequest { submission, spec, task, rack, image, avoided, min_headroom, .. } = request;
         if !candidate.fits(submission, spec, &task) {
             return None;
         }
@@ -459,14 +483,14 @@
         };
         if spec.is_latency_critical() {
             // Workers with a single latency-critical image keep capacity for the best-effort images compatible with it.
-            let compatibility = self.lost_compatibility(candidate, image);
+            let compatibility = self.lost_compatibility(candidate, request);
             let (interference, cores) = (candidate.image_mismatch(image), candidate.free.cores.get());
             return Some(WorkerRank { compatibility, interference, cores, ..base });
         }
         if !spec.best_effort {
             return Some(base);
         }
-        let headroom = self.headroom_with(candidate, image, spec.size.cores);
+        let headroom = candidate.headroom_with(request.coefficients, spec.size.cores);
         let interference = interference_level(headroom, min_headroom)?;
         Some(WorkerRank { compatibility: candidate.compatible_images, interference, ..base })
     }
@@ -490,29 +514,10 @@
 }
 
 impl Dispatcher {
-    /// Returns how many compatible best-effort images the worker would lose by running one more latency-critical image.
-    fn lost_compatibility(&self, candidate: &CandidateWorker<'_>, image: Option<ImageIndex>) -> u32 {
-        let Some(image) = image else { return 0 };
-        let mut images = candidate.critical_images.to_vec();
-        let before = self.interference.count_compatible(&images);
-        images.push(image);
-        before - self.interference.count_compatible(&images)
-    }
-
-    /// Returns the lowest headroom of the worker's latency-critical tasks after adding a best-effort task, or `None` if
-    /// it has no such tasks.
-    fn headroom_with(
-        &self,
-        candidate: &CandidateWorker<'_>,
-        image: Option<ImageIndex>,
-        cores: MilliCores,
-    ) -> Option<f32> {
-        let share = ratio(cores.get(), candidate.view.capacity.cores.get().max(1));
-        let headroom = candidate.critical_loads.iter().map(|critical| {
-            let coefficient = image.map_or(0.0, |image| self.interference.coefficient(critical.image, image));
-            critical.headroom() - coefficient * share
-        });
-        headroom.min_by(f32::total_cmp)
+    /// Returns how many compatible best-effort images the worker would lose by running the requested latency-critical
+    /// task.
+    fn lost_compatibility(&self, candidate: &CandidateWorker<'_>, request: &PlacementRequest<'_>) -> u32 {
+        self.interference.count_compatible_among(request.incompatible, &candidate.critical_images)
     }
 
     /// Adds the predicted interference of a best-effort task that no report covers yet.
@@ -525,6 +530,27 @@
     }
 }
 
+/// Returns the long-running tasks placed on a worker, without the number of compatible images.
+fn long_running_tasks(
+    interference: &mut InterferenceModel,
+    state: &BatchState,
+    record: &WorkerRecord,
+) -> LongRunningTasks {
+    let mut tasks = LongRunningTasks { version: Some(record.version), ..LongRunningTasks::default() };
+    for (task, entry) in record.runs.iter().filter(|(_, entry)| !entry.best_effort) {
+        let Some((_, step)) = state.step_of(task).filter(|(_, step)| step.long_running) else { continue };
+        tasks.allocated = tasks.allocated.checked_add(&entry.size).unwrap_or(tasks.allocated);
+        if !step.is_latency_critical() {
+            continue;
+        }
+        let image = interference.image_index(&step.image);
+        if !tasks.images.contains(&image) {
+            tasks.images.push(image);
+        }
+    }
+    tasks
+}
+
 /// Joins views of workers, in the order of their ids, with the workers' records. Searching for each record instead would
 /// compare ids a dozen times for each worker in every cycle.
 fn with_records<'s, 'v, V>(
--- a/crates/parsleywalk-batch/src/placement_request.rs
+++ b/crates/parsleywalk-batch/src/placement_request.rs
@@ -15,6 +15,10 @@
     pub(crate) rack: Option<&'a str>,
     /// The image of a best-effort or latency-critical task.
     pub(crate) image: Option<ImageIndex>,
+    /// The best-effort images that are incompatible with the image of a latency-critical task.
+    pub(crate) incompatible: &'a [ImageIndex],
+    /// The coefficients of the image of a best-effort task, by latency-critical image.
+    pub(crate) coefficients: &'a [f32],
     /// The worker on which the task last failed or stalled.
     pub(crate) avoided: Option<&'a WorkerId>,
     /// The headroom that a best-effort task must leave to latency-critical ones.
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -1,5 +1,6 @@
 //! The leader's volatile knowledge of a worker.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use parsleywalk_units::{Incarnation, MonotonicTime, ResourceSize, ServiceName, ZoneName};
@@ -7,7 +8,7 @@
 use crate::health::WorkerHealth;
 use crate::interference::{CriticalLoad, ImageIndex};
 use crate::pacing::PaceController;
-use crate::{RunNumber, RunningTask, SortedMap, TaskKey, WorkerReport};
+use crate::{BatchState, JobSubmission, RunNumber, RunningTask, SortedMap, StepSpec, TaskKey, WorkerReport};
 
 /// A worker as described by its newest report.
 #[derive(Debug, Clone)]
@@ -56,8 +57,12 @@
 pub(crate) struct LongRunningTasks {
     /// The version of the worker's record that this was computed from; `None` initially.
     pub(crate) version: Option<u64>,
+    /// The version of the compatibility of images that `compatible_images` was computed from; `None` initially.
+    pub(crate) compatibility_version: Option<u64>,
     /// The distinct images of the latency-critical tasks.
     pub(crate) images: Vec<ImageIndex>,
+    /// The number of best-effort images that are compatible with all of `images`.
+    pub(crate) compatible_images: u32,
     /// The resources allocated to the tasks, which are not freed until their jobs are cancelled.
     pub(crate) allocated: ResourceSize,
 }
@@ -66,6 +71,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct RunView {
     pub(crate) run: RunNumber,
+    /// The job of the run, once it has been looked up in the state.
+    pub(crate) submission: Option<Arc<JobSubmission>>,
     pub(crate) saved: String,
     pub(crate) percent: u8,
     pub(crate) figure: u32,
@@ -84,6 +91,20 @@
     pub(crate) first_seen: MonotonicTime,
 }
 
+impl RunView {
+    /// Looks up the run's job unless that has been done.
+    pub(crate) fn resolve(&mut self, task: &TaskKey, state: &BatchState) {
+        if self.submission.is_none() {
+            self.submission = state.job(task.job).map(|job| Arc::clone(&job.submission));
+        }
+    }
+
+    /// Returns the specification of the run's step, if its job is known.
+    pub(crate) fn step(&self, task: &TaskKey) -> Option<&StepSpec> {
+        self.submission.as_ref()?.spec.steps.get(usize::from(task.step))
+    }
+}
+
 impl WorkerView {
     pub(crate) fn new(report: &WorkerReport, now: MonotonicTime) -> Self {
         Self {
@@ -141,6 +162,7 @@
         let progressed_at = known.filter(|view| view.percent == task.percent).map_or(now, |view| view.progressed_at);
         RunView {
             run: task.run,
+            submission: known.and_then(|view| view.submission.clone()),
             saved: task.saved.clone(),
             percent: task.percent,
             figure: task.figure,
