--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -288,25 +288,14 @@
         }
         let rack = spec.rack_local.then(|| best_rack(job, spec, record.waiting, candidates)).flatten();
         let min_headroom = if ready.has_slack { SLACK_HEADROOM } else { MIN_HEADROOM };
-        let request = PlacementRequest {
-            submission: &job.submission,
-            spec,
-            task: first,
-            rack: rack.as_deref(),
-            image: self.image_of(spec),
-            incompatible: &self.incompatible_with(spec),
-            coefficients: &self.coefficients_of(spec),
-            avoided: None,
-            min_headroom,
-        };
-        let mut ranking = WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, candidate));
+        let request = self.placement_request(&job.submission, spec, first, rack.as_deref(), min_headroom);
+        let mut ranking = WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, None, candidate));
         for (index, task) in (0u32..).zip(&record.tasks) {
             if task.done || task.live > 0 {
                 continue;
             }
             let key = TaskKey { index, ..first };
-            let request = PlacementRequest { task: key, ..request };
-            let mut worker_index = self.choose_worker(&request, &mut ranking, candidates);
+            let mut worker_index = self.choose_worker(&request, &key, &mut ranking, candidates);
             if worker_index.is_none() && starved && spec.best_effort && index == first_waiting(&record.tasks) {
                 worker_index = self.choose_least_interfering(&job.submission, spec, &key, candidates);
             }
@@ -318,30 +307,42 @@
             } else if spec.is_latency_critical() {
                 candidate.add_image(request.image);
             }
-            ranking.update(worker_index, self.rank_worker(&request, candidate));
+            ranking.update(worker_index, self.rank_worker(&request, None, candidate));
             if placements.len() >= MAX_PLACEMENTS_PER_CYCLE {
                 return;
             }
         }
     }
 
-    /// Returns the image of a best-effort or latency-critical step.
-    fn image_of(&self, spec: &StepSpec) -> Option<ImageIndex> {
-        self.interference.find_image(&spec.image).filter(|_| spec.best_effort || spec.is_latency_critical())
+    fn placement_request<'a>(
+        &self,
+        submission: &'a JobSubmission,
+        spec: &'a StepSpec,
+        task: TaskKey,
+        rack: Option<&'a str>,
+        min_headroom: f32,
+    ) -> PlacementRequest<'a> {
+        let critical = spec.is_latency_critical();
+        let image = self.interference.find_image(&spec.image).filter(|_| spec.best_effort || critical);
+        let incompatible = image.filter(|_| critical).map(|image| self.interference.incompatible_with(image));
+        PlacementRequest {
+            submission,
+            spec,
+            task,
+            rack,
+            image,
+            incompatible: incompatible.unwrap_or_default(),
+            coefficients: self.coefficients_of(spec),
+            min_headroom,
+        }
     }
 
     /// Returns the coefficients of a best-effort step by latency-critical image.
     fn coefficients_of(&self, spec: &StepSpec) -> Vec<f32> {
-        let image = self.image_of(spec).filter(|_| spec.best_effort);
+        let image = self.interference.find_image(&spec.image).filter(|_| spec.best_effort);
         image.map_or_else(Vec::new, |image| self.interference.coefficients_of(image))
     }
 
-    /// Returns the best-effort images that are incompatible with a latency-critical step.
-    fn incompatible_with(&self, spec: &StepSpec) -> Vec<ImageIndex> {
-        let image = self.image_of(spec).filter(|_| spec.is_latency_critical());
-        image.map_or_else(Vec::new, |image| self.interference.incompatible_with(image))
-    }
-
     /// Tracks since when jobs with a ready step have had no live run and since when long-running steps have waited.
     fn track_waiting(&mut self, now: MonotonicTime, state: &BatchState, ready: &[ReadyStep]) {
         let mut idle: SortedMap<JobId, MonotonicTime> = SortedMap::default();
@@ -436,22 +437,12 @@
         }
         let run = record.tasks.iter().map(|task| task.last_run).max().unwrap_or_default().next();
         let rack = spec.rack_local.then(|| best_rack(job, spec, record.waiting, candidates)).flatten();
-        let request = PlacementRequest {
-            submission: &job.submission,
-            spec,
-            task: first,
-            rack: rack.as_deref(),
-            image: self.image_of(spec),
-            incompatible: &self.incompatible_with(spec),
-            coefficients: &self.coefficients_of(spec),
-            avoided: None,
-            min_headroom: MIN_HEADROOM,
-        };
-        let mut ranking = WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, candidate));
+        let request = self.placement_request(&job.submission, spec, first, rack.as_deref(), MIN_HEADROOM);
+        let mut ranking = WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, None, candidate));
         let mut chosen = Vec::with_capacity(record.tasks.len());
         for index in 0..spec.count {
-            let request = PlacementRequest { task: TaskKey { index, ..first }, ..request };
-            let Some(worker_index) = self.choose_worker(&request, &mut ranking, candidates) else {
+            let key = TaskKey { index, ..first };
+            let Some(worker_index) = self.choose_worker(&request, &key, &mut ranking, candidates) else {
                 for (worker_index, _) in chosen {
                     let candidate: &mut CandidateWorker<'_> = &mut candidates[worker_index];
                     candidate.unassign(spec, &first);
@@ -459,16 +450,22 @@
                 return;
             };
             let candidate = &mut candidates[worker_index];
-            chosen.push((worker_index, candidate.assign(spec, request.task, run)));
-            ranking.update(worker_index, self.rank_worker(&request, candidate));
+            chosen.push((worker_index, candidate.assign(spec, key, run)));
+            ranking.update(worker_index, self.rank_worker(&request, None, candidate));
         }
         placements.extend(chosen.into_iter().map(|(_, placement)| placement));
     }
 
-    /// Returns the rank of a worker for a task, or `None` if it cannot receive the task.
-    fn rank_worker(&self, request: &PlacementRequest<'_>, candidate: &CandidateWorker<'_>) -> Option<WorkerRank> {
+    /// Returns the rank of a worker for a step, or `None` if it cannot receive a task of it. `avoided` is the worker on
+    /// which the task last failed or stalled.
+    fn rank_worker(
+        &self,
+        request: &PlacementRequest<'_>,
+        avoided: Option<&WorkerId>,
+        candidate: &CandidateWorker<'_>,
+    ) -> Option<WorkerRank> {
         self.ranked_workers.set(self.ranked_workers.get() + 1);
-        let &PlacementRequest { submission, spec, task, rack, image, avoided, min_headroom, .. } = request;
+        let &PlacementRequest { submission, spec, task, rack, image, min_headroom, .. } = request;
         if !candidate.fits(submission, spec, &task) {
             return None;
         }
@@ -490,26 +487,25 @@
         if !spec.best_effort {
             return Some(base);
         }
-        let headroom = candidate.headroom_with(request.coefficients, spec.size.cores);
+        let headroom = candidate.headroom_with(&request.coefficients, spec.size.cores);
         let interference = interference_level(headroom, min_headroom)?;
         Some(WorkerRank { compatibility: candidate.compatible_images, interference, ..base })
     }
 
-    /// Returns the index of the best worker for a task. `ranking` ranks the workers for the step's tasks that avoid no
-    /// worker.
+    /// Returns the index of the best worker for a task of the requested step. `ranking` ranks the workers for those tasks
+    /// that avoid no worker.
     fn choose_worker(
         &self,
         request: &PlacementRequest<'_>,
+        task: &TaskKey,
         ranking: &mut WorkerRanking,
         candidates: &[CandidateWorker<'_>],
     ) -> Option<usize> {
-        let avoided = self.avoided.get(&request.task);
-        if avoided.is_none() {
-            return ranking.best(candidates, |candidate| self.rank_worker(request, candidate));
-        }
-        let request = PlacementRequest { avoided, ..*request };
-        WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, candidate))
-            .best(candidates, |candidate| self.rank_worker(&request, candidate))
+        let Some(avoided) = self.avoided.get(task) else {
+            return ranking.best(candidates, |candidate| self.rank_worker(request, None, candidate));
+        };
+        let rank = |candidate: &CandidateWorker<'_>| self.rank_worker(request, Some(avoided), candidate);
+        WorkerRanking::new(candidates, rank).best(candidates, rank)
     }
 }
 
@@ -517,7 +513,7 @@
     /// Returns how many compatible best-effort images the worker would lose by running the requested latency-critical
     /// task.
     fn lost_compatibility(&self, candidate: &CandidateWorker<'_>, request: &PlacementRequest<'_>) -> u32 {
-        self.interference.count_compatible_among(request.incompatible, &candidate.critical_images)
+        self.interference.count_compatible_among(&request.incompatible, &candidate.critical_images)
     }
 
     /// Adds the predicted interference of a best-effort task that no report covers yet.
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -1,14 +1,13 @@
 //! State machine of one replica: its log, its state and, while it leads, its management of workers.
 
+mod reports;
+
 use std::collections::VecDeque;
-use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use log::{debug, error, info};
 use parsleywalk_batch::{
-    BatchCommand, BatchReply, BatchState, FencingToken, ReportAction, ReportResponse, SortedMap, WorkerReport,
-    decode_commands, encode_commands,
+    BatchCommand, BatchReply, BatchState, FencingToken, SortedMap, decode_commands, encode_commands,
 };
 use parsleywalk_consensus::{
     ConsensusAction, ConsensusEvent, ConsensusMessage, ConsensusNode, EntryPayload, LogEntry, LogTerm, LogWrite,
@@ -17,12 +16,11 @@
 use parsleywalk_units::{MonotonicTime, VmNumber, WorkerId, ZoneName};
 
 use crate::held_reports::HeldReports;
-use crate::leader_state::{LeaderState, log_orders};
+use crate::leader_state::LeaderState;
 use crate::members::{self, MemberView};
 use crate::queue_decision;
-use crate::report_replica;
 use crate::settings::FleetSettings;
-use crate::waiter::{AppendedProposal, EntryWaiters, QueuedCommands, RelayOutbox, ReplySender, Waiter, WaitingReport};
+use crate::waiter::{AppendedProposal, EntryWaiters, QueuedCommands, ReplySender, Waiter};
 use crate::{FleetMetrics, LeaderReply, LeaderRequest, LogMessage};
 
 /// The interval between two checks of leases and members.
@@ -34,11 +32,6 @@
 const MAX_ENTRIES_IN_FLIGHT: usize = 2;
 /// The maximum number of commands in one entry.
 const MAX_ENTRY_COMMANDS: usize = 512;
-/// How long a response is held beyond its deadline while placements are being committed; about the duration of a
-/// commit. Under load there are always such placements, so this must be bounded.
-const MAX_PLACEMENT_WAIT: Duration = Duration::from_millis(30);
-/// Workers are sent only to followers heard from within this time: three heartbeats.
-const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(450);
 /// The exit code used when the log cannot be decoded.
 const CORRUPT_LOG_EXIT_CODE: i32 = 65;
 
@@ -111,13 +104,6 @@
         next.min(self.held.next_deadline() + self.placement_wait())
     }
 
-    /// Returns how long responses are held beyond their deadline, because placements that are being committed may add
-    /// orders to them.
-    fn placement_wait(&self) -> Duration {
-        let pending = self.leader_state.as_ref().is_some_and(|leader_state| leader_state.placement_pending);
-        if pending { MAX_PLACEMENT_WAIT } else { Duration::ZERO }
-    }
-
     pub(crate) fn leader(&self) -> Option<VmNumber> {
         self.node.leader().map(|leader| leader.vm)
     }
@@ -131,25 +117,6 @@
         self.node.leader().is_some()
     }
 
-    /// Returns true if there are so many workers that those of each zone are to report to a replica of their zone.
-    pub(crate) fn is_gathering(&self, now: MonotonicTime) -> bool {
-        self.leader_state.as_ref().is_some_and(|leader_state| leader_state.dispatcher.is_gathering(now, &self.state))
-    }
-
-    /// Returns the replica to which a worker is to report, as the leader sees it.
-    pub(crate) fn report_replica(&self, now: MonotonicTime, worker: &WorkerId, zone: &ZoneName) -> VmNumber {
-        let own = self.node.id().vm;
-        if *zone == self.settings.zone || !self.is_gathering(now) {
-            return own;
-        }
-        let peers = self.node.status().peers;
-        let followers = peers.iter().filter(|peer| {
-            peer.role == ReplicaRole::Follower && Duration::from_millis(peer.silent_ms) < FOLLOWER_TIMEOUT
-        });
-        let followers: Vec<VmNumber> = followers.map(|peer| peer.id.vm).collect();
-        report_replica::choose(worker, zone, &followers, &self.zones).unwrap_or(own)
-    }
-
     /// Updates the metrics that describe the state.
     pub(crate) fn record_state_metrics(&self) {
         self.metrics.record_state(&self.state, crate::clock::FleetClock::unix_ms());
@@ -254,15 +221,6 @@
         self.advance(now);
     }
 
-    /// Handles the reports that a follower has relayed. The responses go to its outbox.
-    pub(crate) fn handle_relayed(&mut self, now: MonotonicTime, reports: &[Arc<WorkerReport>], outbox: &RelayOutbox) {
-        for report in reports {
-            let (worker, sequence) = (report.worker.clone(), report.sequence);
-            self.handle_report(now, report, ReplySender::Relay { outbox: Rc::clone(outbox), worker, sequence });
-        }
-        self.advance(now);
-    }
-
     /// Proposes a caller's command, unless admission control refuses it.
     fn commit_or_refuse(&mut self, now: MonotonicTime, command: BatchCommand, sender: ReplySender) {
         if let Some(refusal) = self.refusal(now, &command) {
@@ -286,28 +244,6 @@
         Some(LeaderReply::Refused { retry_after: refusal.retry_after, reason: refusal.reason.to_owned() })
     }
 
-    fn handle_report(&mut self, now: MonotonicTime, report: &WorkerReport, sender: ReplySender) {
-        let Some(leader_state) = &mut self.leader_state else { return };
-        let (worker, sequence) = (report.worker.clone(), report.sequence);
-        match leader_state.dispatcher.receive(now, &self.state, report) {
-            ReportAction::Stale => {
-                let response = ReportResponse { orders: None, next_report: Duration::from_millis(100) };
-                sender.send(LeaderReply::Report(Box::new(response)));
-            }
-            ReportAction::Commit(commands) => {
-                self.metrics.runs_ended(&commands);
-                leader_state.plan_due = true;
-                let hold_until = now + leader_state.dispatcher.max_hold(&self.state, &worker);
-                let waiting = WaitingReport { worker, sequence, hold_until, sender };
-                if commands.is_empty() {
-                    self.hold(now, waiting);
-                } else {
-                    self.propose(commands, Waiter::Report(waiting));
-                }
-            }
-        }
-    }
-
     /// Runs a scheduling cycle, proposes queued commands and answers held reports, each if it is due.
     fn advance(&mut self, now: MonotonicTime) {
         self.plan(now);
@@ -340,44 +276,6 @@
         self.propose(vec![BatchCommand::Place { runs }], Waiter::Plan);
     }
 
-    /// Holds a report until there are orders for the worker or its deadline has passed.
-    fn hold(&mut self, now: MonotonicTime, report: WaitingReport) {
-        let has_orders =
-            |leader_state: &LeaderState| leader_state.dispatcher.has_pending_starts(&self.state, &report.worker);
-        if self.leader_state.as_ref().is_none_or(has_orders) {
-            return self.respond(now, report);
-        }
-        if let Some(replaced) = self.held.insert(report) {
-            self.respond(now, replaced);
-        }
-    }
-
-    /// Answers the held reports of workers that have got runs, and those whose deadline has passed.
-    fn answer_held(&mut self, now: MonotonicTime) {
-        let placed = std::mem::take(&mut self.placed_workers);
-        let limit = now.saturating_sub(self.placement_wait());
-        let mut due: Vec<WaitingReport> = placed.iter().filter_map(|worker| self.held.take(worker)).collect();
-        due.extend(self.held.take_due(limit));
-        for report in due {
-            self.respond(now, report);
-        }
-    }
-
-    /// Responds to a report. Only a leader with a valid lease gives orders.
-    fn respond(&mut self, now: MonotonicTime, report: WaitingReport) {
-        let leads = self.is_leader(now);
-        let reply = match self.leader_state.as_mut().filter(|_| leads) {
-            Some(leader_state) => {
-                let response = leader_state.dispatcher.build_response(&self.state, &report.worker, report.sequence);
-                log_orders(&report.worker, &response);
-                self.metrics.record_response(&response);
-                LeaderReply::Report(Box::new(response))
-            }
-            None => LeaderReply::NotLeader { leader: self.leader().filter(|leader| *leader != self.node.id().vm) },
-        };
-        report.sender.send(reply);
-    }
-
     fn run_maintenance(&mut self, now: MonotonicTime) {
         let leads = self.is_leader(now);
         let Some(state) = self.leader_state.as_mut().filter(|state| leads && state.next_check <= now) else { return };
