--- a/crates/parsleywalk-batch/tests/guarantees.rs
+++ b/crates/parsleywalk-batch/tests/guarantees.rs
@@ -233,3 +233,43 @@
     fleet.run_for(Duration::from_secs(5));
     assert_eq!(fleet.status(sound), Some(JobStatus::Completed));
 }
+
+/// Guards against a saturated leader that breaks promises instead of being slow: while it handles a tenth of the reports
+/// in time, leases expire, ends and stops arrive late, and jobs are submitted and cancelled all the same. No task may run
+/// twice or start in a zone out of service. Once the leader keeps up again, every job must end, and nothing of a
+/// cancelled job may still run after two seconds.
+#[rstest]
+fn guarantees_hold_while_the_leader_is_saturated(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    let mut fleet = FakeFleet::new(20, seed);
+    fleet.run_for(Duration::from_secs(1));
+    fleet.handled_percent = 10;
+    let mut jobs: Vec<JobId> = Vec::new();
+    for number in 0..FAULT_STEPS {
+        match fleet.rng.next_below(30) {
+            0..=3 => {
+                let steps = RandomSteps::random(&mut fleet.rng);
+                jobs.push(fleet.submit(submission(u64::from(number) + 1, 1, steps)));
+            }
+            4 if !jobs.is_empty() => {
+                let index = usize::try_from(fleet.rng.next_below(jobs.len() as u64)).expect("small");
+                fleet.cancel(jobs[index]);
+            }
+            5 if number % 100 == 0 => fleet.change_leader(),
+            6 => fleet.set_zone("zone-b", ZoneDirection::Out),
+            7 => fleet.set_zone("zone-b", ZoneDirection::In),
+            // Runs that outlast a lease show whether the leader waits for its end.
+            8 => jobs.push(fleet.submit(submission(u64::from(number) + 1, 1, vec![step(3, 2, 15_000)]))),
+            _ => {}
+        }
+        fleet.step();
+    }
+    fleet.handled_percent = 100;
+    fleet.set_zone("zone-b", ZoneDirection::In);
+    fleet.run_for(Duration::from_secs(2));
+    for worker in &fleet.workers {
+        for task in worker.runs.keys() {
+            assert_ne!(fleet.status(task.job), Some(JobStatus::Cancelled), "{task} of a cancelled job runs");
+        }
+    }
+    assert!(fleet.run_until_done(Duration::from_mins(3)), "{}", fleet.describe_unfinished());
+}
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -16,6 +16,8 @@
 
 /// The simulated duration of one step.
 pub(crate) const STEP_DURATION: Duration = Duration::from_millis(50);
+/// How long a worker waits for the response to a report.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A seeded xorshift generator, so that a seed reproduces a run.
 pub(crate) struct TestRng(u64);
@@ -87,6 +89,9 @@
     pub(crate) rng: TestRng,
     pub(crate) settings: DispatchSettings,
     term: u64,
+    /// The share of reports that the leader handles in time, in percent. Workers give up on the others after
+    /// [`REPORT_TIMEOUT`].
+    pub(crate) handled_percent: u64,
     /// The probability that a response is lost, in percent.
     pub(crate) response_loss_percent: u64,
     /// The tail latency of a latency-critical task in milliseconds, as a function of the share of cores that
@@ -138,6 +143,7 @@
             rng: TestRng::new(seed),
             settings,
             term: 1,
+            handled_percent: 100,
             response_loss_percent: 0,
             tail_latency_ms: |_| 40,
             done: BTreeMap::new(),
@@ -240,8 +246,13 @@
             self.apply(&BatchCommand::Place { runs });
         }
         for index in 0..self.workers.len() {
-            if self.workers[index].up && self.workers[index].next_report <= self.now {
+            if !self.workers[index].up || self.workers[index].next_report > self.now {
+                continue;
+            }
+            if self.handled_percent >= 100 || self.rng.chance(self.handled_percent) {
                 self.report(index);
+            } else {
+                self.workers[index].next_report = self.now + REPORT_TIMEOUT;
             }
         }
         self.check();
