--- a/review/stand-ins/src/cases.rs
+++ b/review/stand-ins/src/cases.rs
@@ -38,6 +38,7 @@
         "cancelled-job-runs" => cancelled_job_runs(root, record, trouble),
         "gang-failed-once" => gang_failed_once(root, record, trouble),
         "lasting-gang-given-up" => lasting_gang_given_up(root, record, trouble),
+        "gang-never-placed" => gang_never_placed(root, record, trouble),
         "waiting-count" => waiting_count(root, record, trouble),
         "wide-job" => wide_job(root, record, trouble),
         other => Err(format!("no case {other}")),
@@ -426,6 +427,62 @@
     }))
 }
 
+/// A job that can never be done leaves all workers on probation, on which each gets one run at a time until a run
+/// completes there. A gang with more members than there are workers is then never placed, on idle workers.
+fn gang_never_placed(root: &Path, record: &Arc<Record>, trouble: bool) -> CaseResult {
+    const MEMBERS: u32 = 24;
+    const ORDINARY: usize = 20;
+    let scene = Scene::start(root, record, 2)?;
+    for index in 0..12 {
+        let zone = index % 3;
+        scene.minion(&format!("i-{index:02}"), zone, &["a", &format!("r{zone}-1")], 8000, 32_000);
+    }
+    scene.warm_up()?;
+    let fronts = scene.deployment.fronts();
+    // One job in 21 can never be done.
+    for index in 0..ORDINARY {
+        let job = format!("00000000000007{index:02}");
+        if !scene.submit(fronts[index % 3], &job, &job_body("ends 200", &[Step::new(3, 1000)])).is_some_and(is_success)
+        {
+            return Err("a job isn't accepted".to_owned());
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    thread::sleep(Duration::from_secs(1));
+    if trouble {
+        let hopeless = "0000000000000800";
+        let body = job_body("fails 200", &[Step::new(24, 1000)]);
+        if !scene.submit(fronts[0], hopeless, &body).is_some_and(is_success) {
+            return Err("the hopeless job isn't accepted".to_owned());
+        }
+        if scene.wait_final(fronts[0], hopeless, Duration::from_secs(20)).as_deref() != Some("failed") {
+            return Err("the hopeless job isn't shown as failed".to_owned());
+        }
+    }
+    let gang = "0000000000000900";
+    let body = job_body(&format!("gang {MEMBERS} 500"), &[Step::new(MEMBERS, 1000).with("\"gang\":true")]);
+    if !scene.submit(fronts[1], gang, &body).is_some_and(is_success) {
+        return Err("the gang isn't accepted".to_owned());
+    }
+    // `finish_s`, 3 s with nothing running, and 13 s more.
+    let state = scene.wait_final(fronts[1], gang, Duration::from_secs(30));
+    let starts = scene.runs_of(gang).iter().filter(|event| event.how.is_empty()).count();
+    scene.record.line(&format!("30 s after the gang was accepted at the latest: state {state:?}, {starts} starts"));
+    let breach = (state.as_deref() != Some("completed")).then(|| {
+        format!(
+            "LOST: a gang of {MEMBERS} is {state:?} with {starts} starts, on 12 workers with room for four such gangs"
+        )
+    });
+    if breach.is_some() {
+        // Not part of the verdict: a run that completes on each worker ends the probation.
+        let body = job_body("ends 200", &[Step::new(36, 1000)]);
+        scene.submit(fronts[2], "0000000000000901", &body);
+        let state = scene.wait_final(fronts[1], gang, Duration::from_secs(15));
+        scene.record.line(&format!("after an ordinary job on all workers: state {state:?}"));
+    }
+    Ok(breach)
+}
+
 /// The only worker with room for some jobs is lost for good just before they are placed on it. None of their tasks
 /// begins, yet the count of waiting jobs leaves them out.
 fn waiting_count(root: &Path, record: &Arc<Record>, trouble: bool) -> CaseResult {
--- a/review/stand-ins/src/minion.rs
+++ b/review/stand-ins/src/minion.rs
@@ -26,6 +26,8 @@
 enum Work {
     /// Ends `done` after a time.
     Ends(Duration),
+    /// Ends `failed` after a time.
+    Fails(Duration),
     /// Runs until it is stopped.
     Lasts,
     /// Waits for all members and ends `done` with them after a time, or lasts.
@@ -37,6 +39,10 @@
     let mut number = |default| words.next().and_then(|word| word.parse().ok()).unwrap_or(default);
     match spec.split(' ').next() {
         Some("lasts") => Work::Lasts,
+        Some("fails") => {
+            number(0);
+            Work::Fails(Duration::from_millis(number(500)))
+        }
         Some("lasting-gang") => {
             number(0);
             Work::Gang(usize::try_from(number(1)).unwrap_or(1), None)
@@ -222,6 +228,7 @@
             let over = match run.work {
                 Work::Lasts => None,
                 Work::Ends(time) => (now >= run.started + time).then_some((run.started + time, "done")),
+                Work::Fails(time) => (now >= run.started + time).then_some((run.started + time, "failed")),
                 Work::Gang(_, time) => {
                     let gangs = self.gangs();
                     let gang = gangs.get(&gang_key(&task, run.run));
@@ -327,7 +334,7 @@
                     0
                 }
             }
-            Work::Ends(time) => (now - run.started).as_millis() * 100 / time.as_millis().max(1),
+            Work::Ends(time) | Work::Fails(time) => (now - run.started).as_millis() * 100 / time.as_millis().max(1),
             // A gang makes progress once all members are present.
             Work::Gang(_, time) => {
                 let complete = self.gangs().get(&gang_key(task, run.run)).and_then(|gang| gang.complete);
