Review case 3: a longer cut, and more time between the orders

Cause: the operator's orders followed each other within 0.1 s. Change: the cut takes 2.2 s, and the zone is evacuated again 0.7 s after it was taken back.

--- a/review/stand-ins/src/cases.rs
+++ b/review/stand-ins/src/cases.rs
@@ -19,6 +19,8 @@
 
 /// The longest `bridge_cut` of the pages' installations is 5.5 s.
 const CUT: Duration = Duration::from_millis(1500);
+/// The cut of the case with evacuations, long enough for an operator to evacuate a zone again.
+const LONG_CUT: Duration = Duration::from_millis(2200);
 /// Consumers that give up leave within half of their objective of 1,200 ms.
 const LEAVES: Duration = Duration::from_millis(600);
 /// The bounds of the settings that the rules name.
@@ -260,13 +262,13 @@
     }
     thread::sleep(Duration::from_millis(100));
     scene.order_until_acked(&[controls[other], controls[third]], &stop)?;
-    thread::sleep(Duration::from_millis(50));
+    thread::sleep(Duration::from_millis(700));
     let evacuated_at = scene.order_until_acked(&[controls[third]], &start)?;
-    sleep_until(cut_at + CUT);
+    sleep_until(cut_at + LONG_CUT);
     if trouble {
         scene.deployment.cut_zones(leader, other, false);
     }
-    let judged_from = (evacuated_at + EVACUATE).max(cut_at + CUT + CONTACT) + Duration::from_millis(500);
+    let judged_from = (evacuated_at + EVACUATE).max(cut_at + LONG_CUT + CONTACT) + Duration::from_millis(500);
     sleep_until(judged_from);
     for index in 0..4 {
         let body = job_body("ends 500", &[Step::new(12, 2000)]);
