Review case 5: the count of waiting jobs leaves out jobs that have not begun

Cause: a job counts as begun once a run of it is placed, and a loss of its worker doesn't take that back. Nothing is fixed.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
 cd "$root" || exit 2
 program=target/review/release/review-cases
 [ -x "$program" ] || { echo "$program is missing: run review/build.sh"; exit 2; }
-exec "$program" gang-failed-once "$root" "$folder"
+exec "$program" waiting-count "$root" "$folder"
