Drop calls that arrive after their callers have moved on

The leader carried out each call whenever it arrived, and a zone order has nothing that tells a late copy from a new order. The same holds for an order that a paused daemon reads late, that is held back between operator and daemon, or that a daemon repeats to the next leader.

With the leader's checks switched off, three of three tests in late_calls.rs fail: "the newest acknowledged order is out", "... is in", "the zone is out of service".

Change: a call carries when a daemon received it and until when its caller waits, on the leader's clock. The leader drops expired calls, and zone orders that were received before the newest order for the zone arrived or before its own term, unless they change nothing. A paused daemon dates requests back to before the pause, and the HTTP server drops requests whose caller has closed the connection. Windows are headers of the h2 stream: no encoding changes, and daemons of the last release work beside new ones.

--- a/crates/parsleywalk-fleet/src/access.rs
+++ b/crates/parsleywalk-fleet/src/access.rs
@@ -5,13 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::info;
 use parsleywalk_batch::{ReportResponse, WorkerReport};
-use parsleywalk_peer::PeerSettings;
+use parsleywalk_peer::{CallWindow, PeerSettings, SteadyClock};
+use tokio::time;
 
 use crate::client::{CallFailure, LeaderClient};
-use crate::clock::FleetClock;
 use crate::replica::{Replica, process_incarnation};
 use crate::settings::FleetSettings;
+use crate::stall_monitor::{StallMonitor, TICK_INTERVAL};
 use crate::{FleetMetrics, LeaderReply, LeaderRequest, Result};
 
 /// The interval at which an entry daemon checks that the leader answers.
@@ -23,6 +25,8 @@
 pub struct LeaderAccess {
     client: Rc<LeaderClient>,
     replica: Option<Rc<Replica>>,
+    clock: SteadyClock,
+    stall_monitor: Rc<StallMonitor>,
     metrics: FleetMetrics,
 }
 
@@ -34,10 +38,11 @@
     ///
     /// Returns an error if the log cannot be opened or the peer port cannot be bound.
     pub async fn start(settings: FleetSettings, metrics: FleetMetrics) -> Result<Self> {
-        let clock = FleetClock::start();
+        let clock = SteadyClock::start();
         let peers = Arc::new(PeerSettings {
             vm: settings.vm(),
             incarnation: process_incarnation(),
+            clock,
             zone: settings.zone.clone(),
             listen: settings.peer_address(settings.vm()),
             ..PeerSettings::default()
@@ -50,7 +55,9 @@
             tokio::task::spawn_local(async move { probing.probe(PROBE_INTERVAL).await });
             None
         };
-        Ok(Self { client, replica, metrics })
+        let stall_monitor = Rc::new(StallMonitor::new(clock.now()));
+        tokio::task::spawn_local(watch_for_stalls(Rc::clone(&stall_monitor), clock));
+        Ok(Self { client, replica, clock, stall_monitor, metrics })
     }
 
     /// Sends a request to the leader and returns its reply.
@@ -63,12 +70,19 @@
         request: LeaderRequest,
         timeout: Duration,
     ) -> std::result::Result<LeaderReply, CallFailure> {
+        let window = self.window(timeout);
         match &self.replica {
-            Some(replica) => replica.call(request, timeout).await,
-            None => self.client.call(&request, timeout).await,
+            Some(replica) => replica.call(request, window).await,
+            None => self.client.call(&request, window).await,
         }
     }
 
+    /// Returns the window of a request that is read now and whose caller waits for `timeout` from its arrival.
+    fn window(&self, timeout: Duration) -> CallWindow {
+        let received = self.stall_monitor.earliest_arrival(self.clock.now());
+        CallWindow { received, expires: received + timeout }
+    }
+
     /// Sends a worker's report to the leader. Returns the response and the address to which the worker is to report
     /// next.
     ///
@@ -80,12 +94,13 @@
         report: WorkerReport,
         timeout: Duration,
     ) -> std::result::Result<(ReportResponse, Option<Ipv4Addr>), CallFailure> {
+        let window = self.window(timeout);
         let Some(replica) = &self.replica else {
-            let reply = self.client.call(&LeaderRequest::Report(Box::new(report)), timeout).await?;
+            let reply = self.client.call(&LeaderRequest::Report(Box::new(report)), window).await?;
             let LeaderReply::Report(response) = reply else { return Err(CallFailure::Unknown) };
             return Ok((*response, self.leader_address()));
         };
-        let (response, next) = replica.report(report, timeout).await?;
+        let (response, next) = replica.report(report, window).await?;
         Ok((response, next.map(crate::settings::vm_address)))
     }
 
@@ -116,3 +131,13 @@
         self.client.set_seeds(seeds);
     }
 }
+
+/// Records that the process runs until the process ends.
+async fn watch_for_stalls(stall_monitor: Rc<StallMonitor>, clock: SteadyClock) {
+    loop {
+        if let Some(length) = stall_monitor.tick(clock.now()) {
+            info!("event=process_stalled length_ms={}", length.as_millis());
+        }
+        time::sleep(TICK_INTERVAL).await;
+    }
+}
--- a/crates/parsleywalk-fleet/src/client.rs
+++ b/crates/parsleywalk-fleet/src/client.rs
@@ -9,11 +9,10 @@
 use log::info;
 use parsleywalk_batch::SortedMap;
 use parsleywalk_consensus::LogTerm;
-use parsleywalk_peer::{CallClient, CallError, PeerError, PeerSettings};
+use parsleywalk_peer::{CallClient, CallError, CallWindow, PeerError, PeerSettings, SteadyClock};
 use parsleywalk_units::{MonotonicTime, VmNumber};
 use tokio::time;
 
-use crate::clock::FleetClock;
 use crate::settings::{FleetSettings, vm_number};
 use crate::{FleetMetrics, LeaderReply, LeaderRequest};
 
@@ -42,7 +41,7 @@
 pub(crate) struct LeaderClient {
     settings: Arc<PeerSettings>,
     fleet: FleetSettings,
-    clock: FleetClock,
+    clock: SteadyClock,
     seeds: RefCell<Vec<VmNumber>>,
     members: RefCell<Vec<VmNumber>>,
     call_clients: RefCell<SortedMap<VmNumber, Rc<CallClient>>>,
@@ -65,7 +64,7 @@
     pub(crate) fn new(
         settings: Arc<PeerSettings>,
         fleet: FleetSettings,
-        clock: FleetClock,
+        clock: SteadyClock,
         metrics: FleetMetrics,
     ) -> Self {
         let seeds = fleet.seeds.iter().map(|seed| vm_number(*seed)).collect();
@@ -120,14 +119,14 @@
         contact_points
     }
 
-    /// Calls the leader and repeats the call to its successors until the timeout. Fails early if there is no leader for
-    /// a while, because callers do better to retry.
+    /// Calls the leader and repeats the call to its successors until the window ends. Fails early if there is no leader
+    /// for a while, because callers do better to retry.
     ///
     /// # Errors
     ///
     /// Returns an error if no leader replied; it says whether the request may have taken effect.
-    pub(crate) async fn call(&self, request: &LeaderRequest, timeout: Duration) -> Result<LeaderReply, CallFailure> {
-        self.call_any(request, timeout).await.map(|(_, reply)| reply)
+    pub(crate) async fn call(&self, request: &LeaderRequest, window: CallWindow) -> Result<LeaderReply, CallFailure> {
+        self.call_any(request, window).await.map(|(_, reply)| reply)
     }
 
     /// Does the same as [`LeaderClient::call`] and also returns which leader replied.
@@ -138,14 +137,13 @@
     pub(crate) async fn call_any(
         &self,
         request: &LeaderRequest,
-        timeout: Duration,
+        window: CallWindow,
     ) -> Result<(VmNumber, LeaderReply), CallFailure> {
         let start = self.clock.now();
-        let deadline = start + timeout;
         let mut sent = false;
         loop {
             let now = self.clock.now();
-            let remaining = deadline.since(now);
+            let remaining = window.expires.since(now);
             if remaining.is_zero() {
                 return Err(if sent { CallFailure::Unknown } else { CallFailure::NotSent });
             }
@@ -161,7 +159,16 @@
                 }
                 continue;
             };
-            match self.call_client(leader).call(request, remaining.min(ATTEMPT_TIMEOUT)).await {
+            let call_client = self.call_client(leader);
+            // The window can be sent only after a reply with a reading of the leader's clock.
+            if !call_client.has_reply() {
+                let located = call_client.call(&LeaderRequest::Locate, None, remaining.min(LOCATE_TIMEOUT)).await;
+                if let Err(error) = located.map(|_: LeaderReply| ()) {
+                    self.handle_failure(leader, now, &error).await;
+                }
+                continue;
+            }
+            match call_client.call(request, Some(window), remaining.min(ATTEMPT_TIMEOUT)).await {
                 Ok(LeaderReply::NotLeader { leader: hint }) => {
                     if self.leader.get() == Some(leader) {
                         self.forget_leader();
@@ -178,15 +185,21 @@
                 }
                 Err(error) => {
                     sent |= matches!(error, CallError::Unknown(_));
-                    self.handle_call_error(leader, now, &error);
-                    if is_timeout(&error) {
-                        self.verify_leader(leader, now).await;
-                    }
+                    self.handle_failure(leader, now, &error).await;
                 }
             }
         }
     }
 
+    /// Handles a failed call that began at `since`, and asks whether the leader still leads if it has not replied in
+    /// time.
+    async fn handle_failure(&self, leader: VmNumber, since: MonotonicTime, error: &CallError) {
+        self.handle_call_error(leader, since, error);
+        if is_timeout(error) {
+            self.verify_leader(leader, since).await;
+        }
+    }
+
     fn forget_leader(&self) {
         self.leader.set(None);
         self.leaderless_since.set(self.clock.now());
@@ -235,7 +248,7 @@
         for vm in self.contact_points().into_iter().filter(|vm| Some(*vm) != except) {
             let (call_client, sender) = (self.call_client(vm), sender.clone());
             tokio::task::spawn_local(async move {
-                let reply = call_client.call(&LeaderRequest::Locate, LOCATE_TIMEOUT).await;
+                let reply = call_client.call(&LeaderRequest::Locate, None, LOCATE_TIMEOUT).await;
                 drop(sender.send((vm, reply)));
             });
         }
@@ -283,7 +296,7 @@
                         self.search().await;
                     }
                     Some(leader) => {
-                        match self.call_client(leader).call(&LeaderRequest::Locate, ATTEMPT_TIMEOUT).await {
+                        match self.call_client(leader).call(&LeaderRequest::Locate, None, ATTEMPT_TIMEOUT).await {
                             Ok(LeaderReply::Located { leader: located, term, members }) => {
                                 if located == Some(leader) {
                                     self.last_contact.set(self.clock.now());
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -13,7 +13,8 @@
     ConsensusAction, ConsensusEvent, ConsensusMessage, ConsensusNode, EntryPayload, LogEntry, LogTerm, LogWrite,
     ProposalId, ReplicaId, ReplicaRole, WriteTicket,
 };
-use parsleywalk_units::{MonotonicTime, VmNumber, WorkerId, ZoneName};
+use parsleywalk_peer::CallWindow;
+use parsleywalk_units::{MonotonicTime, VmNumber, WorkerId, ZoneDirection, ZoneName};
 
 use crate::held_reports::HeldReports;
 use crate::leader_state::LeaderState;
@@ -124,7 +125,7 @@
 
     /// Updates the metrics that describe the state.
     pub(crate) fn record_state_metrics(&self) {
-        self.metrics.record_state(&self.state, crate::clock::FleetClock::unix_ms());
+        self.metrics.record_state(&self.state, crate::clock::unix_ms());
     }
 
     fn locate_reply(&self) -> LeaderReply {
@@ -173,8 +174,15 @@
         self.advance(now);
     }
 
-    /// Handles a request; the reply is sent now or once the command is committed.
-    pub(crate) fn handle_request(&mut self, now: MonotonicTime, request: LeaderRequest, sender: ReplySender) {
+    /// Handles a request; the reply is sent now or once the command is committed. The request has no effect outside
+    /// its window.
+    pub(crate) fn handle_request(
+        &mut self,
+        now: MonotonicTime,
+        request: LeaderRequest,
+        window: CallWindow,
+        sender: ReplySender,
+    ) {
         if matches!(request, LeaderRequest::Locate) {
             sender.send(self.locate_reply());
             return;
@@ -183,6 +191,10 @@
             sender.send(LeaderReply::NotLeader { leader: self.other_leader() });
             return;
         }
+        if window.is_expired(now) {
+            self.drop_overtaken(now, &request, window, sender);
+            return;
+        }
         match request {
             // Answered before, and by `handle_relayed`.
             LeaderRequest::Locate | LeaderRequest::Relay { .. } => {}
@@ -210,12 +222,19 @@
                     self.propose(vec![BatchCommand::Configure(configuration)], Waiter::Reply(sender));
                 }
             }
-            LeaderRequest::SetZone { zone, direction } => {
-                info!("event=zone_change zone={zone} direction={direction}");
-                self.propose(vec![BatchCommand::SetZone { zone, direction }], Waiter::Reply(sender));
+            LeaderRequest::SetZone { ref zone, direction } => {
+                let is_out = self.state.is_out_of_service(zone);
+                let active = if is_out { ZoneDirection::Out } else { ZoneDirection::In };
+                let Some(leader_state) = &mut self.leader_state else { return };
+                if !leader_state.zone_orders.admit(now, window.received, zone, direction, active) {
+                    return self.drop_overtaken(now, &request, window, sender);
+                }
+                let age_ms = now.since(window.received).as_millis();
+                info!("event=zone_change zone={zone} direction={direction} age_ms={age_ms}");
+                self.propose(vec![BatchCommand::SetZone { zone: zone.clone(), direction }], Waiter::Reply(sender));
             }
             LeaderRequest::Queue { host, path, action } => {
-                let unix_ms = crate::clock::FleetClock::unix_ms();
+                let unix_ms = crate::clock::unix_ms();
                 match queue_decision::decide(&self.state, unix_ms, &host, &path, action) {
                     queue_decision::QueueDecision::Reply(reply) => sender.send(reply),
                     queue_decision::QueueDecision::Commit(command) => self.commit_or_refuse(now, command, sender),
@@ -225,6 +244,15 @@
         self.advance(now);
     }
 
+    /// Answers a request that must not take effect any more.
+    fn drop_overtaken(&self, now: MonotonicTime, request: &LeaderRequest, window: CallWindow, sender: ReplySender) {
+        self.metrics.call_overtaken();
+        let age_ms = now.since(window.received).as_millis();
+        let expired = window.is_expired(now);
+        info!("event=call_overtaken request={request} age_ms={age_ms} expired={expired}");
+        sender.send(LeaderReply::Overtaken);
+    }
+
     /// Proposes a caller's command, unless admission control refuses it.
     fn commit_or_refuse(&mut self, now: MonotonicTime, command: BatchCommand, sender: ReplySender) {
         if let Some(refusal) = self.refusal(now, &command) {
@@ -270,7 +298,7 @@
         }
         leader_state.plan_due = false;
         let start = Instant::now();
-        let runs = leader_state.dispatcher.plan(now, crate::clock::FleetClock::unix_ms(), &self.state);
+        let runs = leader_state.dispatcher.plan(now, crate::clock::unix_ms(), &self.state);
         leader_state.pacer.record(now, start.elapsed());
         if runs.is_empty() {
             return;
--- a/crates/parsleywalk-fleet/src/http.rs
+++ b/crates/parsleywalk-fleet/src/http.rs
@@ -26,6 +26,9 @@
 /// The delay after a failed accept, for example one caused by a lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
+/// How often the connection is read before a request is handled. The first reads may still complete the body.
+const END_CHECKS: usize = 3;
+
 /// The media type of JSON bodies.
 const JSON: &str = "application/json";
 /// The media type of metrics.
@@ -269,6 +272,11 @@
         }
         Err(_) => return HttpResponse::status(408).into_response(),
     };
+    // The bytes of a caller that has given up can arrive late, with the end of its connection right behind them. Hyper
+    // reads the connection each time before it polls this future, and drops the future at the end of the connection.
+    for _ in 0..END_CHECKS {
+        tokio::task::yield_now().await;
+    }
     let requests = &context.requests;
     requests.set(requests.get() + 1);
     let response = context.handler.handle(HttpRequest { head, body }).await;
--- a/crates/parsleywalk-fleet/src/leader_state.rs
+++ b/crates/parsleywalk-fleet/src/leader_state.rs
@@ -12,6 +12,7 @@
 use crate::message::RelayedResponse;
 use crate::plan_pacer::PlanPacer;
 use crate::waiter::RelayOutbox;
+use crate::zone_orders::ZoneOrders;
 
 /// The maximum number of ended jobs removed by one command.
 const MAX_FORGOTTEN_JOBS: usize = 500;
@@ -37,6 +38,7 @@
     /// The responses to relayed reports, by the follower that fetches them. They end with the leadership, so that a
     /// replica that leads again gives out none of its earlier term.
     outboxes: SortedMap<VmNumber, RelayOutbox>,
+    pub(crate) zone_orders: ZoneOrders,
 }
 
 impl LeaderState {
@@ -51,6 +53,7 @@
             maintenance_pending: false,
             ended_since: SortedMap::default(),
             outboxes: SortedMap::default(),
+            zone_orders: ZoneOrders::new(now),
         }
     }
 
--- a/crates/parsleywalk-fleet/src/lib.rs
+++ b/crates/parsleywalk-fleet/src/lib.rs
@@ -24,7 +24,9 @@
 mod report_relay;
 mod report_replica;
 mod settings;
+mod stall_monitor;
 mod waiter;
+mod zone_orders;
 
 pub use access::LeaderAccess;
 pub use client::CallFailure;
--- a/crates/parsleywalk-fleet/src/message.rs
+++ b/crates/parsleywalk-fleet/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between daemons.
 
+use std::fmt::{self, Display, Formatter};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,7 +31,8 @@
     Cancel,
 }
 
-/// A request to the leader. All requests are idempotent.
+/// A request to the leader. All requests are idempotent. A call carries the time in which it may take effect, since a
+/// copy can arrive long after its caller has moved on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum LeaderRequest {
     /// Asks any replica for the leader and the members.
@@ -72,6 +74,24 @@
     },
 }
 
+impl Display for LeaderRequest {
+    /// Writes what the request is about, for the log.
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Locate => write!(formatter, "locate"),
+            Self::Queue { path, action: QueueAction::Submit(_), .. } => write!(formatter, "submit path={path:?}"),
+            Self::Queue { path, action: QueueAction::Read, .. } => write!(formatter, "read path={path:?}"),
+            Self::Queue { path, action: QueueAction::Cancel, .. } => write!(formatter, "cancel path={path:?}"),
+            Self::Report(report) => write!(formatter, "report worker={}", report.worker),
+            Self::Leave { worker, .. } => write!(formatter, "leave worker={worker}"),
+            Self::Configure(configuration) => write!(formatter, "configure version={}", configuration.version),
+            Self::ReadConfiguration => write!(formatter, "read_configuration"),
+            Self::SetZone { zone, direction } => write!(formatter, "set_zone zone={zone} direction={direction}"),
+            Self::Relay { reports } => write!(formatter, "relay reports={}", reports.len()),
+        }
+    }
+}
+
 /// The leader's response to a report that a follower has relayed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RelayedResponse {
@@ -139,4 +159,6 @@
         /// Whether the workers of the calling daemon's zone are to report to it and not to the leader.
         is_gathering: bool,
     },
+    /// The request had no effect, because its caller no longer waits or a later order has overtaken it.
+    Overtaken,
 }
--- a/crates/parsleywalk-fleet/src/metrics.rs
+++ b/crates/parsleywalk-fleet/src/metrics.rs
@@ -22,6 +22,7 @@
     runs_ended: Counter<u64>,
     leases: Counter<u64>,
     reports_relayed: Counter<u64>,
+    calls_overtaken: Counter<u64>,
     active_jobs: Gauge<u64>,
     oldest_waiting: Gauge<u64>,
     workers: Gauge<u64>,
@@ -50,6 +51,10 @@
             leases: registry.counter("parsleywalk_leases", "Leases of workers renewed and expired, by event"),
             reports_relayed: registry
                 .counter("parsleywalk_reports_relayed", "Reports of workers that this replica sent to the leader"),
+            calls_overtaken: registry.counter(
+                "parsleywalk_calls_overtaken",
+                "Calls that arrived after their callers had given up or a later order had overtaken them",
+            ),
             active_jobs: registry.gauge("parsleywalk_active_jobs", "Jobs that are not final, by priority and status"),
             oldest_waiting: registry.gauge(
                 "parsleywalk_oldest_waiting_milliseconds",
@@ -120,6 +125,10 @@
         self.reports_relayed.add(u64::try_from(count).unwrap_or(u64::MAX), &[]);
     }
 
+    pub(crate) fn call_overtaken(&self) {
+        self.calls_overtaken.add(1, &[]);
+    }
+
     pub(crate) fn leases_expired(&self, count: usize) {
         self.leases.add(u64::try_from(count).unwrap_or(u64::MAX), &[KeyValue::new("event", "expired")]);
     }
--- a/crates/parsleywalk-fleet/src/replica.rs
+++ b/crates/parsleywalk-fleet/src/replica.rs
@@ -11,14 +11,15 @@
 use log::{error, info, warn};
 use parsleywalk_batch::{ReportResponse, WorkerReport};
 use parsleywalk_consensus::{ConsensusNode, ConsensusSettings, LogWrite, RecoveredLog, WriteTicket};
-use parsleywalk_peer::{PeerAddress, PeerNetwork, PeerReceivers, PeerSettings, StreamKind};
+use parsleywalk_peer::{
+    CallWindow, PeerAddress, PeerNetwork, PeerReceivers, PeerSettings, ReceivedCall, SteadyClock, StreamKind,
+};
 use parsleywalk_storage::LogStore;
 use parsleywalk_units::{Incarnation, MonotonicTime, VmNumber};
 use tokio::sync::{Notify, oneshot};
 use tokio::time;
 
 use crate::client::{CallFailure, LeaderClient};
-use crate::clock::FleetClock;
 use crate::core::{CoreOutput, ReplicaCore};
 use crate::report_relay::ReportRelay;
 use crate::settings::{FleetSettings, vm_number};
@@ -43,7 +44,7 @@
     writes: Sender<(WriteTicket, LogWrite)>,
     client: Rc<LeaderClient>,
     settings: FleetSettings,
-    clock: FleetClock,
+    clock: SteadyClock,
     /// Wakes the timer task when the next deadline has become earlier.
     deadline_moved: Notify,
     relay: ReportRelay,
@@ -59,7 +60,7 @@
         settings: FleetSettings,
         peers: Arc<PeerSettings>,
         client: Rc<LeaderClient>,
-        clock: FleetClock,
+        clock: SteadyClock,
         metrics: FleetMetrics,
     ) -> Result<Rc<Self>> {
         let Some(folder) = settings.data_folder.clone() else {
@@ -78,7 +79,7 @@
         let (writes, write_queue) = flume::unbounded();
         let (synced, synced_queue) = flume::unbounded();
         start_storage(store, write_queue, synced, metrics.clone())?;
-        let relay = ReportRelay::new(Rc::clone(&client), metrics.clone());
+        let relay = ReportRelay::new(Rc::clone(&client), clock, metrics.clone());
         let replica = Rc::new(Self {
             core: RefCell::new(ReplicaCore::new(settings.clone(), node, metrics)),
             network,
@@ -106,13 +107,14 @@
         let replica = Rc::clone(&self);
         tokio::task::spawn_local(async move {
             while let Ok(call) = calls.recv_async().await {
+                let window = replica.window_of(&call);
                 match call.decode::<LeaderRequest>() {
                     Ok(LeaderRequest::Relay { reports }) => {
-                        let reply = replica.handle_relayed(call.from.vm, &reports);
+                        let reply = replica.handle_relayed(call.from.vm, &reports, window);
                         call.reply(&reply);
                     }
                     Ok(request) => {
-                        let reply = replica.handle_request(request);
+                        let reply = replica.handle_request(request, window);
                         tokio::task::spawn_local(async move {
                             if let Ok(reply) = reply.await {
                                 call.reply(&reply);
@@ -202,14 +204,24 @@
         self.core.borrow().record_state_metrics();
     }
 
-    fn handle_request(&self, request: LeaderRequest) -> oneshot::Receiver<LeaderReply> {
+    /// Returns the window of a call. A call from a daemon of a release without windows counts as received now.
+    fn window_of(&self, call: &ReceivedCall) -> CallWindow {
+        call.window.unwrap_or_else(|| CallWindow::from_now(self.clock.now()))
+    }
+
+    fn handle_request(&self, request: LeaderRequest, window: CallWindow) -> oneshot::Receiver<LeaderReply> {
         let (sender, reply) = oneshot::channel();
-        self.step(|core, now| core.handle_request(now, request, ReplySender::Task(sender)));
+        self.step(|core, now| core.handle_request(now, request, window, ReplySender::Task(sender)));
         reply
     }
 
-    /// Handles the reports that a follower has relayed, and returns the responses that are ready for it.
-    fn handle_relayed(&self, follower: VmNumber, reports: &[Arc<WorkerReport>]) -> LeaderReply {
+    /// Handles the reports that a follower has relayed, and returns the responses that are ready for it. A follower
+    /// that no longer waits keeps its responses for its next call.
+    fn handle_relayed(&self, follower: VmNumber, reports: &[Arc<WorkerReport>], window: CallWindow) -> LeaderReply {
+        if window.is_expired(self.clock.now()) {
+            info!("event=relay_overtaken follower={follower} reports={}", reports.len());
+            return LeaderReply::Overtaken;
+        }
         self.step(|core, now| core.handle_relayed(now, follower, reports));
         self.core.borrow().take_relayed(self.clock.now(), follower)
     }
@@ -219,12 +231,13 @@
     pub(crate) async fn report(
         &self,
         report: WorkerReport,
-        timeout: Duration,
+        window: CallWindow,
     ) -> std::result::Result<(ReportResponse, Option<VmNumber>), CallFailure> {
         let (worker, zone) = (report.worker.clone(), report.zone.clone());
+        let timeout = window.expires.since(self.clock.now());
         let is_leader = self.core.borrow().is_leader(self.clock.now());
         if is_leader {
-            let reply = self.handle_request(LeaderRequest::Report(Box::new(report)));
+            let reply = self.handle_request(LeaderRequest::Report(Box::new(report)), window);
             let Ok(Ok(LeaderReply::Report(response))) = time::timeout(timeout, reply).await else {
                 return Err(CallFailure::Unknown);
             };
@@ -240,15 +253,16 @@
     pub(crate) async fn call(
         &self,
         request: LeaderRequest,
-        timeout: Duration,
+        window: CallWindow,
     ) -> std::result::Result<LeaderReply, CallFailure> {
-        let is_leader = self.core.borrow().is_leader(self.clock.now());
+        let now = self.clock.now();
+        let is_leader = self.core.borrow().is_leader(now);
         if !is_leader {
-            return self.client.call(&request, timeout).await;
+            return self.client.call(&request, window).await;
         }
-        let reply = self.handle_request(request.clone());
-        match time::timeout(timeout, reply).await {
-            Ok(Ok(LeaderReply::NotLeader { .. })) => self.client.call(&request, timeout).await,
+        let reply = self.handle_request(request.clone(), window);
+        match time::timeout(window.expires.since(now), reply).await {
+            Ok(Ok(LeaderReply::NotLeader { .. })) => self.client.call(&request, window).await,
             Ok(Ok(LeaderReply::Uncertain) | Err(_)) | Err(_) => Err(CallFailure::Unknown),
             Ok(Ok(reply)) => Ok(reply),
         }
@@ -314,7 +328,7 @@
 pub(crate) fn random_seed() -> u64 {
     getrandom::u64().unwrap_or_else(|error| {
         warn!("event=random_failed error={:?}", error.to_string());
-        FleetClock::unix_ms()
+        crate::clock::unix_ms()
     })
 }
 
--- a/crates/parsleywalk-fleet/src/report_relay.rs
+++ b/crates/parsleywalk-fleet/src/report_relay.rs
@@ -16,6 +16,7 @@
 
 use log::info;
 use parsleywalk_batch::{ReportResponse, SortedMap, WorkerReport};
+use parsleywalk_peer::{CallWindow, SteadyClock};
 use parsleywalk_units::{VmNumber, WorkerId};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{self, Instant};
@@ -42,6 +43,7 @@
 #[derive(Debug)]
 pub(crate) struct ReportRelay {
     client: Rc<LeaderClient>,
+    clock: SteadyClock,
     metrics: FleetMetrics,
     /// The unanswered reports. A worker keeps its slot, so that a report moves no other row.
     reports: RefCell<SortedMap<WorkerId, Option<RelayedReport>>>,
@@ -51,8 +53,15 @@
 }
 
 impl ReportRelay {
-    pub(crate) fn new(client: Rc<LeaderClient>, metrics: FleetMetrics) -> Self {
-        Self { client, metrics, reports: RefCell::default(), is_gathering: Cell::new(false), arrived: Notify::new() }
+    pub(crate) fn new(client: Rc<LeaderClient>, clock: SteadyClock, metrics: FleetMetrics) -> Self {
+        Self {
+            client,
+            clock,
+            metrics,
+            reports: RefCell::default(),
+            is_gathering: Cell::new(false),
+            arrived: Notify::new(),
+        }
     }
 
     /// Returns true if the leader wants the workers of this replica's zone to report here.
@@ -89,7 +98,9 @@
 
     async fn exchange(&self, reports: Vec<Arc<WorkerReport>>) {
         self.metrics.reports_relayed(reports.len());
-        let outcome = self.client.call_any(&LeaderRequest::Relay { reports: reports.clone() }, EXCHANGE_TIMEOUT).await;
+        let now = self.clock.now();
+        let window = CallWindow { received: now, expires: now + EXCHANGE_TIMEOUT };
+        let outcome = self.client.call_any(&LeaderRequest::Relay { reports: reports.clone() }, window).await;
         match outcome {
             Ok((leader, LeaderReply::Relayed { responses, is_gathering })) => {
                 self.record_sent(&reports, leader);
--- /dev/null
+++ b/crates/parsleywalk-fleet/tests/late_calls.rs
@@ -0,0 +1,92 @@
+//! Tests with real daemons: calls that arrive after their callers have moved on.
+
+mod support;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use parsleywalk_batch::WorkerOrders;
+use parsleywalk_fleet::{CallFailure, LeaderReply, LeaderRequest, QueueAction};
+use parsleywalk_units::ZoneDirection;
+use rstest::rstest;
+use support::linked_fleet::LinkedFleet;
+use support::test_worker::TestWorker;
+use support::{TestDaemon, WAIT_TIMEOUT, job, queue};
+
+/// How long a caller waits whose call is held up.
+const CALLER_TIMEOUT: Duration = Duration::from_millis(600);
+/// The time in which the bytes that a healed link has held back arrive and take effect.
+const ARRIVAL_TIME: Duration = Duration::from_millis(800);
+/// The time in which a placed run is ordered.
+const ORDER_TIME: Duration = Duration::from_secs(2);
+
+fn set_zone(direction: ZoneDirection) -> LeaderRequest {
+    LeaderRequest::SetZone { zone: "zone-x".parse().expect("a zone"), direction }
+}
+
+/// Reports to a daemon for [`ORDER_TIME`] and returns true if a start was ordered.
+fn gets_starts(daemon: &TestDaemon, worker: &mut TestWorker) -> bool {
+    let end = Instant::now() + ORDER_TIME;
+    while Instant::now() < end {
+        let outcome = daemon.report(worker.next()).recv_timeout(WAIT_TIMEOUT).expect("an outcome");
+        let starts = |orders: WorkerOrders| !orders.starts.is_empty();
+        if outcome.is_ok_and(|(response, _)| response.orders.is_some_and(starts)) {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    false
+}
+
+/// Guards against a zone order that a follower has passed on during a partition and that takes effect when the
+/// partition heals, after its resend and the opposite order were acknowledged by way of another follower.
+#[rstest]
+#[case(31, ZoneDirection::In, ZoneDirection::Out)]
+#[case(32, ZoneDirection::Out, ZoneDirection::In)]
+fn a_zone_order_held_up_by_a_partition_is_not_carried_out(
+    #[case] network: u8,
+    #[case] held: ZoneDirection,
+    #[case] newest: ZoneDirection,
+) {
+    let fleet = LinkedFleet::start(network);
+    let [leader, follower, other] = fleet.roles();
+    assert_eq!(fleet.replica(other).call(set_zone(newest)), Ok(LeaderReply::Done));
+    fleet.set_cut(leader, follower, true);
+    let lost = fleet.replica(follower).begin_call(set_zone(held), CALLER_TIMEOUT);
+    assert_eq!(lost.recv_timeout(WAIT_TIMEOUT).expect("an outcome"), Err(CallFailure::Unknown));
+    for direction in [held, newest] {
+        assert_eq!(fleet.replica(other).call(set_zone(direction)), Ok(LeaderReply::Done));
+    }
+    fleet.set_cut(leader, follower, false);
+    thread::sleep(ARRIVAL_TIME);
+    let submit = queue("/checks/00000000000000aa", QueueAction::Submit(Box::new(job())));
+    assert_eq!(fleet.entry.call(submit), Ok(LeaderReply::Done));
+    let mut worker = TestWorker { zone: "zone-x", sequence: 0 };
+    let in_service = gets_starts(fleet.replica(other), &mut worker);
+    assert_eq!(in_service, newest == ZoneDirection::In, "the newest acknowledged order is {newest}");
+    fleet.stop();
+}
+
+/// Guards against an order that was received by a daemon before the leader's term began: an earlier leader may have
+/// acknowledged the opposite order since. A new order takes effect.
+#[test]
+fn an_order_received_before_the_change_of_leader_is_not_carried_out() {
+    let fleet = LinkedFleet::start(33);
+    let [leader, follower, other] = fleet.roles();
+    assert_eq!(fleet.replica(other).call(set_zone(ZoneDirection::Out)), Ok(LeaderReply::Done));
+    // The follower keeps calling the old leader, which is cut off from both others, until it knows the new one.
+    fleet.set_cut(leader, follower, true);
+    fleet.set_cut(leader, other, true);
+    let held = fleet.replica(follower).begin_call(set_zone(ZoneDirection::In), Duration::from_secs(8));
+    let outcome = held.recv_timeout(WAIT_TIMEOUT).expect("an outcome");
+    assert!(matches!(outcome, Ok(LeaderReply::Overtaken) | Err(_)), "{outcome:?}");
+    let submit = queue("/checks/00000000000000aa", QueueAction::Submit(Box::new(job())));
+    fleet.replica(follower).wait_for(&submit, |reply| *reply == LeaderReply::Done);
+    let mut worker = TestWorker { zone: "zone-x", sequence: 0 };
+    assert!(!gets_starts(fleet.replica(follower), &mut worker), "the zone is out of service");
+    fleet.replica(follower).wait_for(&set_zone(ZoneDirection::In), |reply| *reply == LeaderReply::Done);
+    assert!(gets_starts(fleet.replica(follower), &mut worker));
+    fleet.set_cut(leader, follower, false);
+    fleet.set_cut(leader, other, false);
+    fleet.stop();
+}
--- a/crates/parsleywalk-fleet/tests/relay.rs
+++ b/crates/parsleywalk-fleet/tests/relay.rs
@@ -3,11 +3,11 @@
 mod support;
 
 use std::net::Ipv4Addr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use parsleywalk_batch::{DispatchSettings, ReportResponse, WorkerReport};
+use parsleywalk_batch::{DispatchSettings, ReportResponse};
 use parsleywalk_fleet::{FleetSettings, LeaderReply, QueueAction};
-use parsleywalk_units::{Incarnation, MemoryBytes, MilliCores, ResourceSize};
+use support::test_worker::TestWorker;
 use support::{ReportOutcome, TestDaemon, TestFleet, WAIT_TIMEOUT, configuration, job, queue};
 
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -72,30 +72,6 @@
     }
 }
 
-struct TestWorker {
-    zone: &'static str,
-    sequence: u64,
-}
-
-impl TestWorker {
-    fn next(&mut self) -> WorkerReport {
-        self.sequence += 1;
-        WorkerReport {
-            worker: "worker-1".parse().expect("a name"),
-            incarnation: Incarnation::new(1),
-            service: "planning".parse().expect("a name"),
-            zone: self.zone.parse().expect("a zone"),
-            labels: vec!["kind".to_owned(), "rack".to_owned()],
-            capacity: ResourceSize::new(MilliCores::new(8000), MemoryBytes::new(16_000_000_000)),
-            draining: false,
-            sequence: self.sequence,
-            clock: Duration::from_millis(self.sequence * 100),
-            running: Vec::new(),
-            ended: Vec::new(),
-        }
-    }
-}
-
 /// Guards against a leader that spends its processor time on connections to workers: a worker that reports to the
 /// leader is sent to the replica of its zone, stays there, and gets its orders from there.
 #[test]
--- a/crates/parsleywalk-fleet/tests/support/mod.rs
+++ b/crates/parsleywalk-fleet/tests/support/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test uses a part")]
 
+pub(crate) mod linked_fleet;
+pub(crate) mod test_worker;
+
 use std::net::{Ipv4Addr, TcpListener};
 use std::path::PathBuf;
 use std::thread;
@@ -19,11 +22,14 @@
 /// The maximum wait for any condition; a loaded machine may be slow.
 pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How long callers wait for a reply.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
 pub(crate) type CallOutcome = Result<LeaderReply, CallFailure>;
 pub(crate) type ReportOutcome = Result<(ReportResponse, Option<Ipv4Addr>), CallFailure>;
 
 pub(crate) enum DaemonCommand {
-    Call(Box<LeaderRequest>, flume::Sender<CallOutcome>),
+    Call(Box<LeaderRequest>, Duration, flume::Sender<CallOutcome>),
     Report(Box<WorkerReport>, flume::Sender<ReportOutcome>),
     Stop,
 }
@@ -47,8 +53,8 @@
                 while let Ok(command) = queue.recv_async().await {
                     let access = std::rc::Rc::clone(&access);
                     match command {
-                        DaemonCommand::Call(request, sender) => tokio::task::spawn_local(async move {
-                            drop(sender.send(access.call(*request, Duration::from_secs(2)).await));
+                        DaemonCommand::Call(request, timeout, sender) => tokio::task::spawn_local(async move {
+                            drop(sender.send(access.call(*request, timeout).await));
                         }),
                         DaemonCommand::Report(report, sender) => tokio::task::spawn_local(async move {
                             drop(sender.send(access.report(*report, Duration::from_secs(2)).await));
@@ -62,9 +68,14 @@
     }
 
     pub(crate) fn call(&self, request: LeaderRequest) -> CallOutcome {
+        self.begin_call(request, CALL_TIMEOUT).recv().expect("every call gets a reply")
+    }
+
+    /// Sends a request to the daemon, whose caller waits for `timeout`. The outcome arrives at the receiver.
+    pub(crate) fn begin_call(&self, request: LeaderRequest, timeout: Duration) -> flume::Receiver<CallOutcome> {
         let (sender, reply) = flume::bounded(1);
-        self.commands.send(DaemonCommand::Call(Box::new(request), sender)).expect("the daemon runs");
-        reply.recv().expect("every call gets a reply")
+        self.commands.send(DaemonCommand::Call(Box::new(request), timeout, sender)).expect("the daemon runs");
+        reply
     }
 
     /// Sends a worker's report to the daemon. The outcome arrives at the receiver.
--- a/crates/parsleywalk-peer/src/call.rs
+++ b/crates/parsleywalk-peer/src/call.rs
@@ -1,5 +1,6 @@
 //! Calls between daemons. A call is an `h2` stream with one request frame and one reply frame.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,13 +9,14 @@
 use h2::client::SendRequest;
 use h2::server::SendResponse;
 use h2::{RecvStream, SendStream};
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use quick_error::quick_error;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::{Mutex, oneshot};
 use tokio::time;
 
+use crate::call_window::{CallWindow, ClockReading, RemoteClock, WindowHeader};
 use crate::frame::{self, FrameBuffer};
 use crate::hello::{StreamHello, tokens_match};
 use crate::{PeerError, PeerIdentity, PeerSettings, Result, keepalive, outbound};
@@ -27,6 +29,8 @@
 pub struct ReceivedCall {
     /// The calling daemon.
     pub from: PeerIdentity,
+    /// The time in which the call may take effect, on this daemon's clock; `None` if the caller's release sends none.
+    pub window: Option<CallWindow>,
     /// The encoded request; see [`ReceivedCall::decode`].
     body: Bytes,
     reply: oneshot::Sender<Bytes>,
@@ -77,13 +81,14 @@
     settings: Arc<PeerSettings>,
     peer: SocketAddr,
     connection: Arc<Mutex<Option<SendRequest<Bytes>>>>,
+    remote_clock: Cell<RemoteClock>,
 }
 
 impl CallClient {
     /// Creates a client without connecting.
     #[must_use]
     pub fn new(settings: Arc<PeerSettings>, peer: SocketAddr) -> Self {
-        Self { settings, peer, connection: Arc::default() }
+        Self { settings, peer, connection: Arc::default(), remote_clock: Cell::default() }
     }
 
     /// Returns the address of the daemon.
@@ -92,7 +97,15 @@
         self.peer
     }
 
-    /// Sends a request and waits for the reply.
+    /// Returns true if a reply of the daemon has arrived, so that a call's window can be sent if the daemon knows
+    /// windows.
+    #[must_use]
+    pub fn has_reply(&self) -> bool {
+        self.remote_clock.get() != RemoteClock::Unknown
+    }
+
+    /// Sends a request and waits for the reply. The window, on this daemon's clock, is sent along once a reply of the
+    /// daemon has arrived; see [`CallClient::has_reply`].
     ///
     /// # Errors
     ///
@@ -101,24 +114,32 @@
     pub async fn call<Q: Serialize, R: DeserializeOwned>(
         &self,
         request: &Q,
+        window: Option<CallWindow>,
         timeout: Duration,
     ) -> std::result::Result<R, CallError> {
         let peer = self.peer;
         let deadline = time::Instant::now() + timeout;
-        let opened = time::timeout_at(deadline, self.open_stream(request)).await;
+        let opened = time::timeout_at(deadline, self.open_stream(request, window)).await;
         let (response, stream) =
             opened.unwrap_or(Err(PeerError::Timeout { step: "connect", peer })).map_err(CallError::NotSent)?;
         // Held until the reply has arrived, because dropping it would reset the stream.
         let _stream = stream;
         let received = time::timeout_at(deadline, receive_reply(response, self.settings.frame_limit, peer)).await;
-        let bytes = match received {
+        let (reading, bytes) = match received {
             Ok(received) => received.map_err(CallError::Unknown)?,
             Err(_) => return Err(CallError::Unknown(PeerError::Timeout { step: "call", peer })),
         };
+        let mut remote_clock = self.remote_clock.get();
+        remote_clock.record(reading, self.settings.clock.now());
+        self.remote_clock.set(remote_clock);
         frame::decode(&bytes).map_err(|reason| CallError::Unknown(PeerError::Frame { peer, reason }))
     }
 
-    async fn open_stream<Q: Serialize>(&self, request: &Q) -> Result<(h2::client::ResponseFuture, SendStream<Bytes>)> {
+    async fn open_stream<Q: Serialize>(
+        &self,
+        request: &Q,
+        window: Option<CallWindow>,
+    ) -> Result<(h2::client::ResponseFuture, SendStream<Bytes>)> {
         let peer = self.peer;
         let frame_error = |reason| PeerError::Frame { peer, reason };
         let stream_error = |cause| PeerError::Stream { step: "open call", peer, cause };
@@ -126,7 +147,10 @@
         let hello = frame::encode(&hello).map_err(frame_error)?;
         let body = frame::encode(request).map_err(frame_error)?;
         let sender = self.sender().await?;
-        let head = Request::post(format!("http://peer{CALL_PATH}")).body(()).expect("a valid request");
+        let mut head = Request::post(format!("http://peer{CALL_PATH}")).body(()).expect("a valid request");
+        if let Some(header) = window.and_then(|window| self.remote_clock.get().window_header(window)) {
+            header.add_to(head.headers_mut());
+        }
         let mut sender = sender.ready().await.map_err(stream_error)?;
         let (response, mut stream) = sender.send_request(head, false).map_err(stream_error)?;
         // Both frames are queued together; the connection sends them as flow control permits.
@@ -168,9 +192,16 @@
     }
 }
 
-async fn receive_reply(response: h2::client::ResponseFuture, limit: usize, peer: SocketAddr) -> Result<Bytes> {
+/// Returns the reply and the reading of the daemon's clock that came with it.
+async fn receive_reply(
+    response: h2::client::ResponseFuture,
+    limit: usize,
+    peer: SocketAddr,
+) -> Result<(Option<ClockReading>, Bytes)> {
     let response = response.await.map_err(|cause| PeerError::Stream { step: "call", peer, cause })?;
-    receive_frame(&mut response.into_body(), &mut FrameBuffer::new(limit), peer).await
+    let reading = ClockReading::from_headers(response.headers());
+    let bytes = receive_frame(&mut response.into_body(), &mut FrameBuffer::new(limit), peer).await?;
+    Ok((reading, bytes))
 }
 
 async fn receive_frame(body: &mut RecvStream, buffer: &mut FrameBuffer, peer: SocketAddr) -> Result<Bytes> {
@@ -188,6 +219,7 @@
 /// Receives a call on its stream, passes it on through `calls`, and sends the reply.
 pub(crate) async fn serve(
     settings: &PeerSettings,
+    headers: &HeaderMap,
     mut body: RecvStream,
     mut response: SendResponse<Bytes>,
     peer: SocketAddr,
@@ -203,12 +235,15 @@
     let request = time::timeout(settings.connect_timeout, receive_frame(&mut body, &mut buffer, peer)).await;
     let request = request.map_err(|_| PeerError::Timeout { step: "request", peer })??;
     let (reply, replied) = oneshot::channel();
-    let call = ReceivedCall { from: hello.identity, body: request, reply };
+    let window = WindowHeader::window_from(headers, settings.incarnation);
+    let call = ReceivedCall { from: hello.identity, window, body: request, reply };
     if calls.send_async(call).await.is_err() {
         return Ok(());
     }
     let Ok(bytes) = replied.await else { return Ok(()) };
     let send_error = |cause| PeerError::Stream { step: "reply", peer, cause };
-    let mut stream = response.send_response(Response::new(()), false).map_err(send_error)?;
+    let mut head = Response::new(());
+    ClockReading { incarnation: settings.incarnation, time: settings.clock.now() }.add_to(head.headers_mut());
+    let mut stream = response.send_response(head, false).map_err(send_error)?;
     stream.send_data(bytes, true).map_err(send_error)
 }
--- a/crates/parsleywalk-peer/src/inbound.rs
+++ b/crates/parsleywalk-peer/src/inbound.rs
@@ -101,13 +101,14 @@
     peer: SocketAddr,
     inbox: PeerInbox<M>,
 ) {
-    let is_call = request.uri().path() == call::CALL_PATH;
+    let (head, body) = request.into_parts();
+    let is_call = head.uri.path() == call::CALL_PATH;
     let received = if is_call {
-        call::serve(&settings, request.into_body(), response, peer, &inbox.calls).await
+        call::serve(&settings, &head.headers, body, response, peer, &inbox.calls).await
     } else {
         // Held until the stream ends, because dropping it would reset the stream.
         let _response = response;
-        receive_messages(&settings, request.into_body(), peer, &inbox.messages).await
+        receive_messages(&settings, body, peer, &inbox.messages).await
     };
     if let Err(error) = received {
         warn!("event=peer_stream_ended peer={peer} error={:?}", error.to_string());
--- a/crates/parsleywalk-peer/src/lib.rs
+++ b/crates/parsleywalk-peer/src/lib.rs
@@ -9,7 +9,7 @@
 //! or has a time-out at its sender.
 //!
 //! A [`CallClient`] makes calls with one reply each over a connection of its own. Daemons without a replica use it to
-//! reach the leader.
+//! reach the leader. A call carries the time in which it may take effect as a [`CallWindow`].
 //!
 //! ```no_run
 //! use parsleywalk_peer::{StreamKind, PeerNetwork, PeerSettings};
@@ -23,6 +23,8 @@
 //! ```
 
 mod call;
+mod call_window;
+mod clock;
 mod error;
 mod frame;
 mod hello;
@@ -33,6 +35,8 @@
 mod settings;
 
 pub use call::{CallClient, CallError, ReceivedCall};
+pub use call_window::CallWindow;
+pub use clock::SteadyClock;
 pub use error::{PeerError, Result};
 pub use hello::{PeerIdentity, tokens_match};
 pub use network::{PeerMessage, PeerNetwork, PeerReceivers, ReceivedMessage, StreamKind};
--- a/crates/parsleywalk-peer/src/settings.rs
+++ b/crates/parsleywalk-peer/src/settings.rs
@@ -6,7 +6,7 @@
 use parsleywalk_units::{Incarnation, VmNumber, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::PeerIdentity;
+use crate::{PeerIdentity, SteadyClock};
 
 /// A peer and the address on which it listens.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +25,8 @@
     pub vm: VmNumber,
     /// This daemon's incarnation, which distinguishes it from earlier processes on the same VM.
     pub incarnation: Incarnation,
+    /// This daemon's clock, on which the windows of calls count.
+    pub clock: SteadyClock,
     /// This daemon's availability zone.
     pub zone: ZoneName,
     /// The address on which to listen for peers.
@@ -61,6 +63,7 @@
         Self {
             vm: VmNumber::new(1),
             incarnation: Incarnation::new(0),
+            clock: SteadyClock::start(),
             zone: "local".parse().expect("a valid name"),
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             peers: Vec::new(),
