Keep the cancel of an unknown job until its submission can't arrive any more

Cause: a cancel of an unknown job was answered without a trace, so each copy of the submission that arrives later was a new job: copies that a daemon has passed on, and those that the caller sends itself. Related: a copy from before a refusal could be accepted after it, and a copy of a job that was being committed could be refused.

Without the tombstone two of the new tests fail: "left: Ok(Status(Pending)), right: Ok(Status(Cancelled))". The third passes there, as the window of the call has expired.

Change: the cancel commits a tombstone, a job without steps that is cancelled in the same entry; a later submission stores the job as cancelled. At most 20,000 tombstones, removed with the ended jobs. Refusals and accepted jobs that are not applied yet are remembered by the leader, within bounds.

--- a/crates/parsleywalk-batch/src/admission.rs
+++ b/crates/parsleywalk-batch/src/admission.rs
@@ -79,6 +79,12 @@
 }
 
 impl Dispatcher {
+    /// Returns true if [`Dispatcher::admit`] may refuse such a job.
+    #[must_use]
+    pub fn may_refuse(submission: &JobSubmission) -> bool {
+        long_running_millicores(submission) > 0
+    }
+
     /// Returns a refusal if the job must not be accepted; otherwise adds the job to the short-task demand.
     pub fn admit(&mut self, now: MonotonicTime, state: &BatchState, submission: &JobSubmission) -> Option<JobRefusal> {
         let requested = long_running_millicores(submission);
--- a/crates/parsleywalk-batch/src/command.rs
+++ b/crates/parsleywalk-batch/src/command.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::{decode, encode};
-use crate::{EndNumber, JobId, JobSpec, QueueConfiguration, Result, RunNumber, TaskKey};
+use crate::{EndNumber, JobId, JobQueue, JobSpec, QueueConfiguration, Result, RunNumber, TaskKey};
 
 /// A change of the replicated state. Preconditions are checked again when a command is applied.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -89,6 +89,38 @@
     pub accepted_unix_ms: u64,
 }
 
+impl JobSubmission {
+    /// Returns a tombstone: the submission that stands for a job which was cancelled before it arrived. It has no steps,
+    /// which no valid job has.
+    #[must_use]
+    pub fn tombstone(job: JobId, queue: &JobQueue, unix_ms: u64) -> Self {
+        Self {
+            job,
+            spec: JobSpec::default(),
+            queue: queue.name.clone(),
+            service: queue.service.clone(),
+            priority: queue.priority,
+            attempt_limit: queue.attempt_limit,
+            stretch: queue.stretch,
+            latency_objective: queue.latency_objective,
+            advised: queue.advice.is_some(),
+            accepted_unix_ms: unix_ms,
+        }
+    }
+
+    /// Returns the commands of one entry that store the job as cancelled; no task of it ever starts. Replicas of every
+    /// release apply them alike. A tombstone of the job is replaced.
+    #[must_use]
+    pub fn into_cancelled(self) -> Vec<BatchCommand> {
+        let job = self.job;
+        vec![
+            BatchCommand::Forget { jobs: vec![job] },
+            BatchCommand::Submit(Box::new(self)),
+            BatchCommand::Cancel { job },
+        ]
+    }
+}
+
 /// A run placed on a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunPlacement {
--- a/crates/parsleywalk-batch/src/job.rs
+++ b/crates/parsleywalk-batch/src/job.rs
@@ -97,6 +97,12 @@
         Self { submission, status: JobStatus::Pending, sequence, occurrences }
     }
 
+    /// Returns true if the record only says that the job was cancelled before it arrived.
+    #[must_use]
+    pub fn is_tombstone(&self) -> bool {
+        self.submission.spec.steps.is_empty()
+    }
+
     /// Returns the specification of a step.
     #[must_use]
     pub fn step_spec(&self, step: u16) -> Option<&StepSpec> {
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -7,7 +7,8 @@
 
 use log::{debug, error, info};
 use parsleywalk_batch::{
-    BatchCommand, BatchReply, BatchState, FencingToken, SortedMap, decode_commands, encode_commands,
+    BatchCommand, BatchReply, BatchState, Dispatcher, FencingToken, JobRecord, JobRefusal, JobSubmission, SortedMap,
+    decode_commands, encode_commands,
 };
 use parsleywalk_consensus::{
     ConsensusAction, ConsensusEvent, ConsensusMessage, ConsensusNode, EntryPayload, LogEntry, LogTerm, LogWrite,
@@ -19,8 +20,9 @@
 use crate::held_reports::HeldReports;
 use crate::leader_state::LeaderState;
 use crate::members::{self, MemberView};
-use crate::queue_decision;
+use crate::queue_decision::{self, QueueDecision};
 use crate::settings::FleetSettings;
+use crate::submission_history::PriorDecision;
 use crate::waiter::{AppendedProposal, EntryWaiters, QueuedCommands, ReplySender, Waiter};
 use crate::{FleetMetrics, LeaderReply, LeaderRequest, LogMessage};
 
@@ -33,6 +35,10 @@
 const MAX_ENTRIES_IN_FLIGHT: usize = 2;
 /// The maximum number of commands in one entry.
 const MAX_ENTRY_COMMANDS: usize = 512;
+/// The maximum number of tombstones; one takes less than 1 KB.
+const MAX_TOMBSTONES: usize = 20_000;
+/// The delay after which a cancel of an unknown job may be repeated when there are too many of them.
+const TOMBSTONE_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// The exit code used when the log cannot be decoded.
 const CORRUPT_LOG_EXIT_CODE: i32 = 65;
 
@@ -235,10 +241,8 @@
             }
             LeaderRequest::Queue { host, path, action } => {
                 let unix_ms = crate::clock::unix_ms();
-                match queue_decision::decide(&self.state, unix_ms, &host, &path, action) {
-                    queue_decision::QueueDecision::Reply(reply) => sender.send(reply),
-                    queue_decision::QueueDecision::Commit(command) => self.commit_or_refuse(now, command, sender),
-                }
+                let decision = queue_decision::decide(&self.state, unix_ms, &host, &path, action);
+                self.carry_out(now, window, decision, sender);
             }
         }
         self.advance(now);
@@ -253,27 +257,70 @@
         sender.send(LeaderReply::Overtaken);
     }
 
-    /// Proposes a caller's command, unless admission control refuses it.
-    fn commit_or_refuse(&mut self, now: MonotonicTime, command: BatchCommand, sender: ReplySender) {
-        if let Some(refusal) = self.refusal(now, &command) {
-            sender.send(refusal);
-            return;
+    /// Answers a caller's request or proposes its commands.
+    fn carry_out(&mut self, now: MonotonicTime, window: CallWindow, decision: QueueDecision, sender: ReplySender) {
+        match decision {
+            QueueDecision::Reply(reply) => sender.send(reply),
+            QueueDecision::Submit(submission) => self.submit(now, window, submission, sender),
+            QueueDecision::SubmitCancelled(submission) => {
+                info!("event=job_cancelled_before_arrival job={} queue={}", submission.job, submission.queue);
+                self.propose(submission.into_cancelled(), Waiter::Reply(sender));
+            }
+            QueueDecision::Cancel(job) => {
+                self.propose(vec![BatchCommand::Cancel { job }], Waiter::Cancel(sender, job));
+            }
+            QueueDecision::CancelUnknown(tombstone) => {
+                let Some(leader_state) = &mut self.leader_state else { return };
+                if leader_state.tombstones >= MAX_TOMBSTONES {
+                    let reason = "too many jobs were cancelled before they arrived";
+                    self.metrics.refused(reason);
+                    info!("event=cancel_refused job={} reason={reason:?}", tombstone.job);
+                    let reason = reason.to_owned();
+                    return sender.send(LeaderReply::Refused { retry_after: TOMBSTONE_RETRY_AFTER, reason });
+                }
+                leader_state.tombstones += 1;
+                let job = tombstone.job;
+                // A copy of the job that is committed first stays, and is cancelled.
+                let commands = vec![BatchCommand::Submit(tombstone), BatchCommand::Cancel { job }];
+                self.propose(commands, Waiter::Cancel(sender, job));
+            }
         }
-        if let BatchCommand::Submit(submission) = &command {
-            let (job, queue, steps) = (submission.job, &submission.queue, submission.spec.steps.len());
+    }
+
+    /// Proposes a job, unless admission control refuses it or may have refused a copy of it.
+    fn submit(&mut self, now: MonotonicTime, window: CallWindow, submission: Box<JobSubmission>, sender: ReplySender) {
+        let Some(leader_state) = &mut self.leader_state else { return };
+        let job = submission.job;
+        let history = &mut leader_state.submission_history;
+        let prior = history.prior(job, window.received);
+        let refusal = match &prior {
+            PriorDecision::Accepted => None,
+            PriorDecision::Refused(refusal) => Some(refusal.clone()),
+            PriorDecision::Unknown if Dispatcher::may_refuse(&submission) => {
+                info!("event=call_overtaken request=submit job={job} expired=false");
+                self.metrics.call_overtaken();
+                return sender.send(LeaderReply::Overtaken);
+            }
+            PriorDecision::Unknown | PriorDecision::None => {
+                let refusal = leader_state.dispatcher.admit(now, &self.state, &submission);
+                match refusal.clone() {
+                    Some(refusal) => history.record_refused(now, job, refusal),
+                    None => history.record_accepted(job),
+                }
+                refusal
+            }
+        };
+        let (queue, steps) = (&submission.queue, submission.spec.steps.len());
+        if let Some(JobRefusal { retry_after, reason }) = refusal {
+            self.metrics.refused(reason);
+            info!("event=job_refused job={job} queue={queue} reason={reason:?}");
+            return sender.send(LeaderReply::Refused { retry_after, reason: reason.to_owned() });
+        }
+        if prior != PriorDecision::Accepted {
             info!("event=job_accepted job={job} queue={queue} steps={steps}");
             self.metrics.job_accepted();
         }
-        self.propose(vec![command], Waiter::Reply(sender));
-    }
-
-    /// Returns the reply to a submission that admission control refuses, or `None` if the command is accepted.
-    fn refusal(&mut self, now: MonotonicTime, command: &BatchCommand) -> Option<LeaderReply> {
-        let BatchCommand::Submit(submission) = command else { return None };
-        let refusal = self.leader_state.as_mut()?.dispatcher.admit(now, &self.state, submission)?;
-        self.metrics.refused(refusal.reason);
-        info!("event=job_refused job={} queue={} reason={:?}", submission.job, submission.queue, refusal.reason);
-        Some(LeaderReply::Refused { retry_after: refusal.retry_after, reason: refusal.reason.to_owned() })
+        self.propose(vec![BatchCommand::Submit(submission)], Waiter::Reply(sender));
     }
 
     /// Runs a scheduling cycle, proposes queued commands and answers held reports, each if it is due.
@@ -457,7 +504,7 @@
     /// Releases a waiter whose commands were not committed or may not have been.
     fn abandon(&mut self, waiter: Waiter, reply: LeaderReply) {
         match waiter {
-            Waiter::Reply(sender) => sender.send(reply),
+            Waiter::Reply(sender) | Waiter::Cancel(sender, _) => sender.send(reply),
             Waiter::Report(report) => report.sender.send(LeaderReply::NotLeader { leader: None }),
             Waiter::Plan => {
                 if let Some(leader_state) = &mut self.leader_state {
@@ -489,7 +536,10 @@
         let ended = self.state.take_newly_ended();
         if self.leader_state.is_some() {
             for (job, status) in ended {
-                let failures = self.state.job(job).map_or(0, parsleywalk_batch::JobRecord::failures);
+                if self.state.job(job).is_some_and(JobRecord::is_tombstone) {
+                    continue;
+                }
+                let failures = self.state.job(job).map_or(0, JobRecord::failures);
                 self.metrics.job_ended(status);
                 info!("event=job_ended job={job} status={status:?} failed_runs={failures} index={}", entry.index);
             }
@@ -533,6 +583,10 @@
                 };
                 sender.send(reply);
             }
+            Waiter::Cancel(sender, job) => {
+                let is_known = self.state.job(job).is_some_and(|record| !record.is_tombstone());
+                sender.send(if is_known { LeaderReply::Done } else { LeaderReply::NoJob });
+            }
             Waiter::Report(report) => self.hold(now, report),
             Waiter::Plan => {
                 if let Some(leader_state) = &mut self.leader_state {
--- a/crates/parsleywalk-fleet/src/leader_state.rs
+++ b/crates/parsleywalk-fleet/src/leader_state.rs
@@ -11,6 +11,7 @@
 
 use crate::message::RelayedResponse;
 use crate::plan_pacer::PlanPacer;
+use crate::submission_history::SubmissionHistory;
 use crate::waiter::RelayOutbox;
 use crate::zone_orders::ZoneOrders;
 
@@ -39,6 +40,9 @@
     /// replica that leads again gives out none of its earlier term.
     outboxes: SortedMap<VmNumber, RelayOutbox>,
     pub(crate) zone_orders: ZoneOrders,
+    pub(crate) submission_history: SubmissionHistory,
+    /// The number of tombstones, including those that are being committed.
+    pub(crate) tombstones: usize,
 }
 
 impl LeaderState {
@@ -54,6 +58,8 @@
             ended_since: SortedMap::default(),
             outboxes: SortedMap::default(),
             zone_orders: ZoneOrders::new(now),
+            submission_history: SubmissionHistory::new(now),
+            tombstones: 0,
         }
     }
 
@@ -67,15 +73,18 @@
         self.outboxes.get(&follower).map(|outbox| outbox.take()).unwrap_or_default()
     }
 
-    /// Returns a command that removes the jobs whose retention period is over.
+    /// Returns a command that removes the jobs whose retention period is over, and updates what is known of other jobs.
     pub(crate) fn forget_command(
         &mut self,
         state: &BatchState,
         now: MonotonicTime,
         retention: Duration,
     ) -> Option<BatchCommand> {
+        self.submission_history.prune(now, |job| state.job(job).is_some());
         let mut jobs = Vec::new();
-        for (job, _) in state.ended_jobs() {
+        self.tombstones = 0;
+        for (job, record) in state.ended_jobs() {
+            self.tombstones += usize::from(record.is_tombstone());
             let since = *self.ended_since.entry(job, || now);
             if now >= since + retention && jobs.len() < MAX_FORGOTTEN_JOBS {
                 jobs.push(job);
--- a/crates/parsleywalk-fleet/src/lib.rs
+++ b/crates/parsleywalk-fleet/src/lib.rs
@@ -25,6 +25,7 @@
 mod report_replica;
 mod settings;
 mod stall_monitor;
+mod submission_history;
 mod waiter;
 mod zone_orders;
 
--- a/crates/parsleywalk-fleet/src/queue_decision.rs
+++ b/crates/parsleywalk-fleet/src/queue_decision.rs
@@ -1,6 +1,6 @@
 //! Decisions about callers' requests to queues.
 
-use parsleywalk_batch::{BatchCommand, BatchState, JobId, JobQueue, JobSpec, JobSubmission};
+use parsleywalk_batch::{BatchState, JobId, JobQueue, JobRecord, JobSpec, JobSubmission};
 
 use crate::{LeaderReply, QueueAction};
 
@@ -9,8 +9,15 @@
 pub(crate) enum QueueDecision {
     /// The request is answered immediately.
     Reply(LeaderReply),
-    /// The request is answered once the command is committed.
-    Commit(BatchCommand),
+    /// The job is stored unless admission control refuses it.
+    Submit(Box<JobSubmission>),
+    /// The job is stored as cancelled, because its cancel arrived first.
+    SubmitCancelled(Box<JobSubmission>),
+    /// The job is cancelled.
+    Cancel(JobId),
+    /// A job that is not known is cancelled: the tombstone is stored, so that no copy of the job which arrives later
+    /// runs.
+    CancelUnknown(Box<JobSubmission>),
 }
 
 /// Decides how a caller's request is handled, given the leader's current state.
@@ -27,15 +34,19 @@
             QueueDecision::Reply(LeaderReply::Waiting(waiting))
         }
         (QueueAction::Read, Some(job)) => {
-            let record = state.job(job);
+            let record = state.job(job).filter(|record| !record.is_tombstone());
             QueueDecision::Reply(record.map_or(LeaderReply::NoJob, |record| LeaderReply::Status(record.status)))
         }
         (QueueAction::Cancel, Some(job)) => match state.job(job) {
-            None => QueueDecision::Reply(LeaderReply::NoJob),
+            None => {
+                log::info!("event=cancel_received job={job} queue={} known=false", queue.name);
+                QueueDecision::CancelUnknown(Box::new(JobSubmission::tombstone(job, queue, unix_ms)))
+            }
+            Some(record) if record.is_tombstone() => QueueDecision::Reply(LeaderReply::NoJob),
             Some(record) if record.status.is_final() => QueueDecision::Reply(LeaderReply::Done),
             Some(_) => {
-                log::info!("event=cancel_received job={job} queue={}", queue.name);
-                QueueDecision::Commit(BatchCommand::Cancel { job })
+                log::info!("event=cancel_received job={job} queue={} known=true", queue.name);
+                QueueDecision::Cancel(job)
             }
         },
         (QueueAction::Read | QueueAction::Cancel, None) => QueueDecision::Reply(LeaderReply::NoJob),
@@ -47,13 +58,14 @@
 }
 
 fn submit(state: &BatchState, queue: &JobQueue, unix_ms: u64, job: JobId, spec: JobSpec) -> QueueDecision {
-    if state.job(job).is_some() {
+    let is_tombstone = state.job(job).map(JobRecord::is_tombstone);
+    if is_tombstone == Some(false) {
         return QueueDecision::Reply(LeaderReply::Done);
     }
     if let Some(error) = spec.validation_error() {
         return QueueDecision::Reply(LeaderReply::Invalid(error.to_owned()));
     }
-    QueueDecision::Commit(BatchCommand::Submit(Box::new(JobSubmission {
+    let submission = Box::new(JobSubmission {
         job,
         spec,
         queue: queue.name.clone(),
@@ -64,5 +76,10 @@
         latency_objective: queue.latency_objective,
         advised: queue.advice.is_some(),
         accepted_unix_ms: unix_ms,
-    })))
+    });
+    if is_tombstone.is_some() { QueueDecision::SubmitCancelled(submission) } else { QueueDecision::Submit(submission) }
 }
+
+#[cfg(test)]
+#[path = "queue_decision_tests.rs"]
+mod tests;
--- a/crates/parsleywalk-fleet/src/waiter.rs
+++ b/crates/parsleywalk-fleet/src/waiter.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use parsleywalk_batch::BatchCommand;
+use parsleywalk_batch::{BatchCommand, JobId};
 use parsleywalk_consensus::{LogIndex, LogTerm};
 use parsleywalk_units::{MonotonicTime, WorkerId};
 use tokio::sync::oneshot;
@@ -44,6 +44,8 @@
 pub(crate) enum Waiter {
     /// A caller's or operator's request.
     Reply(ReplySender),
+    /// A caller's cancel of a job.
+    Cancel(ReplySender, JobId),
     /// A worker's report.
     Report(WaitingReport),
     /// A scheduling cycle.
--- a/crates/parsleywalk-fleet/tests/late_calls.rs
+++ b/crates/parsleywalk-fleet/tests/late_calls.rs
@@ -5,13 +5,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use parsleywalk_batch::WorkerOrders;
+use parsleywalk_batch::{JobStatus, WorkerOrders};
 use parsleywalk_fleet::{CallFailure, LeaderReply, LeaderRequest, QueueAction};
 use parsleywalk_units::ZoneDirection;
 use rstest::rstest;
 use support::linked_fleet::LinkedFleet;
 use support::test_worker::TestWorker;
-use support::{TestDaemon, WAIT_TIMEOUT, job, queue};
+use support::{TestDaemon, TestFleet, WAIT_TIMEOUT, configuration, job, queue};
 
 /// How long a caller waits whose call is held up.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -20,6 +20,13 @@
 /// The time in which a placed run is ordered.
 const ORDER_TIME: Duration = Duration::from_secs(2);
 
+/// The path of the job that the tests submit and cancel.
+const JOB_PATH: &str = "/checks/00000000000000aa";
+
+fn submit() -> LeaderRequest {
+    queue(JOB_PATH, QueueAction::Submit(Box::new(job())))
+}
+
 fn set_zone(direction: ZoneDirection) -> LeaderRequest {
     LeaderRequest::SetZone { zone: "zone-x".parse().expect("a zone"), direction }
 }
@@ -59,8 +66,7 @@
     }
     fleet.set_cut(leader, follower, false);
     thread::sleep(ARRIVAL_TIME);
-    let submit = queue("/checks/00000000000000aa", QueueAction::Submit(Box::new(job())));
-    assert_eq!(fleet.entry.call(submit), Ok(LeaderReply::Done));
+    assert_eq!(fleet.entry.call(submit()), Ok(LeaderReply::Done));
     let mut worker = TestWorker { zone: "zone-x", sequence: 0 };
     let in_service = gets_starts(fleet.replica(other), &mut worker);
     assert_eq!(in_service, newest == ZoneDirection::In, "the newest acknowledged order is {newest}");
@@ -80,8 +86,7 @@
     let held = fleet.replica(follower).begin_call(set_zone(ZoneDirection::In), Duration::from_secs(8));
     let outcome = held.recv_timeout(WAIT_TIMEOUT).expect("an outcome");
     assert!(matches!(outcome, Ok(LeaderReply::Overtaken) | Err(_)), "{outcome:?}");
-    let submit = queue("/checks/00000000000000aa", QueueAction::Submit(Box::new(job())));
-    fleet.replica(follower).wait_for(&submit, |reply| *reply == LeaderReply::Done);
+    fleet.replica(follower).wait_for(&submit(), |reply| *reply == LeaderReply::Done);
     let mut worker = TestWorker { zone: "zone-x", sequence: 0 };
     assert!(!gets_starts(fleet.replica(follower), &mut worker), "the zone is out of service");
     fleet.replica(follower).wait_for(&set_zone(ZoneDirection::In), |reply| *reply == LeaderReply::Done);
@@ -90,3 +95,54 @@
     fleet.set_cut(leader, other, false);
     fleet.stop();
 }
+
+/// Guards against a submission that an entry has passed on during a partition and that runs when the partition heals,
+/// after its cancel was answered by way of another daemon. The submission arrives after its caller has given up, or
+/// while it still waits.
+#[rstest]
+#[case::given_up(34, CALLER_TIMEOUT)]
+#[case::waiting(35, Duration::from_secs(8))]
+fn a_submission_held_up_by_a_partition_does_not_run_after_its_cancel(#[case] network: u8, #[case] timeout: Duration) {
+    let fleet = LinkedFleet::start(network);
+    let [leader, follower, _] = fleet.roles();
+    fleet.set_cut(leader, LinkedFleet::entry_number(), true);
+    let submission = fleet.entry.begin_call(submit(), timeout);
+    thread::sleep(CALLER_TIMEOUT);
+    assert_eq!(fleet.replica(follower).call(queue(JOB_PATH, QueueAction::Cancel)), Ok(LeaderReply::NoJob));
+    assert_eq!(fleet.replica(follower).call(queue(JOB_PATH, QueueAction::Read)), Ok(LeaderReply::NoJob));
+    fleet.set_cut(leader, LinkedFleet::entry_number(), false);
+    let outcome = submission.recv_timeout(WAIT_TIMEOUT).expect("an outcome");
+    thread::sleep(ARRIVAL_TIME);
+    let shown = fleet.replica(follower).call(queue(JOB_PATH, QueueAction::Read));
+    if outcome == Ok(LeaderReply::Done) {
+        assert_eq!(shown, Ok(LeaderReply::Status(JobStatus::Cancelled)), "the submission was acknowledged");
+    } else {
+        assert_eq!(shown, Ok(LeaderReply::NoJob));
+    }
+    let mut worker = TestWorker { zone: "zone-x", sequence: 0 };
+    assert!(!gets_starts(fleet.replica(follower), &mut worker), "the job is cancelled");
+    fleet.stop();
+}
+
+/// Guards against a cancel whose answer is forgotten: the leader is lost, and then every daemon starts again, before a
+/// copy of the submission arrives.
+#[test]
+fn the_cancel_of_an_unknown_job_outlives_its_leader_and_a_restart() {
+    let fleet = TestFleet::new(36);
+    let mut replicas = fleet.bootstrap();
+    let entry = fleet.entry();
+    entry.wait_for(&configuration(1), |reply| *reply == LeaderReply::Done);
+    entry.wait_for(&queue(JOB_PATH, QueueAction::Cancel), |reply| *reply == LeaderReply::NoJob);
+    let leader = replicas[0].as_ref().expect("the replica runs").leader();
+    replicas[usize::from(leader.octets()[3]) - 1].take().expect("the replica runs").stop();
+    assert_eq!(entry.wait_for(&queue(JOB_PATH, QueueAction::Read), |_| true), LeaderReply::NoJob);
+    replicas.into_iter().flatten().for_each(TestDaemon::stop);
+    let replicas: Vec<TestDaemon> = (1..=3).map(|number| fleet.replica(number, true)).collect();
+    entry.wait_for(&submit(), |reply| *reply == LeaderReply::Done);
+    let shown = entry.wait_for(&queue(JOB_PATH, QueueAction::Read), |_| true);
+    assert_eq!(shown, LeaderReply::Status(JobStatus::Cancelled));
+    let mut worker = TestWorker { zone: "zone-x", sequence: 0 };
+    assert!(!gets_starts(&replicas[0], &mut worker), "the job is cancelled");
+    entry.stop();
+    replicas.into_iter().for_each(TestDaemon::stop);
+}
