Count a job as begun only once a worker has listed a run of it

Cause: the state marks a job as running when a run of it is placed, and neither the loss of the worker nor a withdrawn or refused run takes that back.

Change: the leader goes by what workers list and by the work that the state shows, for the count and for the status that callers read.

--- /dev/null
+++ b/crates/parsleywalk-batch/src/begun_jobs.rs
@@ -0,0 +1,74 @@
+//! Which jobs have begun.
+//!
+//! A job has begun once a worker has listed a run of it, in progress or ended. A placement alone does not count: the
+//! worker may be lost before the start order reaches it, or refuse the run. The replicated state holds only the
+//! placements, and of what has run the completed tasks, the failures and the checkpoints. The rest is the leader's own
+//! knowledge, which a new leader regains from the first reports.
+
+use parsleywalk_units::MonotonicTime;
+
+use crate::admission::LEADER_WARM_UP;
+use crate::{BatchState, Dispatcher, JobId, JobRecord, JobStatus, RunOutcome, SortedMap, WorkerReport};
+
+/// The active jobs of which a worker has listed a run.
+#[derive(Debug, Default)]
+pub(crate) struct BegunJobs {
+    jobs: SortedMap<JobId, ()>,
+}
+
+impl BegunJobs {
+    fn record(&mut self, job: JobId) {
+        if !self.jobs.contains(&job) {
+            self.jobs.insert(job, ());
+        }
+    }
+
+    /// Forgets the jobs that are final.
+    pub(crate) fn prune(&mut self, state: &BatchState) {
+        self.jobs.retain(|job, ()| state.job(*job).is_some_and(|record| !record.status.is_final()));
+    }
+}
+
+impl Dispatcher {
+    /// Records the jobs of the runs in a report that the previous one did not list.
+    pub(crate) fn record_begun(&mut self, now: MonotonicTime, report: &WorkerReport) {
+        if let Some(view) = self.workers.get(&report.worker) {
+            for (task, _) in view.running.iter().filter(|(_, run)| run.first_seen == now) {
+                self.begun_jobs.record(task.job);
+            }
+        }
+        for end in report.ended.iter().filter(|end| end.outcome != RunOutcome::Refused) {
+            self.begun_jobs.record(end.task.job);
+        }
+    }
+
+    /// Returns the number of a queue's jobs of which no task has started.
+    #[must_use]
+    pub fn waiting_count(&self, now: MonotonicTime, state: &BatchState, queue: &str) -> usize {
+        let of_queue = state.active_jobs().filter(|(_, record)| record.submission.queue == queue);
+        of_queue.filter(|(id, record)| self.status(now, state, *id, record) == JobStatus::Pending).count()
+    }
+
+    /// Returns a job's status as it is shown to callers. A job that has been placed and has not begun is pending.
+    #[must_use]
+    pub fn status(&self, now: MonotonicTime, state: &BatchState, id: JobId, record: &JobRecord) -> JobStatus {
+        match record.status {
+            JobStatus::Running if !self.has_begun(now, state, id, record) => JobStatus::Pending,
+            status => status,
+        }
+    }
+
+    fn has_begun(&self, now: MonotonicTime, state: &BatchState, id: JobId, record: &JobRecord) -> bool {
+        self.begun_jobs.jobs.contains(&id) || record.has_run() || self.may_have_begun(now, state, id)
+    }
+
+    /// Returns true if this leader is new and has not heard from a worker on which the job is placed.
+    fn may_have_begun(&self, now: MonotonicTime, state: &BatchState, id: JobId) -> bool {
+        let (first, last) = crate::TaskKey::bounds(id);
+        let is_new = now.since(self.leader_since) < LEADER_WARM_UP;
+        is_new
+            && state.workers().any(|(worker, record)| {
+                !self.workers.contains(worker) && record.runs.range(&first, &last).next().is_some()
+            })
+    }
+}
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -6,6 +6,7 @@
 use parsleywalk_units::{Incarnation, MonotonicTime, WorkerId};
 
 use crate::admission::{LEADER_WARM_UP, ShortTaskDemand};
+use crate::begun_jobs::BegunJobs;
 use crate::interference::{BestEffortLoad, ImageIndex, InterferenceModel};
 use crate::worker_view::WorkerView;
 use crate::{
@@ -58,6 +59,7 @@
     /// When each active job was accepted, on this leader's clock.
     pub(crate) accepted_times: SortedMap<JobId, MonotonicTime>,
     pub(crate) short_demand: ShortTaskDemand,
+    pub(crate) begun_jobs: BegunJobs,
     /// When the compatibility of images was last looked at, and its version then.
     pub(crate) compatibility_checked_at: MonotonicTime,
     pub(crate) compatibility_version: u64,
@@ -80,6 +82,7 @@
             waiting_since: SortedMap::default(),
             accepted_times: SortedMap::default(),
             short_demand: ShortTaskDemand::default(),
+            begun_jobs: BegunJobs::default(),
             compatibility_checked_at: MonotonicTime::ZERO,
             compatibility_version: 0,
             ranked_workers: Cell::new(0),
@@ -139,6 +142,7 @@
             let (worker, incarnation) = (report.worker.clone(), report.incarnation);
             commands.push(BatchCommand::Settle { worker, incarnation, ends });
         }
+        self.record_begun(now, report);
         self.check_runs(now, state, &report.worker);
         if let Some(withdrawal) = self.withdrawal(state, &report.worker) {
             commands.push(withdrawal);
@@ -230,6 +234,7 @@
         let view_retention = self.settings.max_lease() * 4;
         self.workers.retain(|_, view| now < view.reported_at + view_retention);
         self.avoided.retain(|task, _| state.is_unfinished(task));
+        self.begun_jobs.prune(state);
         self.accepted_times.retain(|job, _| state.job(*job).is_some_and(|job| !job.status.is_final()));
         commands
     }
--- a/crates/parsleywalk-batch/src/job.rs
+++ b/crates/parsleywalk-batch/src/job.rs
@@ -133,6 +133,14 @@
         spec.depends_on.iter().all(|earlier| record.steps.get(usize::from(*earlier)).is_some_and(StepRecord::is_done))
     }
 
+    /// Returns true if the record shows that a task of the job has run: one is done, has failed or has a checkpoint.
+    #[must_use]
+    pub fn has_run(&self) -> bool {
+        let has_run = |task: &TaskRecord| task.done || task.failures > 0 || !task.saved.is_empty();
+        let steps = self.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+        steps.flat_map(|step| &step.tasks).any(has_run)
+    }
+
     /// Returns true if any run of the job is placed on a worker.
     #[must_use]
     pub fn has_live_runs(&self) -> bool {
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -7,6 +7,7 @@
 //! Nothing here does I/O or reads a clock.
 
 mod admission;
+mod begun_jobs;
 mod candidate;
 mod command;
 mod dispatcher;
--- a/crates/parsleywalk-batch/src/state.rs
+++ b/crates/parsleywalk-batch/src/state.rs
@@ -143,13 +143,6 @@
         self.active.len()
     }
 
-    /// Returns the number of a queue's jobs of which no task has started.
-    #[must_use]
-    pub fn pending_count(&self, queue: &str) -> usize {
-        let pending = |record: &JobRecord| record.status == JobStatus::Pending && record.submission.queue == queue;
-        self.active_jobs().filter(|(_, record)| pending(record)).count()
-    }
-
     /// Returns the record of a worker.
     #[must_use]
     pub fn worker(&self, worker: &WorkerId) -> Option<&WorkerRecord> {
--- a/crates/parsleywalk-batch/tests/guarantees.rs
+++ b/crates/parsleywalk-batch/tests/guarantees.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use parsleywalk_batch::{JobId, JobStatus, JobSubmission, RunNumber, RunningTask, StepSpec, TaskKey, WorkerReport};
+use parsleywalk_batch::{
+    BatchCommand, EndNumber, JobId, JobStatus, JobSubmission, ReportAction, RunEnd, RunNumber, RunOutcome, RunningTask,
+    StepSpec, TaskKey, WorkerReport,
+};
 use parsleywalk_units::{MemoryBytes, MilliCores, ResourceSize, ZoneDirection};
 use rstest::rstest;
 use support::{FakeFleet, RandomSteps, step, submission};
@@ -68,7 +71,6 @@
 /// start elsewhere.
 #[test]
 fn a_worker_with_a_pending_loss_gets_no_orders() {
-    use parsleywalk_batch::ReportAction;
     let mut fleet = FakeFleet::new(1, 1);
     fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
     fleet.run_for(Duration::from_millis(500));
@@ -172,7 +174,6 @@
 /// Guards against a delayed report renewing the lease of a worker that has announced its exit.
 #[test]
 fn a_late_report_does_not_renew_the_lease_of_a_departed_worker() {
-    use parsleywalk_batch::ReportAction;
     let mut fleet = FakeFleet::new(1, 1);
     fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
     fleet.run_for(Duration::from_millis(500));
@@ -291,3 +292,65 @@
     assert_eq!(fleet.status(job), Some(JobStatus::Completed));
     assert_eq!(fleet.starts, 1, "the task runs once");
 }
+
+/// Guards against a count of waiting jobs that leaves out jobs which are placed and have not begun: their worker is lost
+/// before it gets their start orders, or refuses them. A leader that has taken over meanwhile counts them, too.
+#[rstest]
+fn jobs_that_are_placed_and_have_not_begun_are_waiting(#[values(false, true)] leader_changes: bool) {
+    let mut fleet = FakeFleet::new(1, 1);
+    fleet.run_for(Duration::from_secs(3));
+    fleet.workers[0].up = false;
+    let jobs: Vec<JobId> = (1..=4).map(|id| fleet.submit(submission(id, 0, vec![step(2, 1, 500)]))).collect();
+    fleet.run_for(Duration::from_millis(500));
+    assert_eq!(fleet.state.worker(&fleet.workers[0].id).map(|record| record.runs.len()), Some(8), "placed");
+    if leader_changes {
+        fleet.change_leader();
+        fleet.run_for(Duration::from_millis(2100));
+    }
+    for _ in 0..40 {
+        assert_eq!(fleet.dispatcher.waiting_count(fleet.now, &fleet.state, "queue-0"), 4);
+        fleet.run_for(Duration::from_millis(250));
+    }
+    fleet.workers[0].restart();
+    fleet.workers[0].up = true;
+    fleet.run_for(Duration::from_millis(600));
+    assert_eq!(fleet.dispatcher.waiting_count(fleet.now, &fleet.state, "queue-0"), 0, "all have begun");
+    assert!(fleet.run_until_done(Duration::from_secs(10)));
+    assert!(jobs.iter().all(|job| fleet.status(*job) == Some(JobStatus::Completed)));
+}
+
+/// Guards against counting a refused run as begun, and against counting a job as waiting that a worker was seen to run.
+#[test]
+fn a_refused_run_does_not_begin_its_job() {
+    let mut fleet = FakeFleet::new(1, 1);
+    fleet.run_for(Duration::from_secs(3));
+    let job = fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
+    let task = TaskKey { job, occurrence: 0, step: 0, index: 0 };
+    let waiting = |fleet: &FakeFleet| fleet.dispatcher.waiting_count(fleet.now, &fleet.state, "queue-0");
+    fleet.now = fleet.now + Duration::from_millis(50);
+    let runs = fleet.dispatcher.plan(fleet.now, 0, &fleet.state);
+    assert_eq!(runs.len(), 1);
+    fleet.state.apply(&BatchCommand::Place { runs });
+    assert_eq!(waiting(&fleet), 1);
+    let refused = RunEnd {
+        number: EndNumber::new(1),
+        task,
+        run: RunNumber::new(1),
+        outcome: RunOutcome::Refused,
+        saved: String::new(),
+    };
+    let report = WorkerReport { ended: vec![refused], ..fleet.workers[0].current_report(fleet.now) };
+    let ReportAction::Commit(commands) = fleet.dispatcher.receive(fleet.now, &fleet.state, &report) else {
+        panic!("a new report");
+    };
+    for command in &commands {
+        fleet.state.apply(command);
+    }
+    assert_eq!(waiting(&fleet), 1, "refused");
+    fleet.run_for(Duration::from_millis(500));
+    assert_eq!(waiting(&fleet), 0, "it runs");
+    // Its worker is lost, after which it waits for a place but has begun.
+    fleet.workers[0].up = false;
+    fleet.run_for(Duration::from_secs(10));
+    assert_eq!(waiting(&fleet), 0);
+}
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -20,7 +20,7 @@
 use crate::held_reports::HeldReports;
 use crate::leader_state::LeaderState;
 use crate::members::{self, MemberView};
-use crate::queue_decision::{self, QueueDecision};
+use crate::queue_decision::{self, LeaderKnowledge, QueueDecision};
 use crate::settings::FleetSettings;
 use crate::submission_history::PriorDecision;
 use crate::waiter::{AppendedProposal, EntryWaiters, QueuedCommands, ReplySender, Waiter};
@@ -240,8 +240,10 @@
                 self.propose(vec![BatchCommand::SetZone { zone: zone.clone(), direction }], Waiter::Reply(sender));
             }
             LeaderRequest::Queue { host, path, action } => {
-                let unix_ms = crate::clock::unix_ms();
-                let decision = queue_decision::decide(&self.state, unix_ms, &host, &path, action);
+                let Some(leader_state) = &self.leader_state else { return };
+                let (state, dispatcher) = (&self.state, &leader_state.dispatcher);
+                let knowledge = LeaderKnowledge { state, dispatcher, now, unix_ms: crate::clock::unix_ms() };
+                let decision = queue_decision::decide(knowledge, &host, &path, action);
                 self.carry_out(now, window, decision, sender);
             }
         }
--- a/crates/parsleywalk-fleet/src/queue_decision.rs
+++ b/crates/parsleywalk-fleet/src/queue_decision.rs
@@ -1,6 +1,7 @@
 //! Decisions about callers' requests to queues.
 
-use parsleywalk_batch::{BatchState, JobId, JobQueue, JobRecord, JobSpec, JobSubmission};
+use parsleywalk_batch::{BatchState, Dispatcher, JobId, JobQueue, JobRecord, JobSpec, JobSubmission};
+use parsleywalk_units::MonotonicTime;
 
 use crate::{LeaderReply, QueueAction};
 
@@ -20,8 +21,18 @@
     CancelUnknown(Box<JobSubmission>),
 }
 
-/// Decides how a caller's request is handled, given the leader's current state.
-pub(crate) fn decide(state: &BatchState, unix_ms: u64, host: &str, path: &str, action: QueueAction) -> QueueDecision {
+/// The leader's knowledge by which requests are decided.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LeaderKnowledge<'a> {
+    pub(crate) state: &'a BatchState,
+    pub(crate) dispatcher: &'a Dispatcher,
+    pub(crate) now: MonotonicTime,
+    pub(crate) unix_ms: u64,
+}
+
+/// Decides how a caller's request is handled.
+pub(crate) fn decide(knowledge: LeaderKnowledge<'_>, host: &str, path: &str, action: QueueAction) -> QueueDecision {
+    let LeaderKnowledge { state, dispatcher, now, unix_ms } = knowledge;
     let Some(configuration) = state.configuration() else {
         return QueueDecision::Reply(LeaderReply::NoConfiguration);
     };
@@ -30,12 +41,14 @@
     let job = job_text.parse::<JobId>().ok();
     match (action, job) {
         (QueueAction::Read, None) if job_text.is_empty() => {
-            let waiting = u64::try_from(state.pending_count(&queue.name)).unwrap_or(u64::MAX);
+            let waiting = dispatcher.waiting_count(now, state, &queue.name);
+            let waiting = u64::try_from(waiting).unwrap_or(u64::MAX);
             QueueDecision::Reply(LeaderReply::Waiting(waiting))
         }
         (QueueAction::Read, Some(job)) => {
             let record = state.job(job).filter(|record| !record.is_tombstone());
-            QueueDecision::Reply(record.map_or(LeaderReply::NoJob, |record| LeaderReply::Status(record.status)))
+            let status = |record| LeaderReply::Status(dispatcher.status(now, state, job, record));
+            QueueDecision::Reply(record.map_or(LeaderReply::NoJob, status))
         }
         (QueueAction::Cancel, Some(job)) => match state.job(job) {
             None => {
--- a/crates/parsleywalk-fleet/src/queue_decision_tests.rs
+++ b/crates/parsleywalk-fleet/src/queue_decision_tests.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use parsleywalk_batch::{
-    BatchCommand, BatchState, JobId, JobQueue, JobSpec, JobStatus, JobSubmission, QueueConfiguration, StepSpec,
+    BatchCommand, BatchState, DispatchSettings, Dispatcher, FencingToken, JobId, JobQueue, JobSpec, JobStatus,
+    JobSubmission, QueueConfiguration, StepSpec,
 };
-use parsleywalk_units::ConfigurationVersion;
+use parsleywalk_units::{ConfigurationVersion, MonotonicTime};
 
-use super::{QueueDecision, decide};
+use super::{LeaderKnowledge, QueueDecision, decide};
 use crate::{LeaderReply, QueueAction};
 
 const PATH: &str = "/checks/00000000000000aa";
@@ -43,7 +44,9 @@
 }
 
 fn ask(state: &BatchState, action: QueueAction) -> QueueDecision {
-    decide(state, 0, "example", PATH, action)
+    let now = MonotonicTime::from_millis(1);
+    let dispatcher = Dispatcher::new(DispatchSettings::default(), FencingToken::new(1), now);
+    decide(LeaderKnowledge { state, dispatcher: &dispatcher, now, unix_ms: 0 }, "example", PATH, action)
 }
 
 /// Cancels the job, which is not known, as the leader does.
