Place a starved job on workers on probation

Cause: two failures put a worker on probation, on which it gets one run at a time until one completes. A gang is placed whole or not at all, so one with more members than workers found no place, no run completed, and the probation never ended. The same limit kept a waiting job off a worker for as long as a run lasts there, and a worker with long-running tasks only stayed on probation for good.

Change: a job without a run for 1.5 s ignores the limit, a gang whole, another job for its first task. A long-running task at work for 3 s ends its worker's probation.

--- a/crates/parsleywalk-batch/src/candidate.rs
+++ b/crates/parsleywalk-batch/src/candidate.rs
@@ -6,6 +6,7 @@
 
 use crate::dispatcher::ratio;
 use crate::interference::{CriticalLoad, INITIAL_COEFFICIENT, ImageIndex};
+use crate::placement_request::PlacementRequest;
 use crate::worker_view::WorkerView;
 use crate::{JobSubmission, RunNumber, RunPlacement, StepSpec, TaskKey, WorkerRecord};
 
@@ -25,8 +26,10 @@
     pub(crate) critical_images: Cow<'a, [ImageIndex]>,
     /// The number of best-effort images compatible with all of `critical_images`.
     pub(crate) compatible_images: u32,
-    /// The number of runs that may still be assigned in this cycle.
-    pub(crate) remaining_slots: u32,
+    /// The number of runs that may be assigned in this cycle: at most one while the worker is on probation.
+    pub(crate) probation_limit: usize,
+    /// Whether the worker is reserved for a task that has waited long.
+    pub(crate) reserved: bool,
     pub(crate) record: Option<&'a WorkerRecord>,
     /// The tasks assigned in this cycle.
     pub(crate) placed: Vec<TaskKey>,
@@ -34,30 +37,47 @@
 
 impl CandidateWorker<'_> {
     /// Returns true if the task fits in the free capacity of the worker.
-    pub(crate) fn fits(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
+    pub(crate) fn fits(&self, request: &PlacementRequest<'_>) -> bool {
+        let &PlacementRequest { submission, spec, task, .. } = request;
         let fits = if spec.best_effort {
             self.free_best_effort >= spec.size.cores
         } else {
             spec.size.cores <= self.free.cores
         };
-        fits && self.fits_ignoring_cores(submission, spec, task)
+        let admitted = request.ignores_probation || self.admits_on_probation();
+        fits && admitted && self.fits_without(submission, spec, &task)
     }
 
     /// Returns true if the task fits when its cores are not counted.
     pub(crate) fn fits_ignoring_cores(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
+        self.admits_on_probation() && self.fits_without(submission, spec, task)
+    }
+
+    /// Returns true if the task fits when neither its cores nor the worker's probation count.
+    fn fits_without(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
         let fits = ResourceSize { cores: MilliCores::default(), ..spec.size }.fits_within(&self.free);
         fits && self.allows(submission, spec, task)
     }
 
     /// Returns true if the task fits once all but the long-running tasks have ended.
     pub(crate) fn fits_eventually(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
-        spec.size.fits_within(&self.eventual_free) && self.allows(submission, spec, task)
+        let fits = spec.size.fits_within(&self.eventual_free);
+        fits && self.admits_on_probation() && self.allows(submission, spec, task)
+    }
+
+    /// Returns true if the worker gets only one run at a time, to test whether it works again.
+    pub(crate) fn is_on_probation(&self) -> bool {
+        self.probation_limit != usize::MAX
+    }
+
+    fn admits_on_probation(&self) -> bool {
+        self.placed.len() < self.probation_limit
     }
 
-    /// Returns true if every placement constraint other than resource size admits the task.
+    /// Returns true if every placement constraint other than resource size and probation admits the task.
     fn allows(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
         // The limit is checked last, because it counts runs.
-        self.remaining_slots > 0
+        !self.reserved
             && self.view.service == submission.service
             && spec.required_label.as_ref().is_none_or(|label| self.view.labels.contains(label))
             && spec.per_worker_limit.is_none_or(|limit| self.step_task_count(task) < limit as usize)
@@ -102,7 +122,6 @@
     }
 
     pub(crate) fn assign(&mut self, spec: &StepSpec, task: TaskKey, run: RunNumber) -> RunPlacement {
-        self.remaining_slots = self.remaining_slots.saturating_sub(1);
         self.free_best_effort = self.free_best_effort.saturating_sub(spec.size.cores);
         if spec.best_effort {
             self.free = self.free.saturating_sub(&ResourceSize { cores: MilliCores::default(), ..spec.size });
@@ -118,7 +137,6 @@
 
     /// Reverts [`CandidateWorker::assign`].
     pub(crate) fn unassign(&mut self, spec: &StepSpec, task: &TaskKey) {
-        self.remaining_slots = self.remaining_slots.saturating_add(1);
         self.free_best_effort = self.free_best_effort.checked_add(spec.size.cores).unwrap_or(self.free_best_effort);
         let cores = if spec.best_effort { MilliCores::default() } else { spec.size.cores };
         self.free = self.free.checked_add(&ResourceSize { cores, ..spec.size }).unwrap_or(self.free);
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -17,6 +17,9 @@
 /// A long-running task that has not reached 100 percent this long after it was first reported counts as hung.
 const LONG_RUNNING_START_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// A long-running task that has been at work for this long shows that its worker works, as a completed task does.
+const LONG_RUNNING_PROOF_TIME: Duration = Duration::from_secs(3);
+
 /// A best-effort run throttled below this rate, in percent of full speed, is eventually evicted because it makes too
 /// little progress.
 const MIN_USEFUL_RATE_PERCENT: u8 = 50;
@@ -275,6 +278,10 @@
                 run.throttled_since = None;
             }
             let idle = now.since(run.progressed_at);
+            if step.long_running && run.percent == 100 && !run.proven && idle >= LONG_RUNNING_PROOF_TIME {
+                run.proven = true;
+                view.health.record_success();
+            }
             let hung = if step.long_running {
                 run.percent < 100 && now.since(run.first_seen) >= LONG_RUNNING_START_TIMEOUT
             } else {
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -27,8 +27,8 @@
 /// The interval at which the compatibility of images is looked at again. It changes with nearly every report, and
 /// decides only which of several suitable workers is taken.
 const COMPATIBILITY_INTERVAL: Duration = Duration::from_secs(1);
-/// A job without a live run for this long gets a worker for one task even if that causes interference. Callers consider
-/// a job stuck after about twice as long.
+/// A job without a live run for this long gets a worker for one task even if that causes interference or exceeds the
+/// limit of a worker on probation. Callers consider a job stuck after about twice as long.
 const STARVATION_TIMEOUT: Duration = Duration::from_millis(1500);
 /// A long-running task that has waited for this long gets a worker reserved. Callers consider it stuck after about
 /// three times as long.
@@ -196,7 +196,8 @@
                 critical_loads: Cow::Borrowed(&view.critical_loads),
                 critical_images: Cow::default(),
                 compatible_images: 0,
-                remaining_slots: u32::MAX,
+                probation_limit: usize::MAX,
+                reserved: false,
                 record: None,
                 placed: Vec::new(),
             };
@@ -217,11 +218,11 @@
                 if view.health.is_on_probation() {
                     // Long-running tasks never end, so they do not block the probation run.
                     let ends = |task: &TaskKey| state.step_of(task).is_some_and(|(_, step)| !step.long_running);
-                    candidate.remaining_slots = u32::from(!record.runs.iter().any(|(task, _)| ends(task)));
+                    candidate.probation_limit = usize::from(!record.runs.iter().any(|(task, _)| ends(task)));
                 }
             }
             if view.health.is_on_probation() {
-                candidate.remaining_slots = candidate.remaining_slots.min(1);
+                candidate.probation_limit = candidate.probation_limit.min(1);
             }
             candidates.push(candidate);
         }
@@ -285,7 +286,12 @@
         let first = TaskKey { job: ready.job, occurrence: ready.occurrence, step: ready.step, index: 0 };
         let Some(record) = job.step(&first) else { return };
         if spec.gang {
-            return self.place_gang(job, spec, first, candidates, placements);
+            let before = placements.len();
+            self.place_gang(job, spec, first, false, candidates, placements);
+            if starved && placements.len() == before && candidates.iter().any(CandidateWorker::is_on_probation) {
+                self.place_gang(job, spec, first, true, candidates, placements);
+            }
+            return;
         }
         let rack = spec.rack_local.then(|| best_rack(job, spec, record.waiting, candidates)).flatten();
         let min_headroom = if ready.has_slack { SLACK_HEADROOM } else { MIN_HEADROOM };
@@ -297,8 +303,12 @@
             }
             let key = TaskKey { index, ..first };
             let mut worker_index = self.choose_worker(&request, &key, &mut ranking, candidates);
-            if worker_index.is_none() && starved && spec.best_effort && index == first_waiting(&record.tasks) {
-                worker_index = self.choose_least_interfering(&job.submission, spec, &key, candidates);
+            if worker_index.is_none() && starved && index == first_waiting(&record.tasks) {
+                worker_index = if spec.best_effort {
+                    self.choose_least_interfering(&job.submission, spec, &key, candidates)
+                } else {
+                    self.choose_on_probation(&request, &key, candidates)
+                };
             }
             let Some(worker_index) = worker_index else { return };
             let candidate = &mut candidates[worker_index];
@@ -335,6 +345,7 @@
             incompatible: incompatible.unwrap_or_default(),
             coefficients: self.coefficients_of(spec),
             min_headroom,
+            ignores_probation: false,
         }
     }
 
@@ -379,7 +390,7 @@
     ) {
         let usable = candidates.iter_mut().filter(|candidate| candidate.fits_eventually(submission, spec, task));
         if let Some(largest) = usable.max_by_key(|candidate| candidate.free.cores) {
-            largest.remaining_slots = 0;
+            largest.reserved = true;
         }
     }
 
@@ -423,12 +434,29 @@
             .map(|(worker_index, _)| worker_index)
     }
 
-    /// Places all tasks of a gang or none.
+    /// Returns the index of the best worker for a task when workers on probation may get more than one run.
+    fn choose_on_probation(
+        &self,
+        request: &PlacementRequest<'_>,
+        task: &TaskKey,
+        candidates: &[CandidateWorker<'_>],
+    ) -> Option<usize> {
+        let lenient = PlacementRequest { ignores_probation: true, ..request.clone() };
+        let mut ranking = WorkerRanking::new(candidates, |candidate| {
+            // The others have been ranked before.
+            if candidate.is_on_probation() { self.rank_worker(&lenient, None, candidate) } else { None }
+        });
+        self.choose_worker(&lenient, task, &mut ranking, candidates)
+    }
+
+    /// Places all tasks of a gang or none. Workers on probation get at most one of them unless `ignores_probation`: then
+    /// a gang with more members than there are such workers would never be placed.
     fn place_gang(
         &self,
         job: &JobRecord,
         spec: &StepSpec,
         first: TaskKey,
+        ignores_probation: bool,
         candidates: &mut [CandidateWorker<'_>],
         placements: &mut Vec<RunPlacement>,
     ) {
@@ -439,6 +467,7 @@
         let run = record.tasks.iter().map(|task| task.last_run).max().unwrap_or_default().next();
         let rack = spec.rack_local.then(|| best_rack(job, spec, record.waiting, candidates)).flatten();
         let request = self.placement_request(&job.submission, spec, first, rack.as_deref(), MIN_HEADROOM);
+        let request = PlacementRequest { ignores_probation, ..request };
         let mut ranking = WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, None, candidate));
         let mut chosen = Vec::with_capacity(record.tasks.len());
         for index in 0..spec.count {
@@ -466,8 +495,8 @@
         candidate: &CandidateWorker<'_>,
     ) -> Option<WorkerRank> {
         self.ranked_workers.set(self.ranked_workers.get() + 1);
-        let &PlacementRequest { submission, spec, task, rack, image, min_headroom, .. } = request;
-        if !candidate.fits(submission, spec, &task) {
+        let &PlacementRequest { spec, rack, image, min_headroom, .. } = request;
+        if !candidate.fits(request) {
             return None;
         }
         let rack = rack.or(spec.preferred_rack.as_deref());
--- a/crates/parsleywalk-batch/src/placement_request.rs
+++ b/crates/parsleywalk-batch/src/placement_request.rs
@@ -4,7 +4,7 @@
 use crate::{JobSubmission, StepSpec, TaskKey};
 
 /// What the tasks of a step need from a worker.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct PlacementRequest<'a> {
     pub(crate) submission: &'a JobSubmission,
     pub(crate) spec: &'a StepSpec,
@@ -20,4 +20,6 @@
     pub(crate) coefficients: Vec<f32>,
     /// The headroom that a best-effort task must leave to latency-critical ones.
     pub(crate) min_headroom: f32,
+    /// Whether workers on probation may get more than one run.
+    pub(crate) ignores_probation: bool,
 }
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -86,6 +86,8 @@
     pub(crate) figure_changed: bool,
     /// Since when the run has been throttled below the useful minimum rate.
     pub(crate) throttled_since: Option<MonotonicTime>,
+    /// Whether the run has shown that its worker works, by being at work for long enough.
+    pub(crate) proven: bool,
     /// When the percentage last changed.
     pub(crate) progressed_at: MonotonicTime,
     pub(crate) first_seen: MonotonicTime,
@@ -171,6 +173,7 @@
             own_load: known.and_then(|view| view.own_load),
             figure_changed: known.is_none_or(|view| view.figure != task.figure),
             throttled_since: known.and_then(|view| view.throttled_since),
+            proven: known.is_some_and(|view| view.proven),
             progressed_at,
             first_seen: known.map_or(now, |view| view.first_seen),
         }
