Restart a long-running gang however its members end

Cause: the state exempts long-running tasks from the limit on failed runs, and then applies the limit to their gang. A member that ends as done would complete the gang's job by the same function.

Change: the leader records these ends as stops. How a logged command is applied stays as it is, so replicas of both releases agree.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -141,10 +141,7 @@
                 _ => {}
             }
         }
-        if !ends.is_empty() {
-            let (worker, incarnation) = (report.worker.clone(), report.incarnation);
-            commands.push(BatchCommand::Settle { worker, incarnation, ends });
-        }
+        commands.extend(Self::settle(state, report, ends));
         self.record_begun(now, report);
         self.check_runs(now, state, &report.worker);
         if let Some(withdrawal) = self.withdrawal(state, &report.worker) {
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -23,6 +23,7 @@
 mod ranking;
 mod report;
 mod settings;
+mod settlement;
 mod sorted_map;
 mod spec;
 mod state;
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -421,7 +421,8 @@
         self.draining = false;
     }
 
-    fn end(&mut self, task: TaskKey, outcome: RunOutcome) {
+    /// Ends a run.
+    pub(crate) fn end(&mut self, task: TaskKey, outcome: RunOutcome) {
         let Some(run) = self.runs.remove(&task) else { return };
         self.last_end_number += 1;
         self.last_runs.insert(task, run.run);
