Count a failed run of a gang once, however many members fail in it

Cause: the limit on a gang's failed runs is compared with the sum of its members' failures.

With the translation of outcomes switched off, five of the seven new tests fail: those with two and four failed members, and the repeated end.

Change: the leader records the first failed end of a run as failed and the others as broken. It remembers which end counted, and derives it from the state for runs that have partly ended under an earlier leader. How a logged command is applied stays as it is.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use crate::admission::{LEADER_WARM_UP, ShortTaskDemand};
 use crate::begun_jobs::BegunJobs;
 use crate::interference::{BestEffortLoad, ImageIndex, InterferenceModel};
+use crate::settlement::GangRuns;
 use crate::worker_view::WorkerView;
 use crate::{
     BatchCommand, BatchState, DispatchSettings, FencingToken, JobId, ReportResponse, RunNumber, RunOutcome, SortedMap,
@@ -63,6 +64,7 @@
     pub(crate) accepted_times: SortedMap<JobId, MonotonicTime>,
     pub(crate) short_demand: ShortTaskDemand,
     pub(crate) begun_jobs: BegunJobs,
+    pub(crate) gang_runs: GangRuns,
     /// When the compatibility of images was last looked at, and its version then.
     pub(crate) compatibility_checked_at: MonotonicTime,
     pub(crate) compatibility_version: u64,
@@ -86,6 +88,7 @@
             accepted_times: SortedMap::default(),
             short_demand: ShortTaskDemand::default(),
             begun_jobs: BegunJobs::default(),
+            gang_runs: GangRuns::default(),
             compatibility_checked_at: MonotonicTime::ZERO,
             compatibility_version: 0,
             ranked_workers: Cell::new(0),
@@ -141,7 +144,7 @@
                 _ => {}
             }
         }
-        commands.extend(Self::settle(state, report, ends));
+        commands.extend(self.settle(state, report, ends));
         self.record_begun(now, report);
         self.check_runs(now, state, &report.worker);
         if let Some(withdrawal) = self.withdrawal(state, &report.worker) {
@@ -235,6 +238,7 @@
         self.workers.retain(|_, view| now < view.reported_at + view_retention);
         self.avoided.retain(|task, _| state.is_unfinished(task));
         self.begun_jobs.prune(state);
+        self.gang_runs.prune(state);
         self.accepted_times.retain(|job, _| state.job(*job).is_some_and(|job| !job.status.is_final()));
         commands
     }
--- a/crates/parsleywalk-batch/src/settlement.rs
+++ b/crates/parsleywalk-batch/src/settlement.rs
@@ -4,17 +4,79 @@
 //! is therefore decided here, where the command is made: some ends are recorded with another outcome than the worker
 //! listed.
 
-use crate::{BatchCommand, BatchState, Dispatcher, RunEnd, RunOutcome, StepSpec, WorkerReport};
+use parsleywalk_units::WorkerId;
+
+use crate::{
+    BatchCommand, BatchState, Dispatcher, EndNumber, JobId, RunEnd, RunNumber, RunOutcome, SortedMap, StepRecord,
+    StepSpec, WorkerReport,
+};
+
+/// The step of one occurrence of a job.
+type StepKey = (JobId, u32, u16);
+
+/// A run of a gang of which a member has ended.
+#[derive(Debug)]
+struct GangRun {
+    run: RunNumber,
+    failure: GangFailure,
+}
+
+/// The end by which a gang's run counts as failed.
+#[derive(Debug, PartialEq, Eq)]
+enum GangFailure {
+    None,
+    /// The end was recorded by an earlier leader.
+    Recorded,
+    /// The end with this number in the worker's list, which the worker repeats until it is acknowledged.
+    Listed(WorkerId, EndNumber),
+}
+
+/// The newest run of each gang of which a member has ended.
+#[derive(Debug, Default)]
+pub(crate) struct GangRuns {
+    runs: SortedMap<StepKey, GangRun>,
+}
+
+impl GangRuns {
+    /// Returns true if the failed end of a member makes the run count as failed, which one end of each run does.
+    fn counts_as_failed(&mut self, step: &StepRecord, worker: &WorkerId, end: &RunEnd) -> bool {
+        let key = (end.task.job, end.task.occurrence, end.task.step);
+        let known = self.runs.entry(key, || GangRun::of(step, end.run));
+        if known.run != end.run {
+            *known = GangRun::of(step, end.run);
+        }
+        let failure = GangFailure::Listed(worker.clone(), end.number);
+        if known.failure == GangFailure::None {
+            known.failure = failure;
+            return true;
+        }
+        known.failure == failure
+    }
+
+    /// Forgets the runs of jobs that are final.
+    pub(crate) fn prune(&mut self, state: &BatchState) {
+        self.runs.retain(|(job, _, _), _| state.job(*job).is_some_and(|record| !record.status.is_final()));
+    }
+}
+
+impl GangRun {
+    /// Returns a run of which this leader has not handled an end. An earlier leader may have recorded a failure of it:
+    /// then a member has ended and has failures.
+    fn of(step: &StepRecord, run: RunNumber) -> Self {
+        let recorded = step.tasks.iter().any(|task| task.last_run == run && task.live == 0 && task.failures > 0);
+        Self { run, failure: if recorded { GangFailure::Recorded } else { GangFailure::None } }
+    }
+}
 
 impl Dispatcher {
     /// Returns the commands of one entry that record the ends in a report, which are sorted by their numbers.
-    pub(crate) fn settle(state: &BatchState, report: &WorkerReport, ends: Vec<RunEnd>) -> Vec<BatchCommand> {
+    pub(crate) fn settle(&mut self, state: &BatchState, report: &WorkerReport, ends: Vec<RunEnd>) -> Vec<BatchCommand> {
         if ends.is_empty() {
             return Vec::new();
         }
         let (worker, incarnation) = (report.worker.clone(), report.incarnation);
         let ends = ends.into_iter().map(|mut end| {
-            end.outcome = Self::recorded_outcome(state, &end);
+            end.outcome = self.recorded_outcome(state, &worker, &end);
             end
         });
         let ends = ends.collect();
@@ -22,12 +84,18 @@
     }
 
     /// Returns the outcome by which an end is recorded.
-    fn recorded_outcome(state: &BatchState, end: &RunEnd) -> RunOutcome {
-        match (end.outcome, state.step_of(&end.task)) {
+    fn recorded_outcome(&mut self, state: &BatchState, worker: &WorkerId, end: &RunEnd) -> RunOutcome {
+        let step = state.step_of(&end.task).and_then(|(job, spec)| Some((job.step(&end.task)?, spec)));
+        match (end.outcome, step) {
             // Long-running tasks are started again however they end. Applied to a gang, these ends would end its job.
             (RunOutcome::Done | RunOutcome::Failed, Some((_, StepSpec { gang: true, long_running: true, .. }))) => {
                 RunOutcome::Stopped
             }
+            (RunOutcome::Failed, Some((step, StepSpec { gang: true, .. })))
+                if !self.gang_runs.counts_as_failed(step, worker, end) =>
+            {
+                RunOutcome::GangBroken
+            }
             (outcome, _) => outcome,
         }
     }
--- a/crates/parsleywalk-batch/tests/settlement.rs
+++ b/crates/parsleywalk-batch/tests/settlement.rs
@@ -4,10 +4,15 @@
 
 use std::time::Duration;
 
-use parsleywalk_batch::{JobId, JobStatus, JobSubmission, RunOutcome, StepSpec, TaskKey};
+use parsleywalk_batch::{
+    BatchCommand, JobId, JobStatus, JobSubmission, ReportAction, RunOutcome, StepSpec, TaskKey, WorkerReport,
+};
 use rstest::rstest;
 use support::{FakeFleet, step, submission};
 
+/// The time in which a placed run has started.
+const START_TIME: Duration = Duration::from_secs(1);
+
 fn gang(members: u32, estimate_ms: u64, long_running: bool) -> JobSubmission {
     let spec = StepSpec { gang: true, long_running, per_worker_limit: Some(1), ..step(members, 1, estimate_ms) };
     JobSubmission { attempt_limit: 2, ..submission(1, 0, vec![spec]) }
@@ -50,3 +55,59 @@
     fleet.run_for(Duration::from_secs(8));
     assert!((0..3).all(|index| fleet.workers.iter().any(|worker| worker.runs.contains_key(&member(job, index)))));
 }
+
+/// Guards against a gang whose run counts as failed once for each member that fails in it, and against one that fails
+/// too late: the job fails with its second failed run. The members report to one leader, or the leader changes between
+/// their reports.
+#[rstest]
+fn a_failed_run_of_a_gang_counts_once(#[values(1, 2, 4)] failed: u32, #[values(false, true)] leader_changes: bool) {
+    let mut fleet = FakeFleet::new(6, 1);
+    let job = fleet.submit(gang(4, 60_000, false));
+    for round in 0..2 {
+        fleet.run_for(Duration::from_secs(8));
+        assert_eq!(fleet.status(job), Some(JobStatus::Running), "round {round}");
+        // The second run that fails ends the job.
+        for index in if round == 0 { 0..4 } else { 0..1 } {
+            let outcome = if index < failed { RunOutcome::Failed } else { RunOutcome::GangBroken };
+            assert!(end(&mut fleet, member(job, index), outcome), "member {index} runs");
+            fleet.run_for(Duration::from_millis(200));
+            if leader_changes && round == 0 && index == 0 {
+                fleet.change_leader();
+            }
+        }
+    }
+    fleet.run_for(START_TIME);
+    assert_eq!(fleet.status(job), Some(JobStatus::Failed));
+}
+
+/// Guards against a failed end that its worker lists again before it is recorded, and which then does not count.
+#[test]
+fn a_repeated_end_counts_once() {
+    let mut fleet = FakeFleet::new(4, 1);
+    let job = fleet.submit(gang(3, 60_000, false));
+    fleet.run_for(START_TIME);
+    fail_gang(&mut fleet, job, 3, 2, RunOutcome::Failed);
+    let failures = |fleet: &FakeFleet| fleet.state.job(job).map(parsleywalk_batch::JobRecord::failures);
+    let index = fleet.workers.iter().position(|worker| worker.ended.iter().any(|end| end.task == member(job, 0)));
+    let index = index.expect("a worker");
+    let settles = |fleet: &mut FakeFleet| {
+        let report = fleet.workers[index].current_report(fleet.now);
+        receive(fleet, &report)
+    };
+    // The commands of the first report are refused by the log.
+    assert!(!settles(&mut fleet).is_empty());
+    for command in settles(&mut fleet) {
+        fleet.state.apply(&command);
+    }
+    assert_eq!(failures(&fleet), Some(1));
+    fleet.run_for(START_TIME);
+    assert_eq!(failures(&fleet), Some(1));
+    assert_eq!(fleet.status(job), Some(JobStatus::Running));
+}
+
+fn receive(fleet: &mut FakeFleet, report: &WorkerReport) -> Vec<BatchCommand> {
+    match fleet.dispatcher.receive(fleet.now, &fleet.state, report) {
+        ReportAction::Commit(commands) => commands,
+        ReportAction::Stale => panic!("the report is new"),
+    }
+}
