Count the end of a run whose worker was declared lost meanwhile

Callers saw a task run twice: its worker was cut off, the run ended and the worker was declared lost; the end, reported later, was acknowledged without effect, and the task started again.

Cause: declaring a worker lost removes its runs from the state. An end that is reported while that is being committed is lost in the same way.

Change: while the task has not been placed again, one entry places it on the worker under the next run number and ends that run. Ends are left unrecorded while the loss is being committed, and a loss that the log refuses is forgotten. How a logged command is applied stays as it is.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -127,6 +127,12 @@
         let mut ends: Vec<_> = report.ended.iter().filter(|end| end.number > settled).cloned().collect();
         ends.sort_by_key(|end| end.number);
         let Some(view) = self.workers.get_mut(&report.worker) else { return ReportAction::Stale };
+        // Ends are recorded once the loss is committed, which ends the placed runs: applied after it, their commands would
+        // acknowledge the ends and have no effect.
+        view.loss_pending &= record.is_some_and(|record| !record.runs.is_empty());
+        if view.loss_pending {
+            ends.clear();
+        }
         view.update(report, now);
         let quarantine = self.settings.quarantine;
         for end in &ends {
@@ -243,6 +249,13 @@
         commands
     }
 
+    /// Forgets the losses that were being committed, after their commands were refused.
+    pub fn withdraw_losses(&mut self) {
+        for (_, view) in self.workers.iter_mut() {
+            view.loss_pending = false;
+        }
+    }
+
     fn loss_command(&self, worker: &WorkerId, record: &WorkerRecord) -> BatchCommand {
         let view = self.workers.get(worker).filter(|view| view.incarnation == record.incarnation);
         let saved = view.map_or_else(Vec::new, |view| {
--- a/crates/parsleywalk-batch/src/settlement.rs
+++ b/crates/parsleywalk-batch/src/settlement.rs
@@ -2,13 +2,13 @@
 //!
 //! How a command is applied must not differ between releases, whose replicas share a log. What an end means for its job
 //! is therefore decided here, where the command is made: some ends are recorded with another outcome than the worker
-//! listed.
+//! listed, and some together with a placement.
 
 use parsleywalk_units::WorkerId;
 
 use crate::{
-    BatchCommand, BatchState, Dispatcher, EndNumber, JobId, RunEnd, RunNumber, RunOutcome, SortedMap, StepRecord,
-    StepSpec, WorkerReport,
+    BatchCommand, BatchState, Dispatcher, EndNumber, JobId, RunEnd, RunNumber, RunOutcome, RunPlacement, SortedMap,
+    StepRecord, StepSpec, TaskKey, WorkerReport,
 };
 
 /// The step of one occurrence of a job.
@@ -75,12 +75,18 @@
             return Vec::new();
         }
         let (worker, incarnation) = (report.worker.clone(), report.incarnation);
+        let mut runs = Vec::new();
         let ends = ends.into_iter().map(|mut end| {
             end.outcome = self.recorded_outcome(state, &worker, &end);
+            if is_end_of_lost_run(state, &worker, &end) {
+                end.run = end.run.next();
+                runs.push(RunPlacement { task: end.task, run: end.run, worker: worker.clone(), incarnation });
+            }
             end
         });
-        let ends = ends.collect();
-        vec![BatchCommand::Settle { worker, incarnation, ends }]
+        let settle = BatchCommand::Settle { worker: worker.clone(), incarnation, ends: ends.collect() };
+        let place = (!runs.is_empty()).then_some(BatchCommand::Place { runs });
+        place.into_iter().chain([settle]).collect()
     }
 
     /// Returns the outcome by which an end is recorded.
@@ -100,3 +106,23 @@
         }
     }
 }
+
+/// Returns true if the end is that of a task's newest run, which is no longer placed because its worker was declared
+/// lost, and the task has not been placed again. Such an end counts: it is recorded as that of another run, which is
+/// placed on the worker by the same entry and therefore never ordered.
+fn is_end_of_lost_run(state: &BatchState, worker: &WorkerId, end: &RunEnd) -> bool {
+    let is_placed = state.worker(worker).is_some_and(|record| record.runs.contains(&end.task));
+    if is_placed || !matches!(end.outcome, RunOutcome::Done | RunOutcome::Failed) || !state.is_unfinished(&end.task) {
+        return false;
+    }
+    let Some((job, spec)) = state.step_of(&end.task) else { return false };
+    let Some(step) = job.step(&end.task) else { return false };
+    let is_newest = |task: &TaskKey| {
+        let record = step.tasks.get(task.index as usize);
+        record.is_some_and(|record| record.live == 0 && record.last_run == end.run)
+    };
+    // A gang is placed as a whole.
+    let members = if spec.gang { 0..spec.count } else { end.task.index..end.task.index.saturating_add(1) };
+    let mut members = members.map(|index| TaskKey { index, ..end.task });
+    !spec.long_running && members.all(|task| is_newest(&task))
+}
--- a/crates/parsleywalk-batch/tests/settlement.rs
+++ b/crates/parsleywalk-batch/tests/settlement.rs
@@ -111,3 +111,64 @@
         ReportAction::Stale => panic!("the report is new"),
     }
 }
+
+/// Guards against an end that is acknowledged and has no effect, since the loss of its worker is committed just before
+/// it: the task ran twice.
+#[rstest]
+fn an_end_that_meets_the_loss_of_its_worker_counts(
+    #[values(RunOutcome::Done, RunOutcome::Failed)] outcome: RunOutcome,
+) {
+    let mut fleet = FakeFleet::new(1, 1);
+    let job = fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
+    fleet.run_for(START_TIME);
+    fleet.workers[0].end(member(job, 0), outcome);
+    fleet.now = fleet.now + fleet.settings.max_lease();
+    let losses = fleet.dispatcher.expire_leases(fleet.now, &fleet.state);
+    assert_eq!(losses.len(), 1, "the lease has expired");
+    // The report arrives before the loss is committed.
+    let report = fleet.workers[0].current_report(fleet.now);
+    let commands = receive(&mut fleet, &report);
+    for command in losses.iter().chain(&commands) {
+        fleet.state.apply(command);
+    }
+    let report = fleet.workers[0].current_report(fleet.now);
+    for command in receive(&mut fleet, &report) {
+        fleet.state.apply(&command);
+    }
+    let record = fleet.state.job(job).and_then(|record| record.task(&member(job, 0))).expect("a task");
+    assert_eq!((record.done, record.failures), (outcome == RunOutcome::Done, u16::from(outcome == RunOutcome::Failed)));
+    assert_eq!(fleet.state.worker(&fleet.workers[0].id).map(|record| record.runs.len()), Some(0));
+}
+
+/// Guards against a worker that stays without orders after the log has refused the command that declares it lost.
+#[test]
+fn a_refused_loss_is_withdrawn() {
+    let mut fleet = FakeFleet::new(1, 1);
+    let job = fleet.submit(submission(1, 0, vec![step(1, 1, 500)]));
+    fleet.run_for(Duration::from_millis(300));
+    fleet.now = fleet.now + fleet.settings.max_lease();
+    assert_eq!(fleet.dispatcher.expire_leases(fleet.now, &fleet.state).len(), 1);
+    fleet.dispatcher.withdraw_losses();
+    fleet.run_for(Duration::from_secs(3));
+    assert_eq!(fleet.status(job), Some(JobStatus::Completed));
+}
+
+/// Guards against an end of an earlier run that completes a task which has been placed again.
+#[test]
+fn an_end_of_an_earlier_run_does_not_count() {
+    let mut fleet = FakeFleet::new(2, 1);
+    let job = fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
+    fleet.run_for(START_TIME);
+    let task = member(job, 0);
+    let first = fleet.workers.iter().position(|worker| worker.runs.contains_key(&task)).expect("a worker");
+    fleet.workers[first].partitioned = true;
+    fleet.run_for(Duration::from_secs(10));
+    assert!(fleet.workers[1 - first].runs.contains_key(&task), "placed again");
+    let mut late = fleet.workers[first].current_report(fleet.now);
+    let lapsed = late.ended.first_mut().expect("the run has ended with its lease");
+    lapsed.outcome = RunOutcome::Done;
+    for command in receive(&mut fleet, &late) {
+        fleet.state.apply(&command);
+    }
+    assert!(!fleet.state.job(job).and_then(|record| record.task(&task)).is_some_and(|record| record.done));
+}
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -517,6 +517,7 @@
             Waiter::Maintenance => {
                 if let Some(leader_state) = &mut self.leader_state {
                     leader_state.maintenance_pending = false;
+                    leader_state.dispatcher.withdraw_losses();
                 }
             }
         }
