Bound the start orders in a response, and the other messages that grow with runs

Cause: all start orders for a worker went into one response. Workers drop responses over 4 MiB, and their lease with them, and got the same orders again with the next. Reports, exchanges with followers and log entries lacked limits in the same way.

Change: a response carries 512 KiB of start orders, unsent ones first; a worker gets at most 10,000 runs, and its report may take 4 MiB; exchanges and entries are filled up to 4 MiB and 512 KiB. A job that could not be delivered is refused at once.

--- a/crates/parsleywalk-batch/src/candidate.rs
+++ b/crates/parsleywalk-batch/src/candidate.rs
@@ -28,6 +28,8 @@
     pub(crate) compatible_images: u32,
     /// The number of runs that may be assigned in this cycle: at most one while the worker is on probation.
     pub(crate) probation_limit: usize,
+    /// The number of runs that the worker can have besides those that it has.
+    pub(crate) run_limit: usize,
     /// Whether the worker is reserved for a task that has waited long.
     pub(crate) reserved: bool,
     pub(crate) record: Option<&'a WorkerRecord>,
@@ -78,6 +80,7 @@
     fn allows(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
         // The limit is checked last, because it counts runs.
         !self.reserved
+            && self.placed.len() < self.run_limit
             && self.view.service == submission.service
             && spec.required_label.as_ref().is_none_or(|label| self.view.labels.contains(label))
             && spec.per_worker_limit.is_none_or(|limit| self.step_task_count(task) < limit as usize)
--- a/crates/parsleywalk-batch/src/command.rs
+++ b/crates/parsleywalk-batch/src/command.rs
@@ -89,6 +89,27 @@
     pub accepted_unix_ms: u64,
 }
 
+/// The size of a command or of a row in it without its texts in bytes, which is at least that of its encoding.
+const ROW_BYTES: usize = 128;
+
+impl BatchCommand {
+    /// Returns about how many bytes the command takes in a log entry, rounded up.
+    #[must_use]
+    pub fn size_hint(&self) -> usize {
+        let rows = match self {
+            Self::Configure(configuration) => configuration.text.len() * 4,
+            Self::SetZone { .. } | Self::Cancel { .. } => 0,
+            Self::Submit(submission) => submission.spec.size_hint(),
+            Self::Settle { ends, .. } => ends.iter().map(|end| ROW_BYTES + end.saved.len()).sum(),
+            Self::Place { runs } => runs.len() * ROW_BYTES,
+            Self::Lose { saved, .. } => saved.iter().map(|(_, saved)| ROW_BYTES + saved.len()).sum(),
+            Self::Withdraw { runs, .. } => runs.len() * ROW_BYTES,
+            Self::Forget { jobs } => jobs.len() * ROW_BYTES,
+        };
+        2 * ROW_BYTES + rows
+    }
+}
+
 impl JobSubmission {
     /// Returns a tombstone: the submission that stands for a job which was cancelled before it arrived. It has no steps,
     /// which no valid job has.
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -188,7 +188,7 @@
             ..WorkerOrders::default()
         };
         if let Some(record) = record.filter(|_| may_start) {
-            orders.starts = start_orders(state, view, record);
+            orders.starts = start_orders(state, view, record, self.settings.start_bytes);
         }
         let clock = view.clock;
         for order in &orders.starts {
@@ -443,16 +443,27 @@
     );
 }
 
-fn start_orders(state: &BatchState, view: &WorkerView, record: &WorkerRecord) -> Vec<StartOrder> {
+/// Returns the start orders for the runs that the worker does not list, up to `limit` bytes. Those that have not been
+/// ordered come first, and then those whose last order is oldest, so that none is held up by others.
+fn start_orders(state: &BatchState, view: &WorkerView, record: &WorkerRecord, limit: usize) -> Vec<StartOrder> {
     let pending = record.runs.iter().filter(|(task, entry)| {
         let withdrawn = view.withdrawing.get(task) == Some(&entry.run);
         !withdrawn && !view.lists(task, entry.run) && state.is_unfinished(task)
     });
-    let orders = pending.filter_map(|(task, entry)| {
-        let (job, _) = state.step_of(task)?;
-        let saved = job.task(task)?.saved.clone();
+    let mut pending: Vec<(&TaskKey, RunNumber)> = pending.map(|(task, entry)| (task, entry.run)).collect();
+    pending.sort_by_key(|(task, _)| view.ordered_at.get(task));
+    let mut orders = Vec::new();
+    let mut bytes = 0;
+    for (task, run) in pending {
+        let Some((job, _)) = state.step_of(task) else { continue };
+        let Some(saved) = job.task(task).map(|record| record.saved.clone()) else { continue };
         let payload = job.submission.spec.payload.clone();
-        Some(StartOrder { task: *task, run: entry.run, payload, saved, ticket: None })
-    });
-    orders.collect()
+        let order = StartOrder { task: *task, run, payload, saved, ticket: None };
+        bytes += order.size_hint();
+        if bytes > limit && !orders.is_empty() {
+            break;
+        }
+        orders.push(order);
+    }
+    orders
 }
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -41,5 +41,5 @@
 pub use report::{ReportResponse, RunningTask, StartOrder, WorkerOrders, WorkerReport};
 pub use settings::DispatchSettings;
 pub use sorted_map::SortedMap;
-pub use spec::{JobSchedule, JobSpec, MAX_JOB_STEPS, MAX_JOB_TASKS, StepSpec};
+pub use spec::{JobSchedule, JobSpec, MAX_JOB_STEPS, MAX_JOB_TASKS, MAX_PAYLOAD_BYTES, StepSpec};
 pub use state::{BatchReply, BatchState, PlacedRun, WorkerRecord};
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -197,6 +197,7 @@
                 critical_images: Cow::default(),
                 compatible_images: 0,
                 probation_limit: usize::MAX,
+                run_limit: self.settings.worker_runs.saturating_sub(record.map_or(0, |record| record.runs.len())),
                 reserved: false,
                 record: None,
                 placed: Vec::new(),
--- a/crates/parsleywalk-batch/src/report.rs
+++ b/crates/parsleywalk-batch/src/report.rs
@@ -34,7 +34,18 @@
     pub ended: Vec<RunEnd>,
 }
 
+/// The size of a row about a run without its texts in bytes, which is at least that of its encoding.
+const ROW_BYTES: usize = 64;
+
 impl WorkerReport {
+    /// Returns about how many bytes the report takes in a message, rounded up.
+    #[must_use]
+    pub fn size_hint(&self) -> usize {
+        let running = self.running.iter().map(|task| ROW_BYTES + task.saved.len());
+        let ended = self.ended.iter().map(|end| ROW_BYTES + end.saved.len());
+        ROW_BYTES * 4 + running.chain(ended).sum::<usize>()
+    }
+
     /// Returns the label that names the rack: the second one, because the first names the kind of worker.
     #[must_use]
     pub fn rack(&self) -> Option<&str> {
@@ -67,6 +78,16 @@
     pub next_report: Duration,
 }
 
+impl ReportResponse {
+    /// Returns about how many bytes the response takes in a message, rounded up.
+    #[must_use]
+    pub fn size_hint(&self) -> usize {
+        let Some(orders) = &self.orders else { return ROW_BYTES };
+        let starts = orders.starts.iter().map(StartOrder::size_hint).sum::<usize>();
+        ROW_BYTES * (1 + orders.stops.len() + orders.rates.len()) + starts
+    }
+}
+
 /// Orders to a worker.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerOrders {
@@ -98,3 +119,10 @@
     /// The ticket of the advice service, if the queue requires one.
     pub ticket: Option<String>,
 }
+
+impl StartOrder {
+    /// Returns about how many bytes the order takes in a message, rounded up.
+    pub(crate) fn size_hint(&self) -> usize {
+        ROW_BYTES + self.payload.len() + self.saved.len() + self.ticket.as_ref().map_or(0, String::len)
+    }
+}
--- a/crates/parsleywalk-batch/src/settings.rs
+++ b/crates/parsleywalk-batch/src/settings.rs
@@ -27,6 +27,11 @@
     pub stall_timeout: Duration,
     /// The first quarantine of a worker whose runs failed; doubled with each further one.
     pub quarantine: Duration,
+    /// The largest size of the start orders in one response in bytes; the others follow with the next ones. Workers drop
+    /// responses over 4 MiB, and the text form of an order is at most six times as long.
+    pub start_bytes: usize,
+    /// The largest number of runs on a worker, each of which is a row of its reports.
+    pub worker_runs: usize,
     /// How long, on the worker's clock, a start order that the worker does not report may still arrive.
     pub order_expiry: Duration,
 }
@@ -43,6 +48,8 @@
             worker_timeout: Duration::from_secs(1),
             stall_timeout: Duration::from_millis(1200),
             quarantine: Duration::from_millis(1500),
+            start_bytes: 512 * 1024,
+            worker_runs: 10_000,
             order_expiry: Duration::from_millis(1100),
         }
     }
--- a/crates/parsleywalk-batch/src/spec.rs
+++ b/crates/parsleywalk-batch/src/spec.rs
@@ -8,6 +8,12 @@
 /// The maximum number of tasks of a job over all its occurrences, which bounds the memory that one submission takes.
 pub const MAX_JOB_TASKS: usize = 20_000;
 
+/// The maximum size of a job's payload in bytes. Each start order carries it, and a response must fit several.
+pub const MAX_PAYLOAD_BYTES: usize = 64 * 1024;
+
+/// The maximum size of a job in bytes, which must fit into a log entry.
+const MAX_JOB_BYTES: usize = 512 * 1024;
+
 /// The maximum number of steps of a job.
 pub const MAX_JOB_STEPS: usize = 256;
 
@@ -73,6 +79,9 @@
     pub interval_ms: u64,
 }
 
+/// The size of a step without its texts in bytes, which is at least that of its encoding.
+const STEP_BYTES: usize = 256;
+
 /// The longest estimate that decisions use. Callers may send any number, and sums of unbounded durations overflow.
 const MAX_ESTIMATE: Duration = Duration::from_hours(24);
 
@@ -104,6 +113,16 @@
         self.schedule.map_or(1, |schedule| schedule.occurrences.max(1))
     }
 
+    /// Returns about how many bytes the job takes in a log entry, rounded up.
+    pub(crate) fn size_hint(&self) -> usize {
+        let texts = |step: &StepSpec| {
+            let labels =
+                [&step.required_label, &step.preferred_rack].map(|label| label.as_ref().map_or(0, String::len));
+            step.image.len() + labels.iter().sum::<usize>() + step.depends_on.len() * size_of::<u64>()
+        };
+        self.payload.len() + self.steps.iter().map(|step| STEP_BYTES + texts(step)).sum::<usize>()
+    }
+
     /// Returns the reason why the job is invalid, or `None` if it is valid.
     #[must_use]
     pub fn validation_error(&self) -> Option<&'static str> {
@@ -118,6 +137,12 @@
                 return Some("a step depends on earlier steps only");
             }
         }
+        if self.payload.len() > MAX_PAYLOAD_BYTES {
+            return Some("a job's payload has at most 65536 bytes");
+        }
+        if self.size_hint() > MAX_JOB_BYTES {
+            return Some("a job takes at most 512 KiB with the texts of its steps");
+        }
         let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
         let all = tasks.saturating_mul(u64::from(self.occurrences()));
         (all > MAX_JOB_TASKS as u64).then_some("a job has at most 20000 tasks over all its occurrences")
--- a/crates/parsleywalk-batch/tests/load.rs
+++ b/crates/parsleywalk-batch/tests/load.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use parsleywalk_batch::{JobStatus, StepSpec};
-use parsleywalk_units::MonotonicTime;
+use parsleywalk_batch::{BatchCommand, JobSpec, JobStatus, MAX_PAYLOAD_BYTES, StepSpec};
+use parsleywalk_units::{MemoryBytes, MilliCores, MonotonicTime, ResourceSize};
 use support::{FakeFleet, size, step, submission};
 
 /// Returns the tail latency of a queue with the given load: 25 ms without load, and above an objective of 150 ms from a
@@ -308,3 +308,82 @@
     fleet.run_for(Duration::from_millis(1200));
     assert_eq!(fleet.status(job), Some(JobStatus::Completed));
 }
+
+/// Guards against start orders that exceed what a worker accepts in one response: it drops the response, gets no lease,
+/// and loses all that it runs, again with each response. A wide job with a long payload must start bit by bit, and
+/// other tasks of its workers stay.
+#[test]
+fn the_start_orders_of_a_wide_job_are_spread_over_responses() {
+    let mut fleet = FakeFleet::new(2, 1);
+    fleet.run_for(Duration::from_secs(1));
+    let lasting = fleet.submit(submission(1, 0, vec![StepSpec { long_running: true, ..step(2, 1, 0) }]));
+    fleet.run_for(Duration::from_millis(500));
+    let size = ResourceSize::new(MilliCores::new(8), MemoryBytes::new(20_000_000));
+    let wide = StepSpec { count: 6000, size, estimate: Duration::from_millis(500), ..StepSpec::default() };
+    let mut wide = submission(2, 0, vec![wide]);
+    wide.spec.payload = "x".repeat(4000);
+    let wide = fleet.submit(wide);
+    assert!(fleet.settings.start_bytes * 6 < 4 * 1024 * 1024, "the text form of an order is up to six times as long");
+    let deadline = fleet.now + Duration::from_secs(30);
+    while fleet.status(wide) != Some(JobStatus::Completed) {
+        assert!(fleet.now < deadline, "the job ends");
+        fleet.step();
+        assert!(fleet.largest_starts <= fleet.settings.start_bytes, "{} bytes", fleet.largest_starts);
+    }
+    let running = fleet.workers.iter().flat_map(|worker| worker.runs.keys()).filter(|task| task.job == lasting);
+    assert_eq!(running.count(), 2);
+    assert_eq!(fleet.starts, 6002, "each task starts once");
+}
+
+/// Guards against a start order that a worker never lists and that keeps the others from being sent.
+#[test]
+fn start_orders_that_are_not_carried_out_do_not_hold_up_others() {
+    let mut fleet = FakeFleet::new(1, 1);
+    fleet.run_for(Duration::from_secs(1));
+    fleet.settings.start_bytes = MAX_PAYLOAD_BYTES * 3 / 2;
+    fleet.change_leader();
+    fleet.run_for(Duration::from_secs(1));
+    let mut wide = submission(1, 0, vec![step(10, 1, 60_000)]);
+    wide.spec.payload = "x".repeat(MAX_PAYLOAD_BYTES);
+    assert_eq!(wide.spec.validation_error(), None);
+    fleet.submit(wide);
+    let runs = fleet.dispatcher.plan(fleet.now, 0, &fleet.state);
+    fleet.state.apply(&BatchCommand::Place { runs });
+    let mut ordered = Vec::new();
+    for _ in 0..10 {
+        fleet.now = fleet.now + Duration::from_millis(100);
+        let report = fleet.workers[0].current_report(fleet.now);
+        fleet.dispatcher.receive(fleet.now, &fleet.state, &report);
+        let response = fleet.dispatcher.build_response(&fleet.state, &report.worker, report.sequence);
+        ordered.extend(response.orders.expect("orders").starts.into_iter().map(|order| order.task));
+    }
+    assert_eq!(ordered.len(), 10, "a response has room for one order");
+    ordered.sort_unstable();
+    ordered.dedup();
+    assert_eq!(ordered.len(), 10, "no order is repeated before the others");
+}
+
+/// Guards against a worker with so many runs that its reports are refused.
+#[test]
+fn a_worker_gets_a_bounded_number_of_runs() {
+    let mut fleet = FakeFleet::new(1, 1);
+    let limit = u32::try_from(fleet.settings.worker_runs).expect("small");
+    let size = ResourceSize::new(MilliCores::new(1), MemoryBytes::new(1));
+    let tiny = StepSpec { count: limit + 100, size, estimate: Duration::from_mins(10), ..StepSpec::default() };
+    fleet.submit(submission(1, 0, vec![tiny]));
+    fleet.run_for(Duration::from_secs(30));
+    assert_eq!(fleet.workers[0].runs.len(), fleet.settings.worker_runs);
+}
+
+/// Guards against a job whose start orders or log entry are too large to be delivered: it must be refused at once.
+#[test]
+fn a_job_that_is_too_large_is_invalid() {
+    let job = |payload: usize, image: usize| JobSpec {
+        payload: "x".repeat(payload),
+        steps: vec![StepSpec { image: "x".repeat(image), ..step(1, 1, 100) }],
+        schedule: None,
+    };
+    assert_eq!(job(MAX_PAYLOAD_BYTES, 1000).validation_error(), None);
+    assert!(job(MAX_PAYLOAD_BYTES + 1, 0).validation_error().is_some());
+    assert!(job(0, 600_000).validation_error().is_some());
+}
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -101,6 +101,8 @@
     done: BTreeMap<TaskKey, RunNumber>,
     out_since: BTreeMap<ZoneName, MonotonicTime>,
     pub(crate) starts: u64,
+    /// The largest size of the payloads and checkpoints of the start orders in one response.
+    pub(crate) largest_starts: usize,
     pub(crate) ended_at: BTreeMap<JobId, MonotonicTime>,
     /// The longest time for which a latency-critical task has missed its objective without interruption.
     pub(crate) longest_violation: Duration,
@@ -149,6 +151,7 @@
             done: BTreeMap::new(),
             out_since: BTreeMap::new(),
             starts: 0,
+            largest_starts: 0,
             ended_at: BTreeMap::new(),
             longest_violation: Duration::ZERO,
             violated_since: BTreeMap::new(),
@@ -331,6 +334,8 @@
                 known.rate = rate;
             }
         }
+        let bytes = orders.starts.iter().map(|order| order.payload.len() + order.saved.len()).sum();
+        self.largest_starts = self.largest_starts.max(bytes);
         for order in orders.starts {
             let Some((job, spec)) = self.state.step_of(&order.task) else { continue };
             assert_eq!(order.payload, job.submission.spec.payload, "the order carries the job's payload");
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -35,6 +35,9 @@
 const MAX_ENTRIES_IN_FLIGHT: usize = 2;
 /// The maximum number of commands in one entry.
 const MAX_ENTRY_COMMANDS: usize = 512;
+/// The maximum size of the commands in one entry in bytes, unless a single one is larger; the log refuses an entry of
+/// 1 MiB.
+const MAX_ENTRY_BYTES: usize = 512 * 1024;
 /// The maximum number of tombstones; one takes less than 1 KB.
 const MAX_TOMBSTONES: usize = 20_000;
 /// The delay after which a cancel of an unknown job may be repeated when there are too many of them.
@@ -405,9 +408,11 @@
         while !self.queued.is_empty() && self.appended.len() + self.proposed.len() < MAX_ENTRIES_IN_FLIGHT {
             let mut commands = Vec::new();
             let mut waiters = EntryWaiters::new();
-            let mut taken = 0;
+            let (mut taken, mut bytes) = (0, 0);
             for queued in &self.queued {
-                if taken > 0 && commands.len() + queued.commands.len() > MAX_ENTRY_COMMANDS {
+                bytes += queued.commands.iter().map(BatchCommand::size_hint).sum::<usize>();
+                let is_full = commands.len() + queued.commands.len() > MAX_ENTRY_COMMANDS || bytes > MAX_ENTRY_BYTES;
+                if taken > 0 && is_full {
                     break;
                 }
                 commands.extend_from_slice(&queued.commands);
--- a/crates/parsleywalk-fleet/src/leader_state.rs
+++ b/crates/parsleywalk-fleet/src/leader_state.rs
@@ -11,6 +11,7 @@
 
 use crate::message::RelayedResponse;
 use crate::plan_pacer::PlanPacer;
+use crate::report_relay::MAX_EXCHANGE_BYTES;
 use crate::submission_history::SubmissionHistory;
 use crate::waiter::RelayOutbox;
 use crate::zone_orders::ZoneOrders;
@@ -68,9 +69,19 @@
         Rc::clone(self.outboxes.entry(follower, RelayOutbox::default))
     }
 
-    /// Returns the responses that a follower has not fetched yet, and removes them.
+    /// Returns the responses that a follower has not fetched yet, as many as fit into an exchange, and removes them.
     pub(crate) fn take_responses(&self, follower: VmNumber) -> Vec<RelayedResponse> {
-        self.outboxes.get(&follower).map(|outbox| outbox.take()).unwrap_or_default()
+        let Some(outbox) = self.outboxes.get(&follower) else { return Vec::new() };
+        let mut responses = outbox.take();
+        let mut bytes = 0;
+        let fitting = responses.iter().take_while(|relayed| {
+            let is_first = bytes == 0;
+            bytes += relayed.response.size_hint();
+            is_first || bytes <= MAX_EXCHANGE_BYTES
+        });
+        let rest = responses.split_off(fitting.count());
+        outbox.replace(rest);
+        responses
     }
 
     /// Returns a command that removes the jobs whose retention period is over, and updates what is known of other jobs.
--- a/crates/parsleywalk-fleet/src/report_relay.rs
+++ b/crates/parsleywalk-fleet/src/report_relay.rs
@@ -30,6 +30,10 @@
 /// The longest wait for the leader's reply to an exchange. Workers drop responses that take a second.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The maximum size of the reports or responses in one exchange in bytes, unless a single one is larger; a message may
+/// take 16 MiB.
+pub(crate) const MAX_EXCHANGE_BYTES: usize = 4 * 1024 * 1024;
+
 /// A report that has not been answered.
 #[derive(Debug)]
 struct RelayedReport {
@@ -136,12 +140,18 @@
         }
     }
 
-    /// Returns the reports that the leader does not have yet.
+    /// Returns the reports that the leader does not have yet, as many as fit into an exchange.
     fn reports_for(&self, leader: Option<VmNumber>) -> Vec<Arc<WorkerReport>> {
         let reports = self.reports.borrow();
         let unsent = reports.iter().filter_map(|(_, slot)| slot.as_ref());
         let unsent = unsent.filter(|relayed| relayed.sent_to.is_none() || relayed.sent_to != leader);
-        unsent.map(|relayed| Arc::clone(&relayed.report)).collect()
+        let mut bytes = 0;
+        let fitting = unsent.take_while(|relayed| {
+            let is_first = bytes == 0;
+            bytes += relayed.report.size_hint();
+            is_first || bytes <= MAX_EXCHANGE_BYTES
+        });
+        fitting.map(|relayed| Arc::clone(&relayed.report)).collect()
     }
 
     /// Records that a leader has the reports. A report that a newer one has replaced meanwhile is left out.
--- a/crates/parsleywalk-fleet/tests/replicas.rs
+++ b/crates/parsleywalk-fleet/tests/replicas.rs
@@ -5,10 +5,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use parsleywalk_batch::JobStatus;
+use parsleywalk_batch::{JobSpec, JobStatus, MAX_PAYLOAD_BYTES};
 use parsleywalk_fleet::{CallFailure, LeaderReply, LeaderRequest, QueueAction};
 use support::{TestDaemon, TestFleet, WAIT_TIMEOUT, configuration, is_version, job, queue};
 
+/// How long callers wait for a response.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Guards against the loss of acknowledged changes with the leader, and against a lower configuration version replacing
 /// a higher one.
 #[test]
@@ -116,3 +119,23 @@
     entry.stop();
     replicas.into_iter().flatten().for_each(TestDaemon::stop);
 }
+
+/// Guards against log entries that exceed the log's limit: submissions that wait for an entry are committed together,
+/// and a few hundred with long payloads were refused each time that they were tried.
+#[test]
+fn a_burst_of_large_submissions_is_accepted() {
+    let fleet = TestFleet::new(15);
+    let replicas = fleet.bootstrap();
+    let leader = usize::from(replicas[0].as_ref().expect("the replica runs").leader().octets()[3]) - 1;
+    let leader = replicas[leader].as_ref().expect("the replica runs");
+    leader.wait_for(&configuration(1), |reply| *reply == LeaderReply::Done);
+    let submit = |number: u32| {
+        let large = JobSpec { payload: "x".repeat(MAX_PAYLOAD_BYTES), ..job() };
+        queue(&format!("/checks/{number:016x}"), QueueAction::Submit(Box::new(large)))
+    };
+    let submitted: Vec<_> = (0..250).map(|number| leader.begin_call(submit(number), CALLER_TIMEOUT)).collect();
+    for outcome in submitted {
+        assert_eq!(outcome.recv_timeout(WAIT_TIMEOUT).expect("an outcome"), Ok(LeaderReply::Done));
+    }
+    replicas.into_iter().flatten().for_each(TestDaemon::stop);
+}
