--- a/crates/parsleywalkd/examples/process_soak.rs
+++ b/crates/parsleywalkd/examples/process_soak.rs
@@ -27,6 +27,9 @@
     /// The path of the daemon's binary.
     #[arg(long, default_value = "target/release/parsleywalkd")]
     program: PathBuf,
+    /// The path of an earlier release's binary. Each start of a daemon then draws one of the two.
+    #[arg(long)]
+    earlier_program: Option<PathBuf>,
     /// Keeps the settings, logs and disks of each seed in a subfolder of this one.
     #[arg(long)]
     folder: Option<PathBuf>,
@@ -47,6 +50,7 @@
         let settings = SoakSettings {
             seed,
             program: arguments.program.clone(),
+            earlier_program: arguments.earlier_program.clone(),
             zones: arguments.zones,
             faults: Duration::from_secs(arguments.seconds),
             folder: arguments.folder.as_ref().map(|folder| folder.join(seed.to_string())),
