Withhold votes of the current term as well while a leader may hold its lease

What callers would see: orders of two leaders for up to half a second around a hand-over.

Cause: a replica that has just answered a heartbeat ignores votes of a newer term only. Another message with that term, such as a late answer to its own pre-vote, made it adopt the term, and then it granted the vote at once.

Change: every vote is withheld during that time, except a repeated one for the candidate that has it.

--- a/crates/parsleywalk-consensus/src/node/election.rs
+++ b/crates/parsleywalk-consensus/src/node/election.rs
@@ -198,9 +198,10 @@
             let message = ConsensusMessage::VoteReply { term: self.term, granted: false };
             return self.send_after_hard_state(from, message);
         }
-        // The newer term is ignored while votes are withheld, so that a partitioned replica cannot depose a working
-        // leader.
-        if term > self.term && self.withholds_vote() {
+        // Requests are ignored while votes are withheld, so that a partitioned replica cannot depose a working leader. That
+        // holds for the current term as well, since a newer term can be adopted from other messages meanwhile.
+        let repeats_vote = term == self.term && self.vote == Some(from);
+        if !repeats_vote && self.withholds_vote() {
             return;
         }
         if term > self.term {
