Keep a worker's departure beyond its leader

What callers would see: jobs that wait 7 s on a worker that has left.

Cause: the notice was kept by the leader only. A delayed report made the worker a candidate again for the next leader.

Evidence: both cases of the new test fail without the command: the report is handled ("Commit([])" instead of "Stale").

Change: the notice moves the worker's record on to the next incarnation, when its runs are gone. How commands are applied stays as it is.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -159,12 +159,18 @@
         ReportAction::Commit(commands)
     }
 
-    /// Records that a worker exits. Without an incarnation, the notice counts only for a draining worker, since it may
-    /// come from an earlier incarnation.
-    pub fn mark_departed(&mut self, worker: &WorkerId, incarnation: Option<Incarnation>) {
-        if let Some(view) = self.workers.get_mut(worker) {
-            view.departed |= incarnation.map_or(view.draining, |incarnation| incarnation == view.incarnation);
-        }
+    /// Records that a worker exits, and returns the command to commit before the notice is answered. Without an
+    /// incarnation, the notice counts only for a draining worker, since it may come from an earlier incarnation.
+    pub fn mark_departed(
+        &mut self,
+        state: &BatchState,
+        worker: &WorkerId,
+        incarnation: Option<Incarnation>,
+    ) -> Option<BatchCommand> {
+        let view = self.workers.get_mut(worker)?;
+        view.departed |= incarnation.map_or(view.draining, |incarnation| incarnation == view.incarnation);
+        let has_runs = state.worker(worker).is_some_and(|record| !record.runs.is_empty());
+        if view.departed && !has_runs { departure_command(worker, view) } else { None }
     }
 
     /// Builds the response to a worker's newest report. The caller must hold the leader lease and must have committed
@@ -225,7 +231,13 @@
             view.map_or(inherited_until, |view| view.lease_until.max(view.reported_at + worker_timeout)) <= now
         };
         let lost = state.workers().filter(|(worker, record)| !record.runs.is_empty() && is_expired(worker));
-        let commands: Vec<BatchCommand> = lost.map(|(worker, record)| self.loss_command(worker, record)).collect();
+        let mut commands: Vec<BatchCommand> = lost.map(|(worker, record)| self.loss_command(worker, record)).collect();
+        let departed = commands.iter().filter_map(|command| {
+            let BatchCommand::Lose { worker, .. } = command else { return None };
+            let view = self.workers.get(worker).filter(|view| view.departed)?;
+            departure_command(worker, view)
+        });
+        let departed: Vec<BatchCommand> = departed.collect();
         for command in &commands {
             if let BatchCommand::Lose { worker, incarnation, .. } = command {
                 let (silent_ms, sequence) = self
@@ -241,6 +253,7 @@
             }
         }
         let view_retention = self.settings.max_lease() * 4;
+        commands.extend(departed);
         self.workers.retain(|_, view| now < view.reported_at + view_retention);
         self.avoided.retain(|task, _| state.is_unfinished(task));
         self.begun_jobs.prune(state);
@@ -417,6 +430,15 @@
     }
 }
 
+/// Returns the command after which every replica, and so the next leader, takes reports of the worker's incarnation for
+/// late ones: the worker's record moves on to the next incarnation. The worker must have no placed runs. Incarnations
+/// without a number cannot be told apart.
+fn departure_command(worker: &WorkerId, view: &WorkerView) -> Option<BatchCommand> {
+    let incarnation = view.incarnation.next();
+    let is_numbered = view.incarnation != Incarnation::ZERO;
+    is_numbered.then(|| BatchCommand::Settle { worker: worker.clone(), incarnation, ends: Vec::new() })
+}
+
 /// Returns true if a run on a draining worker should be evicted now, since it would not end before the worker exits.
 fn outlasts_drain(step: &crate::StepSpec, percent: u8) -> bool {
     let remaining = step.bounded_estimate() * u32::from(100 - percent.min(100)) / 100;
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -182,6 +182,7 @@
             if unresponsive
                 || view.loss_pending
                 || view.draining
+                || view.departed
                 || state.is_out_of_service(&view.zone)
                 || view.health.is_quarantined(now)
             {
--- a/crates/parsleywalk-batch/tests/guarantees.rs
+++ b/crates/parsleywalk-batch/tests/guarantees.rs
@@ -180,7 +180,7 @@
     fleet.workers[0].draining = true;
     fleet.run_for(Duration::from_millis(300));
     let late = fleet.workers[0].current_report(fleet.now);
-    fleet.dispatcher.mark_departed(&late.worker, None);
+    assert_eq!(fleet.dispatcher.mark_departed(&fleet.state, &late.worker, None), None, "it still has a run");
     fleet.now = fleet.now + Duration::from_secs(4);
     assert_eq!(fleet.dispatcher.receive(fleet.now, &fleet.state, &late), ReportAction::Stale);
 }
@@ -354,3 +354,32 @@
     fleet.run_for(Duration::from_secs(10));
     assert_eq!(waiting(&fleet), 0);
 }
+
+/// Guards against a worker that has left and is in use again: the leader changes after the notice was answered, and a
+/// delayed report of the worker is the first that the new leader hears of it. The worker's next incarnation works.
+#[rstest]
+fn a_departed_worker_is_not_in_use_after_a_change_of_leader(#[values(false, true)] has_run: bool) {
+    let mut fleet = FakeFleet::new(1, 1);
+    fleet.run_for(Duration::from_secs(1));
+    if has_run {
+        fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
+        fleet.run_for(Duration::from_millis(500));
+    }
+    let late = fleet.workers[0].current_report(fleet.now);
+    let command = fleet.dispatcher.mark_departed(&fleet.state, &late.worker, Some(late.incarnation));
+    assert_eq!(command.is_some(), !has_run);
+    fleet.state.apply(&command.unwrap_or(BatchCommand::Forget { jobs: Vec::new() }));
+    fleet.workers[0].up = false;
+    // The runs of the worker are lost with its lease.
+    fleet.run_for(Duration::from_secs(8));
+    fleet.change_leader();
+    fleet.run_for(Duration::from_secs(1));
+    assert_eq!(fleet.dispatcher.receive(fleet.now, &fleet.state, &late), ReportAction::Stale);
+    let job = fleet.submit(submission(2, 0, vec![step(1, 1, 300)]));
+    fleet.run_for(Duration::from_secs(1));
+    assert!(fleet.state.worker(&late.worker).is_none_or(|record| record.runs.is_empty()), "nothing is placed on it");
+    fleet.workers[0].restart();
+    fleet.workers[0].up = true;
+    fleet.run_for(Duration::from_secs(2));
+    assert_eq!(fleet.status(job), Some(JobStatus::Completed));
+}
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -210,10 +210,11 @@
             LeaderRequest::Report(report) => self.handle_report(now, &report, sender),
             LeaderRequest::Leave { worker, incarnation } => {
                 info!("event=worker_leaving worker={worker} incarnation={incarnation:?}");
-                if let Some(leader_state) = &mut self.leader_state {
-                    leader_state.dispatcher.mark_departed(&worker, incarnation);
+                let Some(leader_state) = &mut self.leader_state else { return };
+                match leader_state.dispatcher.mark_departed(&self.state, &worker, incarnation) {
+                    Some(command) => self.propose(vec![command], Waiter::Reply(sender)),
+                    None => sender.send(LeaderReply::Done),
                 }
-                sender.send(LeaderReply::Done);
             }
             LeaderRequest::ReadConfiguration => {
                 let configuration = self.state.configuration();
