Relay no response to an earlier life of a worker

What workers would see: start orders for an earlier life, if they start again under their id and reach the sequence number of a relayed report that is still unanswered.

Cause: relayed responses name the worker and the sequence number, not the incarnation.

Evidence: without the check the new test gets orders in place of a refusal.

Change: a report with another incarnation and the number of the last one sent is refused; the worker reports again with the next number.

--- a/crates/parsleywalk-fleet/src/report_relay.rs
+++ b/crates/parsleywalk-fleet/src/report_relay.rs
@@ -17,7 +17,7 @@
 use log::info;
 use parsleywalk_batch::{ReportResponse, SortedMap, WorkerReport};
 use parsleywalk_peer::{CallWindow, SteadyClock};
-use parsleywalk_units::{VmNumber, WorkerId};
+use parsleywalk_units::{Incarnation, VmNumber, WorkerId};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{self, Instant};
 
@@ -51,6 +51,8 @@
     metrics: FleetMetrics,
     /// The unanswered reports. A worker keeps its slot, so that a report moves no other row.
     reports: RefCell<SortedMap<WorkerId, Option<RelayedReport>>>,
+    /// The last report of each worker that was sent to a leader. Its response may still arrive.
+    sent: RefCell<SortedMap<WorkerId, (Incarnation, u64)>>,
     /// Whether the leader wants the workers of this replica's zone to report here.
     is_gathering: Cell<bool>,
     arrived: Notify,
@@ -63,6 +65,7 @@
             clock,
             metrics,
             reports: RefCell::default(),
+            sent: RefCell::default(),
             is_gathering: Cell::new(false),
             arrived: Notify::new(),
         }
@@ -75,6 +78,14 @@
 
     /// Relays a report and returns the leader's response. A newer report of the same worker replaces it.
     pub(crate) async fn call(&self, report: WorkerReport, timeout: Duration) -> Result<ReportResponse, CallFailure> {
+        // Responses name the worker and the sequence number only. One for an earlier incarnation must not reach this one;
+        // the worker reports again with the next number.
+        let last_sent = self.sent.borrow().get(&report.worker).copied();
+        if last_sent
+            .is_some_and(|(incarnation, sequence)| incarnation != report.incarnation && sequence == report.sequence)
+        {
+            return Err(CallFailure::Unknown);
+        }
         let (sender, response) = oneshot::channel();
         let worker = report.worker.clone();
         let relayed = RelayedReport { report: Arc::new(report), sender, sent_to: None };
@@ -102,6 +113,9 @@
 
     async fn exchange(&self, reports: Vec<Arc<WorkerReport>>) {
         self.metrics.reports_relayed(reports.len());
+        for report in &reports {
+            self.sent.borrow_mut().insert(report.worker.clone(), (report.incarnation, report.sequence));
+        }
         let now = self.clock.now();
         let window = CallWindow { received: now, expires: now + EXCHANGE_TIMEOUT };
         let outcome = self.client.call_any(&LeaderRequest::Relay { reports: reports.clone() }, window).await;
--- a/crates/parsleywalk-fleet/tests/relay.rs
+++ b/crates/parsleywalk-fleet/tests/relay.rs
@@ -5,8 +5,8 @@
 use std::net::Ipv4Addr;
 use std::time::Instant;
 
-use parsleywalk_batch::{DispatchSettings, ReportResponse};
-use parsleywalk_fleet::{FleetSettings, LeaderReply, QueueAction};
+use parsleywalk_batch::{DispatchSettings, ReportResponse, WorkerReport};
+use parsleywalk_fleet::{CallFailure, FleetSettings, LeaderReply, QueueAction};
 use support::test_worker::TestWorker;
 use support::{ReportOutcome, TestDaemon, TestFleet, WAIT_TIMEOUT, configuration, job, queue};
 
@@ -116,3 +116,27 @@
     assert!(next.orders.is_some_and(|orders| !orders.lease.is_zero()));
     fleet.stop();
 }
+
+/// Guards against orders for an earlier life of a worker: it starts again under its id, and its report has the sequence
+/// number of one whose response may still be on its way. The report after that is answered.
+#[test]
+fn a_restarted_worker_gets_no_response_to_its_earlier_reports() {
+    let fleet = RelayFleet::start(23);
+    let leader = fleet.leader_index(0);
+    let follower = (leader + 1) % 3;
+    let mut worker = TestWorker { zone: RelayFleet::zone(follower), sequence: 0 };
+    fleet.report_until(follower, &mut worker, |(response, _)| response.orders.is_some());
+    worker.sequence -= 1;
+    let restarted = |report: WorkerReport| WorkerReport { incarnation: report.incarnation.next(), ..report };
+    let ambiguous = fleet.replica(follower).report(restarted(worker.next())).recv_timeout(WAIT_TIMEOUT);
+    assert_eq!(ambiguous.expect("an outcome"), Err(CallFailure::Unknown));
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    loop {
+        let outcome = fleet.replica(follower).report(restarted(worker.next())).recv_timeout(WAIT_TIMEOUT);
+        if outcome.expect("an outcome").is_ok_and(|(response, _)| response.orders.is_some()) {
+            break;
+        }
+        assert!(Instant::now() < deadline, "the restarted worker gets no orders");
+    }
+    fleet.stop();
+}
