--- a/crates/parsleywalk-fleet/tests/late_calls.rs
+++ b/crates/parsleywalk-fleet/tests/late_calls.rs
@@ -15,6 +15,8 @@
 
 /// How long a caller waits whose call is held up.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long a paused daemon does not run, which is enough for another leader to be elected.
+const PAUSE: Duration = Duration::from_millis(2500);
 /// The time in which the bytes that a healed link has held back arrive and take effect.
 const ARRIVAL_TIME: Duration = Duration::from_millis(800);
 /// The time in which a placed run is ordered.
@@ -73,6 +75,31 @@
     fleet.stop();
 }
 
+/// Guards against a zone order that lay in a paused daemon's socket and takes effect after its resend and the opposite
+/// order were acknowledged by way of another daemon. The daemon is a follower or the leader itself.
+#[rstest]
+#[case::follower(37, 1)]
+#[case::leader(38, 0)]
+fn a_zone_order_read_after_a_pause_is_not_carried_out(#[case] network: u8, #[case] paused: usize) {
+    let fleet = LinkedFleet::start(network);
+    let roles = fleet.roles();
+    let (paused, other) = (roles[paused], roles[2]);
+    assert_eq!(fleet.replica(other).call(set_zone(ZoneDirection::Out)), Ok(LeaderReply::Done));
+    fleet.replica(paused).pause(PAUSE);
+    thread::sleep(Duration::from_millis(50));
+    let late = fleet.replica(paused).begin_call(set_zone(ZoneDirection::In), CALLER_TIMEOUT + PAUSE);
+    for direction in [ZoneDirection::In, ZoneDirection::Out] {
+        fleet.replica(other).wait_for(&set_zone(direction), |reply| *reply == LeaderReply::Done);
+    }
+    let outcome = late.recv_timeout(WAIT_TIMEOUT).expect("an outcome");
+    assert_ne!(outcome, Ok(LeaderReply::Done));
+    thread::sleep(ARRIVAL_TIME);
+    fleet.replica(other).wait_for(&submit(), |reply| *reply == LeaderReply::Done);
+    let mut worker = TestWorker { zone: "zone-x", sequence: 0 };
+    assert!(!gets_starts(fleet.replica(other), &mut worker), "the zone is out of service");
+    fleet.stop();
+}
+
 /// Guards against an order that was received by a daemon before the leader's term began: an earlier leader may have
 /// acknowledged the opposite order since. A new order takes effect.
 #[test]
--- a/crates/parsleywalk-fleet/tests/support/mod.rs
+++ b/crates/parsleywalk-fleet/tests/support/mod.rs
@@ -31,6 +31,7 @@
 pub(crate) enum DaemonCommand {
     Call(Box<LeaderRequest>, Duration, flume::Sender<CallOutcome>),
     Report(Box<WorkerReport>, flume::Sender<ReportOutcome>),
+    Pause(Duration),
     Stop,
 }
 
@@ -59,6 +60,10 @@
                         DaemonCommand::Report(report, sender) => tokio::task::spawn_local(async move {
                             drop(sender.send(access.report(*report, Duration::from_secs(2)).await));
                         }),
+                        DaemonCommand::Pause(duration) => {
+                            thread::sleep(duration);
+                            continue;
+                        }
                         DaemonCommand::Stop => break,
                     };
                 }
@@ -78,6 +83,11 @@
         reply
     }
 
+    /// Pauses the whole daemon. Requests that are sent meanwhile wait, as in a socket.
+    pub(crate) fn pause(&self, duration: Duration) {
+        self.commands.send(DaemonCommand::Pause(duration)).expect("the daemon runs");
+    }
+
     /// Sends a worker's report to the daemon. The outcome arrives at the receiver.
     pub(crate) fn report(&self, report: WorkerReport) -> flume::Receiver<ReportOutcome> {
         let (sender, outcome) = flume::bounded(1);
