--- a/crates/parsleywalk-batch/src/command.rs
+++ b/crates/parsleywalk-batch/src/command.rs
@@ -90,7 +90,7 @@
 }
 
 /// The size of a command or of a row in it without its texts in bytes, which is at least that of its encoding.
-const ROW_BYTES: usize = 128;
+const COMMAND_ROW_BYTES: usize = 128;
 
 impl BatchCommand {
     /// Returns about how many bytes the command takes in a log entry, rounded up.
@@ -100,13 +100,13 @@
             Self::Configure(configuration) => configuration.text.len() * 4,
             Self::SetZone { .. } | Self::Cancel { .. } => 0,
             Self::Submit(submission) => submission.spec.size_hint(),
-            Self::Settle { ends, .. } => ends.iter().map(|end| ROW_BYTES + end.saved.len()).sum(),
-            Self::Place { runs } => runs.len() * ROW_BYTES,
-            Self::Lose { saved, .. } => saved.iter().map(|(_, saved)| ROW_BYTES + saved.len()).sum(),
-            Self::Withdraw { runs, .. } => runs.len() * ROW_BYTES,
-            Self::Forget { jobs } => jobs.len() * ROW_BYTES,
+            Self::Settle { ends, .. } => ends.iter().map(|end| COMMAND_ROW_BYTES + end.saved.len()).sum(),
+            Self::Place { runs } => runs.len() * COMMAND_ROW_BYTES,
+            Self::Lose { saved, .. } => saved.iter().map(|(_, saved)| COMMAND_ROW_BYTES + saved.len()).sum(),
+            Self::Withdraw { runs, .. } => runs.len() * COMMAND_ROW_BYTES,
+            Self::Forget { jobs } => jobs.len() * COMMAND_ROW_BYTES,
         };
-        2 * ROW_BYTES + rows
+        2 * COMMAND_ROW_BYTES + rows
     }
 }
 
--- a/crates/parsleywalk-fleet/src/queue_decision.rs
+++ b/crates/parsleywalk-fleet/src/queue_decision.rs
@@ -1,6 +1,6 @@
 //! Decisions about callers' requests to queues.
 
-use parsleywalk_batch::{BatchState, Dispatcher, JobId, JobQueue, JobRecord, JobSpec, JobSubmission};
+use parsleywalk_batch::{BatchState, Dispatcher, JobId, JobQueue, JobSpec, JobSubmission};
 use parsleywalk_units::MonotonicTime;
 
 use crate::{LeaderReply, QueueAction};
@@ -71,8 +71,8 @@
 }
 
 fn submit(state: &BatchState, queue: &JobQueue, unix_ms: u64, job: JobId, spec: JobSpec) -> QueueDecision {
-    let is_tombstone = state.job(job).map(JobRecord::is_tombstone);
-    if is_tombstone == Some(false) {
+    let known = state.job(job);
+    if known.is_some_and(|record| !record.is_tombstone()) {
         return QueueDecision::Reply(LeaderReply::Done);
     }
     if let Some(error) = spec.validation_error() {
@@ -90,7 +90,7 @@
         advised: queue.advice.is_some(),
         accepted_unix_ms: unix_ms,
     });
-    if is_tombstone.is_some() { QueueDecision::SubmitCancelled(submission) } else { QueueDecision::Submit(submission) }
+    if known.is_some() { QueueDecision::SubmitCancelled(submission) } else { QueueDecision::Submit(submission) }
 }
 
 #[cfg(test)]
