Count a gang's failed run whatever ended before the failure

Callers would see: a gang that fails more often than its attempts, since some failed runs do not count.

Cause: whether a failure of a run is recorded was derived from the state at the first failed end. A member with a failure of an earlier run that had ended as broken, or was lost with its worker, stood for a recorded one. A failed end of an earlier run that arrived late was taken for one of the newest run.

Change: the leader records the gangs' runs that it places, of which no failure can be recorded; it looks at the state only for runs of earlier leaders, at the first end of any outcome. Ends of earlier runs count for nothing.

--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -147,6 +147,7 @@
                 unplaceable.push(shape);
             }
         }
+        self.gang_runs.record_placed(state, &placements);
         placements
     }
 
--- a/crates/parsleywalk-batch/src/settlement.rs
+++ b/crates/parsleywalk-batch/src/settlement.rs
@@ -14,7 +14,7 @@
 /// The step of one occurrence of a job.
 type StepKey = (JobId, u32, u16);
 
-/// A run of a gang of which a member has ended.
+/// The newest known run of a gang.
 #[derive(Debug)]
 struct GangRun {
     run: RunNumber,
@@ -31,19 +31,39 @@
     Listed(WorkerId, EndNumber),
 }
 
-/// The newest run of each gang of which a member has ended.
+/// The newest run of each gang that this leader has placed, or of which it has handled an end.
 #[derive(Debug, Default)]
 pub(crate) struct GangRuns {
     runs: SortedMap<StepKey, GangRun>,
 }
 
 impl GangRuns {
+    /// Records the runs of gangs that this leader places. No failure of them can have been recorded before.
+    pub(crate) fn record_placed(&mut self, state: &BatchState, placements: &[RunPlacement]) {
+        let first_members = placements.iter().filter(|placement| placement.task.index == 0);
+        for RunPlacement { task, run, .. } in first_members {
+            if state.step_of(task).is_some_and(|(_, spec)| spec.gang) {
+                self.runs.insert(step_key(task), GangRun { run: *run, failure: GangFailure::None });
+            }
+        }
+    }
+
+    /// Returns the newest run of a gang of which a member has ended. It must be called for the first end of a run that an
+    /// earlier leader has placed, whatever its outcome, since the state tells less with each end.
+    fn observe(&mut self, step: &StepRecord, end: &RunEnd) -> &mut GangRun {
+        let known = self.runs.entry(step_key(&end.task), || GangRun::inherited(step, end.run));
+        if known.run < end.run {
+            *known = GangRun::inherited(step, end.run);
+        }
+        known
+    }
+
     /// Returns true if the failed end of a member makes the run count as failed, which one end of each run does.
     fn counts_as_failed(&mut self, step: &StepRecord, worker: &WorkerId, end: &RunEnd) -> bool {
-        let key = (end.task.job, end.task.occurrence, end.task.step);
-        let known = self.runs.entry(key, || GangRun::of(step, end.run));
+        let known = self.observe(step, end);
         if known.run != end.run {
-            *known = GangRun::of(step, end.run);
+            // The end of an earlier run, which is no longer placed.
+            return false;
         }
         let failure = GangFailure::Listed(worker.clone(), end.number);
         if known.failure == GangFailure::None {
@@ -60,14 +80,18 @@
 }
 
 impl GangRun {
-    /// Returns a run of which this leader has not handled an end. An earlier leader may have recorded a failure of it:
-    /// then a member has ended and has failures.
-    fn of(step: &StepRecord, run: RunNumber) -> Self {
+    /// Returns a run that an earlier leader has placed, and of which it may have recorded a failure: then a member has
+    /// ended and has failures.
+    fn inherited(step: &StepRecord, run: RunNumber) -> Self {
         let recorded = step.tasks.iter().any(|task| task.last_run == run && task.live == 0 && task.failures > 0);
         Self { run, failure: if recorded { GangFailure::Recorded } else { GangFailure::None } }
     }
 }
 
+fn step_key(task: &TaskKey) -> StepKey {
+    (task.job, task.occurrence, task.step)
+}
+
 impl Dispatcher {
     /// Returns the commands of one entry that record the ends in a report, which are sorted by their numbers.
     pub(crate) fn settle(&mut self, state: &BatchState, report: &WorkerReport, ends: Vec<RunEnd>) -> Vec<BatchCommand> {
@@ -97,10 +121,13 @@
             (RunOutcome::Done | RunOutcome::Failed, Some((_, StepSpec { gang: true, long_running: true, .. }))) => {
                 RunOutcome::Stopped
             }
-            (RunOutcome::Failed, Some((step, StepSpec { gang: true, .. })))
-                if !self.gang_runs.counts_as_failed(step, worker, end) =>
-            {
-                RunOutcome::GangBroken
+            (RunOutcome::Failed, Some((step, StepSpec { gang: true, .. }))) => {
+                let counts = self.gang_runs.counts_as_failed(step, worker, end);
+                if counts { RunOutcome::Failed } else { RunOutcome::GangBroken }
+            }
+            (outcome, Some((step, StepSpec { gang: true, .. }))) => {
+                self.gang_runs.observe(step, end);
+                outcome
             }
             (outcome, _) => outcome,
         }
--- a/crates/parsleywalk-batch/tests/settlement.rs
+++ b/crates/parsleywalk-batch/tests/settlement.rs
@@ -80,6 +80,56 @@
     assert_eq!(fleet.status(job), Some(JobStatus::Failed));
 }
 
+/// Guards against a failed run of a gang that does not count, since a member that failed in an earlier run has ended
+/// before the one that fails now: it is reported as broken, or its worker is lost.
+#[rstest]
+fn a_failed_run_counts_after_the_end_of_a_member_that_failed_before(#[values(false, true)] worker_is_lost: bool) {
+    let mut fleet = FakeFleet::new(6, 1);
+    let job = fleet.submit(gang(3, 60_000, false));
+    fleet.run_for(START_TIME);
+    fail_gang(&mut fleet, job, 3, 1, RunOutcome::Failed);
+    fleet.run_for(Duration::from_secs(8));
+    let failures = |fleet: &FakeFleet| fleet.state.job(job).map(parsleywalk_batch::JobRecord::failures);
+    assert_eq!(failures(&fleet), Some(1));
+    let first = member(job, 0);
+    let index = fleet.workers.iter().position(|worker| worker.runs.contains_key(&first)).expect("it runs again");
+    if worker_is_lost {
+        fleet.workers[index].up = false;
+        fleet.run_for(Duration::from_secs(9));
+        assert!(fleet.state.worker(&fleet.workers[index].id).is_some_and(|record| record.runs.is_empty()), "lost");
+    } else {
+        fleet.workers[index].end(first, RunOutcome::GangBroken);
+        fleet.run_for(Duration::from_millis(300));
+    }
+    assert!(end(&mut fleet, member(job, 1), RunOutcome::Failed), "member 1 runs");
+    fleet.run_for(START_TIME);
+    assert_eq!(failures(&fleet), Some(2));
+    assert_eq!(fleet.status(job), Some(JobStatus::Failed));
+}
+
+/// Guards against a failed run of a gang that does not count, since the failed end of an earlier run arrives during it.
+#[test]
+fn a_late_end_of_an_earlier_run_does_not_stand_for_a_failure() {
+    let mut fleet = FakeFleet::new(6, 1);
+    let job = fleet.submit(gang(3, 60_000, false));
+    fleet.run_for(START_TIME);
+    let first = member(job, 0);
+    let index = fleet.workers.iter().position(|worker| worker.runs.contains_key(&first)).expect("it runs");
+    fleet.workers[index].partitioned = true;
+    fleet.workers[index].end(first, RunOutcome::Failed);
+    fleet.run_for(Duration::from_secs(9));
+    for other in 1..3 {
+        end(&mut fleet, member(job, other), RunOutcome::GangBroken);
+    }
+    fleet.run_for(Duration::from_secs(3));
+    assert!(fleet.workers.iter().any(|worker| worker.runs.contains_key(&first)), "placed again");
+    fleet.workers[index].partitioned = false;
+    fleet.run_for(Duration::from_millis(300));
+    assert!(end(&mut fleet, member(job, 1), RunOutcome::Failed), "member 1 runs");
+    fleet.run_for(Duration::from_millis(300));
+    assert_eq!(fleet.state.job(job).map(parsleywalk_batch::JobRecord::failures), Some(1));
+}
+
 /// Guards against a failed end that its worker lists again before it is recorded, and which then does not count.
 #[test]
 fn a_repeated_end_counts_once() {
