--- a/crates/parsleywalk-batch/src/command.rs
+++ b/crates/parsleywalk-batch/src/command.rs
@@ -111,13 +111,12 @@
 }
 
 impl JobSubmission {
-    /// Returns a tombstone: the submission that stands for a job which was cancelled before it arrived. It has no steps,
-    /// which no valid job has.
+    /// Creates the submission of a job to a queue, accepted at a wall-clock time in Unix milliseconds.
     #[must_use]
-    pub fn tombstone(job: JobId, queue: &JobQueue, unix_ms: u64) -> Self {
+    pub fn new(job: JobId, spec: JobSpec, queue: &JobQueue, unix_ms: u64) -> Self {
         Self {
             job,
-            spec: JobSpec::default(),
+            spec,
             queue: queue.name.clone(),
             service: queue.service.clone(),
             priority: queue.priority,
@@ -129,6 +128,13 @@
         }
     }
 
+    /// Returns a tombstone: the submission that stands for a job which was cancelled before it arrived. It has no steps,
+    /// which no valid job has.
+    #[must_use]
+    pub fn tombstone(job: JobId, queue: &JobQueue, unix_ms: u64) -> Self {
+        Self::new(job, JobSpec::default(), queue, unix_ms)
+    }
+
     /// Returns the commands of one entry that store the job as cancelled; no task of it ever starts. Replicas of every
     /// release apply them alike. A tombstone of the job is replaced.
     #[must_use]
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -220,7 +220,8 @@
         ReportResponse { orders: Some(orders), next_report }
     }
 
-    /// Returns the commands that record the loss of workers whose leases have expired.
+    /// Returns the commands that record the loss of workers whose leases have expired, and the departure of those that
+    /// have announced it.
     pub fn expire_leases(&mut self, now: MonotonicTime, state: &BatchState) -> Vec<BatchCommand> {
         let inherited_until = self.leader_since + self.settings.max_lease();
         // A worker that still reports lists the runs that its expired lease ended, so only unresponsive workers are
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -12,6 +12,7 @@
 mod command;
 mod dispatcher;
 mod error;
+mod gang_placement;
 mod health;
 mod ids;
 mod interference;
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -40,7 +40,7 @@
 /// The period that the measurements in a report cover.
 const REPORT_WINDOW: Duration = Duration::from_millis(600);
 /// The headroom that must remain for latency-critical tasks when a best-effort task is placed.
-const MIN_HEADROOM: f32 = 0.03;
+pub(crate) const MIN_HEADROOM: f32 = 0.03;
 /// The headroom that must remain when the best-effort task's job has slack: about as much as the own load of a
 /// latency-critical task grows in the second or two that a best-effort task runs.
 const SLACK_HEADROOM: f32 = 0.12;
@@ -328,7 +328,7 @@
         }
     }
 
-    fn placement_request<'a>(
+    pub(crate) fn placement_request<'a>(
         &self,
         submission: &'a JobSubmission,
         spec: &'a StepSpec,
@@ -452,46 +452,9 @@
         self.choose_worker(&lenient, task, &mut ranking, candidates)
     }
 
-    /// Places all tasks of a gang or none. Workers on probation get at most one of them unless `ignores_probation`: then
-    /// a gang with more members than there are such workers would never be placed.
-    fn place_gang(
-        &self,
-        job: &JobRecord,
-        spec: &StepSpec,
-        first: TaskKey,
-        ignores_probation: bool,
-        candidates: &mut [CandidateWorker<'_>],
-        placements: &mut Vec<RunPlacement>,
-    ) {
-        let Some(record) = job.step(&first) else { return };
-        if record.tasks.iter().any(|task| task.live > 0) {
-            return;
-        }
-        let run = record.tasks.iter().map(|task| task.last_run).max().unwrap_or_default().next();
-        let rack = spec.rack_local.then(|| best_rack(job, spec, record.waiting, candidates)).flatten();
-        let request = self.placement_request(&job.submission, spec, first, rack.as_deref(), MIN_HEADROOM);
-        let request = PlacementRequest { ignores_probation, ..request };
-        let mut ranking = WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, None, candidate));
-        let mut chosen = Vec::with_capacity(record.tasks.len());
-        for index in 0..spec.count {
-            let key = TaskKey { index, ..first };
-            let Some(worker_index) = self.choose_worker(&request, &key, &mut ranking, candidates) else {
-                for (worker_index, _) in chosen {
-                    let candidate: &mut CandidateWorker<'_> = &mut candidates[worker_index];
-                    candidate.unassign(spec, &first);
-                }
-                return;
-            };
-            let candidate = &mut candidates[worker_index];
-            chosen.push((worker_index, candidate.assign(spec, key, run)));
-            ranking.update(worker_index, self.rank_worker(&request, None, candidate));
-        }
-        placements.extend(chosen.into_iter().map(|(_, placement)| placement));
-    }
-
     /// Returns the rank of a worker for a step, or `None` if it cannot receive a task of it. `avoided` is the worker on
     /// which the task last failed or stalled.
-    fn rank_worker(
+    pub(crate) fn rank_worker(
         &self,
         request: &PlacementRequest<'_>,
         avoided: Option<&WorkerId>,
@@ -527,7 +490,7 @@
 
     /// Returns the index of the best worker for a task of the requested step. `ranking` ranks the workers for those
     /// tasks that avoid no worker.
-    fn choose_worker(
+    pub(crate) fn choose_worker(
         &self,
         request: &PlacementRequest<'_>,
         task: &TaskKey,
@@ -618,7 +581,12 @@
 }
 
 /// Returns the rack that can hold the most of the step's waiting tasks.
-fn best_rack(job: &JobRecord, spec: &StepSpec, waiting: u32, candidates: &[CandidateWorker<'_>]) -> Option<String> {
+pub(crate) fn best_rack(
+    job: &JobRecord,
+    spec: &StepSpec,
+    waiting: u32,
+    candidates: &[CandidateWorker<'_>],
+) -> Option<String> {
     let mut free_slots: SortedMap<&str, u32> = SortedMap::default();
     for candidate in candidates.iter().filter(|candidate| candidate.view.service == job.submission.service) {
         let Some(rack) = candidate.view.rack.as_deref() else { continue };
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -215,7 +215,8 @@
         let mut commands = Vec::new();
         if !state.maintenance_pending {
             commands = state.dispatcher.expire_leases(now, &self.state);
-            self.metrics.leases_expired(commands.len());
+            let losses = commands.iter().filter(|command| matches!(command, BatchCommand::Lose { .. }));
+            self.metrics.leases_expired(losses.count());
             commands.extend(state.forget_command(&self.state, now, self.settings.retention));
             state.maintenance_pending = !commands.is_empty();
         }
--- a/crates/parsleywalk-fleet/src/queue_decision.rs
+++ b/crates/parsleywalk-fleet/src/queue_decision.rs
@@ -78,18 +78,7 @@
     if let Some(error) = spec.validation_error() {
         return QueueDecision::Reply(LeaderReply::Invalid(error.to_owned()));
     }
-    let submission = Box::new(JobSubmission {
-        job,
-        spec,
-        queue: queue.name.clone(),
-        service: queue.service.clone(),
-        priority: queue.priority,
-        attempt_limit: queue.attempt_limit,
-        stretch: queue.stretch,
-        latency_objective: queue.latency_objective,
-        advised: queue.advice.is_some(),
-        accepted_unix_ms: unix_ms,
-    });
+    let submission = Box::new(JobSubmission::new(job, spec, queue, unix_ms));
     if known.is_some() { QueueDecision::SubmitCancelled(submission) } else { QueueDecision::Submit(submission) }
 }
 
--- a/crates/parsleywalk-peer/src/call_window_tests.rs
+++ b/crates/parsleywalk-peer/src/call_window_tests.rs
@@ -20,7 +20,7 @@
 }
 
 /// Guards against a call that seems to have been received later than it was: a slow reply must not replace a fast one,
-/// and the readings' age is allowed for.
+/// and the drift since a reading counts.
 #[test]
 fn a_translated_time_is_never_later_than_the_true_one() {
     // The remote clock is 1000 ms ahead. The first reply took 5 ms, the second 700 ms.
@@ -30,7 +30,7 @@
     clock.record(Some(reading(3000)), MonotonicTime::from_millis(2700));
     assert_eq!(translated(&clock, 2700), 3693, "1.7 ms for the drift of 1.7 s");
     assert_eq!(translated(&clock, 905), 1899, "0.1 ms for the drift of 100 ms");
-    // An older reading is replaced once the allowance for its drift exceeds what a newer one took.
+    // An older reading is replaced once its drift may exceed what a newer one took.
     clock.record(Some(reading(13_000)), MonotonicTime::from_millis(12_010));
     assert_eq!(translated(&clock, 12_010), 13_000);
 }
