--- a/crates/parsleywalkd/src/main.rs
+++ b/crates/parsleywalkd/src/main.rs
@@ -80,7 +80,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match parsleywalk_platform::run(PlatformOptions { metrics_port, dropped_lines }) {
+    match parsleywalk_platform::run(PlatformOptions { build: env!("PARSLEYWALK_BUILD"), metrics_port, dropped_lines }) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("parsleywalkd: {error}");
