Put failures down to the job where it fails on several workers

Cause: ends of such a gang's members are recorded as stops, so their tasks never have a recorded failure, and the dispatcher charged each failure to its worker unless the task had one. Two put a worker into quarantine, which is closed to starved jobs as well. The counter of ended runs counted recorded outcomes too, and showed a healthy job.

Change: the leader reads the outcomes that workers list, each end once, and keeps by step on which workers it failed and on which it worked. A step that fails on two workers or more, and works on fewer, is at fault itself and its failures say nothing of the workers, also afterwards. A starved job may use quarantined workers as a last resort, a long-running step with waiting tasks counts as starved, and the counter and run_ended name the listed outcome.

--- a/crates/parsleywalk-batch/src/candidate.rs
+++ b/crates/parsleywalk-batch/src/candidate.rs
@@ -26,7 +26,8 @@
     pub(crate) critical_images: Cow<'a, [ImageIndex]>,
     /// The number of best-effort images compatible with all of `critical_images`.
     pub(crate) compatible_images: u32,
-    /// The number of runs that may be assigned in this cycle: at most one while the worker is on probation.
+    /// The number of runs that may be assigned in this cycle: at most one while the worker is on probation, and none
+    /// while it is quarantined.
     pub(crate) probation_limit: usize,
     /// The number of runs that the worker can have besides those that it has.
     pub(crate) run_limit: usize,
@@ -47,16 +48,11 @@
             spec.size.cores <= self.free.cores
         };
         let admitted = request.ignores_probation || self.admits_on_probation();
-        fits && admitted && self.fits_without(submission, spec, &task)
-    }
-
-    /// Returns true if the task fits when its cores are not counted.
-    pub(crate) fn fits_ignoring_cores(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
-        self.admits_on_probation() && self.fits_without(submission, spec, task)
+        fits && admitted && self.fits_ignoring_cores(submission, spec, &task)
     }
 
     /// Returns true if the task fits when neither its cores nor the worker's probation count.
-    fn fits_without(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
+    pub(crate) fn fits_ignoring_cores(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
         let fits = ResourceSize { cores: MilliCores::default(), ..spec.size }.fits_within(&self.free);
         fits && self.allows(submission, spec, task)
     }
@@ -72,7 +68,8 @@
         self.probation_limit != usize::MAX
     }
 
-    fn admits_on_probation(&self) -> bool {
+    /// Returns true unless the worker is quarantined, or on probation and has its run.
+    pub(crate) fn admits_on_probation(&self) -> bool {
         self.placed.len() < self.probation_limit
     }
 
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -7,7 +7,9 @@
 
 use crate::admission::{LEADER_WARM_UP, ShortTaskDemand};
 use crate::begun_jobs::BegunJobs;
+use crate::failure_evidence::FailureEvidence;
 use crate::interference::{BestEffortLoad, ImageIndex, InterferenceModel};
+use crate::job_failures::FailingJobs;
 use crate::settlement::GangRuns;
 use crate::worker_view::WorkerView;
 use crate::{
@@ -65,6 +67,10 @@
     pub(crate) short_demand: ShortTaskDemand,
     pub(crate) begun_jobs: BegunJobs,
     pub(crate) gang_runs: GangRuns,
+    pub(crate) evidence: FailureEvidence,
+    pub(crate) failing_jobs: FailingJobs,
+    /// The outcomes listed since [`Dispatcher::take_listed_outcomes`] was last called.
+    pub(crate) listed_outcomes: Vec<RunOutcome>,
     /// When the compatibility of images was last looked at, and its version then.
     pub(crate) compatibility_checked_at: MonotonicTime,
     pub(crate) compatibility_version: u64,
@@ -89,6 +95,9 @@
             short_demand: ShortTaskDemand::default(),
             begun_jobs: BegunJobs::default(),
             gang_runs: GangRuns::default(),
+            evidence: FailureEvidence::default(),
+            failing_jobs: FailingJobs::default(),
+            listed_outcomes: Vec::new(),
             compatibility_checked_at: MonotonicTime::ZERO,
             compatibility_version: 0,
             ranked_workers: Cell::new(0),
@@ -133,23 +142,9 @@
         if view.loss_pending {
             ends.clear();
         }
+        let lives: Vec<Duration> = ends.iter().map(|end| view.life(now, &end.task, end.run)).collect();
         view.update(report, now);
-        let quarantine = self.settings.quarantine;
-        for end in &ends {
-            log_run_end(record, report, end);
-            let Some((job, _)) = state.step_of(&end.task) else { continue };
-            match end.outcome {
-                RunOutcome::Done => view.health.record_success(),
-                RunOutcome::Failed => {
-                    // If the task has failed before, the failure says little about this worker.
-                    if job.task(&end.task).is_some_and(|task| task.failures == 0) {
-                        view.health.record_failure(now, quarantine);
-                    }
-                    self.avoided.insert(end.task, report.worker.clone());
-                }
-                _ => {}
-            }
-        }
+        self.read_outcomes(now, state, &report.worker, &ends, &lives);
         commands.extend(self.settle(state, report, ends));
         self.record_begun(now, report);
         self.check_runs(now, state, &report.worker);
@@ -259,6 +254,8 @@
         self.avoided.retain(|task, _| state.is_unfinished(task));
         self.begun_jobs.prune(state);
         self.gang_runs.prune(state);
+        self.evidence.prune(state);
+        self.failing_jobs.prune(state);
         self.accepted_times.retain(|job, _| state.job(*job).is_some_and(|job| !job.status.is_final()));
         commands
     }
@@ -317,8 +314,12 @@
                 let stall_factor = if step.best_effort { BEST_EFFORT_STALL_FACTOR } else { 1 };
                 run.rate == 100 && idle >= self.settings.stall_timeout.max(step.bounded_estimate() / 4) * stall_factor
             };
+            let life = now.since(run.first_seen);
+            let step_key = (task.job, task.step);
             if hung && !view.evicting.contains(task) {
-                hung_runs.push((*task, run.run));
+                hung_runs.push((*task, run.run, life));
+            } else if !hung && self.evidence.is_survivor(&step_key, life) {
+                self.evidence.record_success(step_key, worker);
             }
         }
         let best_effort: Vec<BestEffortLoad> =
@@ -341,10 +342,8 @@
         }
         view.pacing.update(now, &self.interference, &critical_loads, &best_effort);
         view.critical_loads = critical_loads;
-        for (task, run) in hung_runs {
-            view.evicting.insert(task, run);
-            view.health.record_failure(now, self.settings.quarantine);
-            self.avoided.insert(task, worker.clone());
+        for (task, run, _) in &hung_runs {
+            view.evicting.insert(*task, *run);
         }
         let draining = view.draining;
         let evictions = view.running.iter().filter(|(task, run)| {
@@ -361,6 +360,9 @@
             view.evicting.insert(task, run);
             self.avoided.insert(task, worker.clone());
         }
+        for (task, _, life) in hung_runs {
+            self.record_failed_run(now, task, worker, life);
+        }
     }
 
     /// Returns a command that withdraws placements which the worker never received and which must not be sent again.
@@ -452,20 +454,6 @@
     part as f32 / whole as f32
 }
 
-fn log_run_end(record: Option<&WorkerRecord>, report: &WorkerReport, end: &crate::RunEnd) {
-    let committed = record.and_then(|record| record.runs.get(&end.task)).is_some_and(|entry| entry.run == end.run);
-    log::info!(
-        "event=run_ended job={} task={} run={} worker={} number={} outcome={:?} committed={committed} sequence={}",
-        end.task.job,
-        end.task,
-        end.run,
-        report.worker,
-        end.number,
-        end.outcome,
-        report.sequence
-    );
-}
-
 /// Returns the start orders for the runs that the worker does not list, up to `limit` bytes. Those that have not been
 /// ordered come first, and then those whose last order is oldest, so that none is held up by others.
 fn start_orders(state: &BatchState, view: &WorkerView, record: &WorkerRecord, limit: usize) -> Vec<StartOrder> {
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -27,8 +27,9 @@
 /// The interval at which the compatibility of images is looked at again. It changes with nearly every report, and
 /// decides only which of several suitable workers is taken.
 const COMPATIBILITY_INTERVAL: Duration = Duration::from_secs(1);
-/// A job without a live run for this long gets a worker for one task even if that causes interference or exceeds the
-/// limit of a worker on probation. Callers consider a job stuck after about twice as long.
+/// A job without a live run for this long, or a long-running step with waiting tasks, gets a worker for one task even if
+/// that causes interference, exceeds the limit of a worker on probation, or the worker is quarantined. Callers consider
+/// them stuck after about twice as long.
 const STARVATION_TIMEOUT: Duration = Duration::from_millis(1500);
 /// A long-running task that has waited for this long gets a worker reserved. Callers consider it stuck after about
 /// three times as long.
@@ -122,9 +123,9 @@
             if placements.len() >= MAX_PLACEMENTS_PER_CYCLE || candidates.is_empty() {
                 break;
             }
-            let starved = self.is_starved(now, step.job);
             let Some(job) = state.job(step.job) else { continue };
             let Some(spec) = job.step_spec(step.step) else { continue };
+            let starved = self.is_starved(now, spec, &step);
             let shape = TaskShape::of(&job.submission, spec, step.has_slack);
             if !starved && unplaceable.iter().any(|known| shape.is_at_least_as_hard_as(known)) {
                 continue;
@@ -185,10 +186,10 @@
                 || view.draining
                 || view.departed
                 || state.is_out_of_service(&view.zone)
-                || view.health.is_quarantined(now)
             {
                 continue;
             }
+            let is_on_probation = view.health.is_on_probation(&self.evidence);
             let mut candidate = CandidateWorker {
                 id,
                 view,
@@ -218,13 +219,15 @@
                 candidate.critical_images = Cow::Borrowed(&view.long_running.images);
                 candidate.compatible_images = view.long_running.compatible_images;
                 self.add_unreported_load(now, state, view, record, &mut candidate);
-                if view.health.is_on_probation() {
+                if is_on_probation {
                     // Long-running tasks never end, so they do not block the probation run.
                     let ends = |task: &TaskKey| state.step_of(task).is_some_and(|(_, step)| !step.long_running);
                     candidate.probation_limit = usize::from(!record.runs.iter().any(|(task, _)| ends(task)));
                 }
             }
-            if view.health.is_on_probation() {
+            if view.health.is_quarantined(now, &self.evidence) {
+                candidate.probation_limit = 0;
+            } else if is_on_probation {
                 candidate.probation_limit = candidate.probation_limit.min(1);
             }
             candidates.push(candidate);
@@ -300,19 +303,21 @@
         let min_headroom = if ready.has_slack { SLACK_HEADROOM } else { MIN_HEADROOM };
         let request = self.placement_request(&job.submission, spec, first, rack.as_deref(), min_headroom);
         let mut ranking = WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, None, candidate));
+        let mut is_first = true;
         for (index, task) in (0u32..).zip(&record.tasks) {
+            let key = TaskKey { index, ..first };
             if task.done || task.live > 0 {
                 continue;
             }
-            let key = TaskKey { index, ..first };
             let mut worker_index = self.choose_worker(&request, &key, &mut ranking, candidates);
-            if worker_index.is_none() && starved && index == first_waiting(&record.tasks) {
+            if worker_index.is_none() && starved && is_first {
                 worker_index = if spec.best_effort {
                     self.choose_least_interfering(&job.submission, spec, &key, candidates)
                 } else {
                     self.choose_on_probation(&request, &key, candidates)
                 };
             }
+            is_first = false;
             let Some(worker_index) = worker_index else { return };
             let candidate = &mut candidates[worker_index];
             placements.push(candidate.assign(spec, key, task.last_run.next()));
@@ -411,8 +416,11 @@
         ready.sort_unstable();
     }
 
-    fn is_starved(&self, now: MonotonicTime, job: JobId) -> bool {
-        self.idle_since.get(&job).is_some_and(|since| now.since(*since) >= STARVATION_TIMEOUT)
+    /// Returns true if the job has had no live run for long, or if tasks of the long-running step have waited for long.
+    fn is_starved(&self, now: MonotonicTime, spec: &StepSpec, step: &ReadyStep) -> bool {
+        let is_long = |since: &MonotonicTime| now.since(*since) >= STARVATION_TIMEOUT;
+        let waiting_since = self.waiting_since.get(&(step.job, step.step)).filter(|_| spec.long_running);
+        self.idle_since.get(&step.job).is_some_and(is_long) || waiting_since.is_some_and(is_long)
     }
 
     /// Returns the index of the worker on which a best-effort task interferes least, regardless of free cores. The
@@ -432,9 +440,11 @@
         let headroom = |candidate: &CandidateWorker<'_>| {
             candidate.headroom_with(&coefficients, spec.size.cores).unwrap_or(f32::INFINITY)
         };
-        fitting
-            .max_by(|left, right| headroom(left.1).total_cmp(&headroom(right.1)))
-            .map(|(worker_index, _)| worker_index)
+        let compare = |left: &CandidateWorker<'_>, right: &CandidateWorker<'_>| {
+            let admits = left.admits_on_probation().cmp(&right.admits_on_probation());
+            admits.then_with(|| headroom(left).total_cmp(&headroom(right)))
+        };
+        fitting.max_by(|left, right| compare(left.1, right.1)).map(|(worker_index, _)| worker_index)
     }
 
     /// Returns the index of the best worker for a task when workers on probation may get more than one run.
@@ -467,6 +477,7 @@
         }
         let rack = rack.or(spec.preferred_rack.as_deref());
         let base = WorkerRank {
+            over_probation: !candidate.admits_on_probation(),
             off_rack: rack.is_some() && candidate.view.rack.as_deref() != rack,
             avoided: avoided == Some(candidate.id),
             failures: candidate.view.health.failures(),
@@ -567,12 +578,6 @@
     Some(((SAFE_HEADROOM - headroom).max(0.0) * INTERFERENCE_LEVELS) as u32)
 }
 
-/// Returns the index of the first waiting task, or `u32::MAX` if none waits.
-fn first_waiting(tasks: &[crate::TaskRecord]) -> u32 {
-    let first = (0u32..).zip(tasks).find(|(_, task)| !task.done && task.live == 0);
-    first.map_or(u32::MAX, |(index, _)| index)
-}
-
 /// Returns when a job was accepted, on the leader's clock. A new leader knows only the wall-clock time of acceptance,
 /// which may have jumped, so the age is limited to [`MAX_JOB_AGE`].
 fn accepted_at(job: &JobRecord, now: MonotonicTime, unix_ms: u64) -> MonotonicTime {
@@ -588,7 +593,8 @@
     candidates: &[CandidateWorker<'_>],
 ) -> Option<String> {
     let mut free_slots: SortedMap<&str, u32> = SortedMap::default();
-    for candidate in candidates.iter().filter(|candidate| candidate.view.service == job.submission.service) {
+    let usable = candidates.iter().filter(|candidate| candidate.admits_on_probation());
+    for candidate in usable.filter(|candidate| candidate.view.service == job.submission.service) {
         let Some(rack) = candidate.view.rack.as_deref() else { continue };
         let slots = candidate.free_best_effort.get() / spec.size.cores.get().max(1);
         *free_slots.entry(rack, || 0) += slots;
--- a/crates/parsleywalk-batch/src/placement_request.rs
+++ b/crates/parsleywalk-batch/src/placement_request.rs
@@ -20,6 +20,6 @@
     pub(crate) coefficients: Vec<f32>,
     /// The headroom that a best-effort task must leave to latency-critical ones.
     pub(crate) min_headroom: f32,
-    /// Whether workers on probation may get more than one run.
+    /// Whether workers on probation may get more than one run, and quarantined workers any.
     pub(crate) ignores_probation: bool,
 }
--- a/crates/parsleywalk-batch/src/settlement.rs
+++ b/crates/parsleywalk-batch/src/settlement.rs
@@ -101,7 +101,9 @@
         let (worker, incarnation) = (report.worker.clone(), report.incarnation);
         let mut runs = Vec::new();
         let ends = ends.into_iter().map(|mut end| {
-            end.outcome = self.recorded_outcome(state, &worker, &end);
+            let recorded = self.recorded_outcome(state, &worker, &end);
+            log_run_end(state, report, &end, recorded);
+            end.outcome = recorded;
             if is_end_of_lost_run(state, &worker, &end) {
                 end.run = end.run.next();
                 runs.push(RunPlacement { task: end.task, run: end.run, worker: worker.clone(), incarnation });
@@ -134,6 +136,22 @@
     }
 }
 
+fn log_run_end(state: &BatchState, report: &WorkerReport, end: &RunEnd, recorded: RunOutcome) {
+    let record = state.worker(&report.worker).filter(|record| record.incarnation == report.incarnation);
+    let committed = record.and_then(|record| record.runs.get(&end.task)).is_some_and(|entry| entry.run == end.run);
+    log::info!(
+        "event=run_ended job={} task={} run={} worker={} number={} outcome={:?} recorded={recorded:?} \
+         committed={committed} sequence={}",
+        end.task.job,
+        end.task,
+        end.run,
+        report.worker,
+        end.number,
+        end.outcome,
+        report.sequence
+    );
+}
+
 /// Returns true if the end is that of a task's newest run, which is no longer placed because its worker was declared
 /// lost, and the task has not been placed again. Such an end counts: it is recorded as that of another run, which is
 /// placed on the worker by the same entry and therefore never ordered.
--- a/crates/parsleywalk-batch/src/state.rs
+++ b/crates/parsleywalk-batch/src/state.rs
@@ -137,6 +137,12 @@
         self.jobs.iter().filter(|(_, record)| record.status.is_final()).map(|(job, record)| (*job, record))
     }
 
+    /// Returns true if the job is known and not final.
+    #[must_use]
+    pub fn is_active(&self, job: JobId) -> bool {
+        self.active.contains(&job)
+    }
+
     /// Returns the number of jobs that are not final.
     #[must_use]
     pub fn active_count(&self) -> usize {
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -8,7 +8,7 @@
 use crate::health::WorkerHealth;
 use crate::interference::{CriticalLoad, ImageIndex};
 use crate::pacing::PaceController;
-use crate::{BatchState, JobSubmission, RunNumber, RunningTask, SortedMap, StepSpec, TaskKey, WorkerReport};
+use crate::{BatchState, EndNumber, JobSubmission, RunNumber, RunningTask, SortedMap, StepSpec, TaskKey, WorkerReport};
 
 /// A worker as described by its newest report.
 #[derive(Debug, Clone)]
@@ -43,6 +43,8 @@
     /// Runs whose withdrawal is being committed; they are not ordered again.
     pub(crate) withdrawing: SortedMap<TaskKey, RunNumber>,
     pub(crate) health: WorkerHealth,
+    /// The highest number of an end of which the outcome has been read.
+    pub(crate) read_until: EndNumber,
     pub(crate) pacing: PaceController,
     /// The loads of the running latency-critical tasks in the newest report.
     pub(crate) critical_loads: Vec<CriticalLoad>,
@@ -129,6 +131,7 @@
             loss_pending: false,
             withdrawing: SortedMap::default(),
             health: WorkerHealth::default(),
+            read_until: EndNumber::ZERO,
             pacing: PaceController::default(),
             critical_loads: Vec::new(),
             long_running: LongRunningTasks::default(),
@@ -179,6 +182,12 @@
         }
     }
 
+    /// Returns for how long reports have listed the run as being in progress.
+    pub(crate) fn life(&self, now: MonotonicTime, task: &TaskKey, run: RunNumber) -> Duration {
+        let known = self.running.get(task).filter(|view| view.run == run);
+        known.map_or(Duration::ZERO, |view| now.since(view.first_seen))
+    }
+
     /// Returns true if the newest report contains the run, in progress or ended.
     pub(crate) fn lists(&self, task: &TaskKey, run: RunNumber) -> bool {
         self.running.get(task).is_some_and(|view| view.run == run) || self.ended.contains(&(*task, run))
--- /dev/null
+++ b/crates/parsleywalk-batch/tests/failing_jobs.rs
@@ -0,0 +1,126 @@
+//! Tests that failures are put down to the right party: a faulty job keeps no sound one waiting, and a faulty worker loses
+//! its work.
+
+mod support;
+
+use std::time::Duration;
+
+use parsleywalk_batch::{JobId, JobSpec, JobSubmission, StepSpec, TaskKey};
+use parsleywalk_units::{MemoryBytes, MilliCores, ResourceSize};
+use rstest::rstest;
+use support::{FakeFleet, step, submission};
+
+/// Callers consider a job stuck that has had nothing running for this long while there is capacity for it.
+const STUCK_AFTER: Duration = Duration::from_secs(3);
+/// How long faulty jobs are at it before sound ones come.
+const FAULTY_TIME: Duration = Duration::from_secs(12);
+/// A worker that fails everything may fail this many runs of sound jobs in ten seconds: a few until it loses its work, and one or two
+/// after each of its quarantines, to test it.
+const FEW_FAILURES: usize = 8;
+
+/// The id of a faulty job beside sound ones.
+const FAULTY_JOB: u64 = 500;
+
+/// The kind of step that a faulty job has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StepKind {
+    Plain,
+    LongRunning,
+    Gang,
+    LongRunningGang,
+}
+
+fn faulty_step(kind: StepKind, tasks: u32) -> StepSpec {
+    StepSpec {
+        gang: matches!(kind, StepKind::Gang | StepKind::LongRunningGang),
+        long_running: matches!(kind, StepKind::LongRunning | StepKind::LongRunningGang),
+        size: ResourceSize::new(MilliCores::new(20), MemoryBytes::new(1_000_000)),
+        ..step(tasks, 1, 400)
+    }
+}
+
+fn job_of(job: u64, payload: &str, kind: StepKind, tasks: u32, attempt_limit: u16) -> JobSubmission {
+    let spec = JobSpec { payload: payload.to_owned(), steps: vec![faulty_step(kind, tasks)], schedule: None };
+    JobSubmission { spec, attempt_limit, ..submission(job, 0, Vec::new()) }
+}
+
+/// Returns the time until a task of the job runs, or `None` after [`STUCK_AFTER`].
+fn wait_for_start(fleet: &mut FakeFleet, job: JobId) -> Option<Duration> {
+    let submitted = fleet.now;
+    while fleet.now.since(submitted) < STUCK_AFTER {
+        fleet.step();
+        if fleet.workers.iter().any(|worker| worker.runs.keys().any(|task| task.job == job)) {
+            return Some(fleet.now.since(submitted));
+        }
+    }
+    None
+}
+
+/// Guards against healthy workers that get no work, since all runs of a faulty job fail on them: other jobs waited for more
+/// than 3 s on nearly empty workers.
+#[rstest]
+fn a_faulty_job_keeps_no_sound_one_waiting(
+    #[values(
+        "fails 50",
+        "all-fail 50",
+        "fails 200",
+        "all-fail 200",
+        "fails 1000",
+        "fails 3500",
+        "hangs",
+        "alone 3000",
+        "completes 100"
+    )]
+    payload: &str,
+    #[values(StepKind::Plain, StepKind::LongRunning, StepKind::Gang, StepKind::LongRunningGang)] kind: StepKind,
+    #[values((1, 6), (30, 2))] (jobs, tasks): (u64, u32),
+    #[values(2, 1000)] attempt_limit: u16,
+    #[values(false, true)] leader_changes: bool,
+) {
+    let mut fleet = FakeFleet::new(3, 1);
+    fleet.run_for(Duration::from_secs(1));
+    // All together, the tasks of the faulty jobs need less than a fifth of the cores.
+    for job in 0..jobs {
+        fleet.submit(job_of(100 + job, payload, kind, tasks, attempt_limit));
+    }
+    fleet.run_for(FAULTY_TIME);
+    if leader_changes {
+        fleet.change_leader();
+    }
+    for round in 0..6 {
+        let job = fleet.submit(submission(1 + round, 0, vec![step(4, 1, 700)]));
+        let waited = wait_for_start(&mut fleet, job);
+        assert!(waited.is_some(), "sound job {round} has not started: {}", fleet.describe_unfinished());
+        fleet.run_for(Duration::from_millis(900));
+    }
+}
+
+/// Guards against a worker that fails or hangs all its runs and goes on getting work, whether or not a faulty job fails
+/// on the others as well.
+#[rstest]
+fn a_faulty_worker_loses_its_work(
+    #[values("starts", "work")] fault: &str,
+    #[values(1, 2)] faulty_workers: usize,
+    #[values(false, true)] beside_faulty_job: bool,
+) {
+    let mut fleet = FakeFleet::new(8, 1);
+    fleet.run_for(Duration::from_secs(1));
+    if beside_faulty_job {
+        fleet.submit(job_of(FAULTY_JOB, "fails 200", StepKind::LongRunning, 6, 2));
+    }
+    for worker in fleet.workers.iter_mut().take(faulty_workers) {
+        (worker.fails_starts, worker.fails_runs) = (fault == "starts", fault == "work");
+    }
+    for job in 0..50 {
+        fleet.submit(submission(1 + job, 0, vec![step(6, 1, 400)]));
+        fleet.run_for(Duration::from_millis(200));
+    }
+    let is_sound = |task: &&TaskKey| task.job != JobId::new(FAULTY_JOB);
+    let faulty = fleet.workers.iter().take(faulty_workers);
+    let failed: Vec<usize> = faulty.map(|worker| worker.failed_tasks.iter().filter(is_sound).count()).collect();
+    assert!(failed.iter().all(|failed| (1..=FEW_FAILURES).contains(failed)), "{failed:?}");
+    // Every job is done although each may fail three runs of a task only.
+    fleet.run_for(Duration::from_secs(5));
+    let unfinished = fleet.state.active_jobs().filter(|(job, _)| *job != JobId::new(FAULTY_JOB)).count();
+    assert_eq!(unfinished, 0, "{}", fleet.describe_unfinished());
+}
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -39,10 +39,41 @@
     }
 }
 
+/// What the tasks of a job do wherever they run, by the payload of the job.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Behavior {
+    /// The tasks do their work.
+    Works,
+    /// Each run ends with an outcome after so many milliseconds.
+    Ends(RunOutcome, f64),
+    /// The runs make no progress, and long-running ones are never at work.
+    Hangs,
+}
+
+impl Behavior {
+    /// Parses a payload such as `fails 200`; any other than these stands for a job that works.
+    fn of(payload: &str) -> Self {
+        let mut words = payload.split(' ');
+        let (kind, time) = (words.next(), words.next().and_then(|word| word.parse().ok()).unwrap_or(0.0));
+        match kind {
+            Some("fails" | "all-fail") => Self::Ends(RunOutcome::Failed, time),
+            Some("completes") => Self::Ends(RunOutcome::Done, time),
+            Some("alone") => Self::Ends(RunOutcome::GangIncomplete, time),
+            Some("hangs") => Self::Hangs,
+            _ => Self::Works,
+        }
+    }
+}
+
 /// A run on a fake worker.
 #[derive(Debug, Clone)]
 pub(crate) struct FakeRun {
     pub(crate) run: RunNumber,
+    behavior: Behavior,
+    /// How long the run has been in progress, in milliseconds.
+    age_ms: f64,
+    /// Whether its end breaks the run of its gang.
+    breaks_gang: bool,
     pub(crate) size: ResourceSize,
     done_ms: f64,
     total_ms: f64,
@@ -64,8 +95,12 @@
     pub(crate) up: bool,
     pub(crate) partitioned: bool,
     pub(crate) draining: bool,
-    /// Whether every run fails.
+    /// Whether every run fails when its work is done.
     pub(crate) fails_runs: bool,
+    /// Whether every run fails as soon as it has started.
+    pub(crate) fails_starts: bool,
+    /// The tasks of the runs that have failed here.
+    pub(crate) failed_tasks: Vec<TaskKey>,
     /// Whether new runs make no progress.
     pub(crate) hung: bool,
     pub(crate) capacity: ResourceSize,
@@ -200,7 +235,11 @@
 
     fn apply(&mut self, command: &BatchCommand) {
         if let BatchCommand::Settle { ends, .. } = command {
-            for end in ends.iter().filter(|end| end.outcome == RunOutcome::Done) {
+            let is_done = |end: &&RunEnd| {
+                let long_running = self.state.step_of(&end.task).is_some_and(|(_, step)| step.long_running);
+                end.outcome == RunOutcome::Done && !long_running
+            };
+            for end in ends.iter().filter(is_done) {
                 let committed = self
                     .state
                     .workers()
@@ -285,18 +324,45 @@
         let step_ms = STEP_DURATION.as_secs_f64() * 1000.0;
         let mut ended = Vec::new();
         for (task, run) in &mut worker.runs {
+            run.age_ms += step_ms;
+            match run.behavior {
+                _ if worker.fails_starts => ended.push((*task, RunOutcome::Failed)),
+                Behavior::Ends(outcome, after_ms) if run.age_ms >= after_ms => ended.push((*task, outcome)),
+                Behavior::Works => {}
+                Behavior::Ends(..) | Behavior::Hangs => continue,
+            }
             if run.hung {
                 continue;
             }
             run.done_ms += step_ms * f64::from(run.rate) / 100.0;
             if !run.long_running && run.done_ms >= run.total_ms {
-                ended.push(*task);
+                ended.push((*task, if worker.fails_runs { RunOutcome::Failed } else { RunOutcome::Done }));
             }
         }
-        for task in ended {
-            let outcome = if worker.fails_runs { RunOutcome::Failed } else { RunOutcome::Done };
+        let mut broken = Vec::new();
+        for (task, outcome) in ended {
+            if let Some(run) = worker.runs.get(&task).filter(|run| run.breaks_gang) {
+                broken.push((task, run.run));
+            }
+            if outcome == RunOutcome::Failed {
+                worker.failed_tasks.push(task);
+            }
             worker.end(task, outcome);
         }
+        for (task, run) in broken {
+            self.break_gang(&task, run);
+        }
+    }
+
+    /// Ends the other members of a gang after one has ended. As done they end together.
+    fn break_gang(&mut self, ended: &TaskKey, run: RunNumber) {
+        for worker in &mut self.workers {
+            let others = worker.runs.iter().filter(|(task, other)| task.same_step(ended) && other.run == run);
+            let others: Vec<TaskKey> = others.map(|(task, _)| *task).collect();
+            for task in others {
+                worker.end(task, RunOutcome::GangBroken);
+            }
+        }
     }
 
     fn report(&mut self, index: usize) {
@@ -353,6 +419,9 @@
                 order.task,
                 FakeRun {
                     run: order.run,
+                    behavior: Behavior::of(&order.payload),
+                    age_ms: 0.0,
+                    breaks_gang: spec.gang && spec.long_running && !order.payload.starts_with("all-fail"),
                     size: spec.size,
                     done_ms: order.saved.parse().unwrap_or(0.0),
                     total_ms: spec.estimate.as_secs_f64() * 1000.0,
@@ -401,6 +470,8 @@
             partitioned: false,
             draining: false,
             fails_runs: false,
+            fails_starts: false,
+            failed_tasks: Vec::new(),
             hung: false,
             capacity: size(32, 125),
             runs: BTreeMap::new(),
@@ -493,7 +564,7 @@
 
 fn percent(run: &FakeRun) -> u8 {
     if run.long_running {
-        return 100;
+        return if run.behavior == Behavior::Hangs { 0 } else { 100 };
     }
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped to a percentage")]
     let percent = (run.done_ms / run.total_ms * 100.0).clamp(0.0, 99.0) as u8;
--- a/crates/parsleywalk-fleet/src/core/reports.rs
+++ b/crates/parsleywalk-fleet/src/core/reports.rs
@@ -86,7 +86,7 @@
                 sender.send(LeaderReply::Report(Box::new(response)));
             }
             ReportAction::Commit(commands) => {
-                self.metrics.runs_ended(&commands);
+                self.metrics.runs_ended(&leader_state.dispatcher.take_listed_outcomes());
                 leader_state.plan_due = true;
                 let hold_until = now + leader_state.dispatcher.max_hold(&self.state, &worker);
                 let waiting = WaitingReport { worker, sequence, hold_until, sender };
--- a/crates/parsleywalk-fleet/src/metrics.rs
+++ b/crates/parsleywalk-fleet/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use parsleywalk_batch::{BatchCommand, BatchState, JobStatus, ReportResponse, RunOutcome};
+use parsleywalk_batch::{BatchState, JobStatus, ReportResponse, RunOutcome};
 use parsleywalk_metrics::{Counter, Gauge, Histogram, KeyValue, MetricRegistry};
 
 /// The instruments of a daemon. Clones share them.
@@ -47,7 +47,8 @@
             jobs: registry.counter("parsleywalk_jobs", "Jobs accepted, and jobs that ended, by event"),
             refusals: registry.counter("parsleywalk_refusals", "Submissions refused, by reason"),
             orders: registry.counter("parsleywalk_orders", "Orders to workers, by kind"),
-            runs_ended: registry.counter("parsleywalk_runs_ended", "Ends of runs that were committed, by outcome"),
+            runs_ended: registry
+                .counter("parsleywalk_runs_ended", "Ends of runs, by the outcome that the worker listed"),
             leases: registry.counter("parsleywalk_leases", "Leases of workers renewed and expired, by event"),
             reports_relayed: registry
                 .counter("parsleywalk_reports_relayed", "Reports of workers that this replica sent to the leader"),
@@ -133,14 +134,10 @@
         self.leases.add(u64::try_from(count).unwrap_or(u64::MAX), &[KeyValue::new("event", "expired")]);
     }
 
-    /// Counts the run ends that the commands record.
-    pub(crate) fn runs_ended(&self, commands: &[BatchCommand]) {
-        for command in commands {
-            if let BatchCommand::Settle { ends, .. } = command {
-                for end in ends {
-                    self.runs_ended.add(1, &[KeyValue::new("outcome", outcome_name(end.outcome))]);
-                }
-            }
+    /// Counts run ends by the outcomes that workers listed.
+    pub(crate) fn runs_ended(&self, outcomes: &[RunOutcome]) {
+        for outcome in outcomes {
+            self.runs_ended.add(1, &[KeyValue::new("outcome", outcome_name(*outcome))]);
         }
     }
 
--- a/crates/parsleywalkd/tests/build.rs
+++ b/crates/parsleywalkd/tests/build.rs
@@ -12,7 +12,7 @@
 use tempfile::TempDir;
 
 /// How much older than the build the changed sources are.
-const SOURCE_AGE: Duration = Duration::from_secs(86_400);
+const SOURCE_AGE: Duration = Duration::from_hours(24);
 
 fn workspace() -> &'static Path {
     Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."))
