Delay the restarts of tasks that keep failing

A crash loop started each of its tasks several times a second for as long as its job may fail: 500 long-running tasks that fail 100 ms after their start, on 300 simulated workers, cost 2,500 starts and 1,010 commands a second. The same load kept a sound job waiting for more than 3 s behind 1,800 tasks of scheduled jobs with many attempts, which filled every cycle.

A delayed task is neither ready nor starved. Each new longest delay of a job is logged with its reason. The delays are the leader's memory; a new one counts anew.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -10,6 +10,7 @@
 use crate::failure_evidence::FailureEvidence;
 use crate::interference::{BestEffortLoad, ImageIndex, InterferenceModel};
 use crate::job_failures::FailingJobs;
+use crate::restart_delays::RestartDelays;
 use crate::settlement::GangRuns;
 use crate::worker_view::WorkerView;
 use crate::{
@@ -68,6 +69,7 @@
     pub(crate) begun_jobs: BegunJobs,
     pub(crate) gang_runs: GangRuns,
     pub(crate) evidence: FailureEvidence,
+    pub(crate) restart_delays: RestartDelays,
     pub(crate) failing_jobs: FailingJobs,
     /// The outcomes listed since [`Dispatcher::take_listed_outcomes`] was last called.
     pub(crate) listed_outcomes: Vec<RunOutcome>,
@@ -96,6 +98,7 @@
             begun_jobs: BegunJobs::default(),
             gang_runs: GangRuns::default(),
             evidence: FailureEvidence::default(),
+            restart_delays: RestartDelays::default(),
             failing_jobs: FailingJobs::default(),
             listed_outcomes: Vec::new(),
             compatibility_checked_at: MonotonicTime::ZERO,
@@ -255,6 +258,7 @@
         self.begun_jobs.prune(state);
         self.gang_runs.prune(state);
         self.evidence.prune(state);
+        self.restart_delays.prune(state);
         self.failing_jobs.prune(state);
         self.accepted_times.retain(|job, _| state.job(*job).is_some_and(|job| !job.status.is_final()));
         commands
@@ -360,8 +364,8 @@
             view.evicting.insert(task, run);
             self.avoided.insert(task, worker.clone());
         }
-        for (task, _, life) in hung_runs {
-            self.record_failed_run(now, task, worker, life);
+        for (task, run, life) in hung_runs {
+            self.record_hung_run(now, task, run, worker, life);
         }
     }
 
--- a/crates/parsleywalk-batch/src/job_failures.rs
+++ b/crates/parsleywalk-batch/src/job_failures.rs
@@ -1,5 +1,7 @@
 //! The failed runs of each job, as its workers listed them.
 
+use std::time::Duration;
+
 use parsleywalk_units::{MonotonicTime, WorkerId};
 
 use crate::{BatchState, JobId, SortedMap, TaskKey};
@@ -15,6 +17,8 @@
     pub last_task: TaskKey,
     /// The worker on which it failed.
     pub last_worker: WorkerId,
+    /// The longest delay before a restart so far.
+    pub longest_delay: Duration,
 }
 
 /// The active jobs of which runs have failed.
@@ -45,7 +49,13 @@
 
     /// Returns the failures of a task's job.
     pub(crate) fn get_mut(&mut self, now: MonotonicTime, task: TaskKey, worker: &WorkerId) -> &mut JobFailures {
-        let first = || JobFailures { failed_runs: 0, last_at: now, last_task: task, last_worker: worker.clone() };
+        let first = || JobFailures {
+            failed_runs: 0,
+            last_at: now,
+            last_task: task,
+            last_worker: worker.clone(),
+            longest_delay: Duration::ZERO,
+        };
         self.jobs.entry(task.job, first)
     }
 
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -26,6 +26,7 @@
 mod queues;
 mod ranking;
 mod report;
+mod restart_delays;
 mod settings;
 mod settlement;
 mod sorted_map;
--- a/crates/parsleywalk-batch/src/outcomes.rs
+++ b/crates/parsleywalk-batch/src/outcomes.rs
@@ -1,14 +1,24 @@
 //! What the leader learns from the outcomes that workers list.
 //!
 //! An end may be recorded with another outcome than its worker listed; see `settlement`. The health of workers, the
-//! workers that a task avoids, the counters and the log go by the listed one.
+//! workers that a task avoids, restart delays, the counters and the log go by the listed one.
 
 use std::time::Duration;
 
 use log::info;
 use parsleywalk_units::{MonotonicTime, WorkerId};
 
-use crate::{BatchState, Dispatcher, JobFailures, JobId, RunEnd, RunOutcome, TaskKey};
+use crate::{BatchState, Dispatcher, JobFailures, JobId, RunEnd, RunNumber, RunOutcome, StepSpec, TaskKey};
+
+/// A run that failed or hung, or a long-running one that ended as done.
+struct FailedRun<'a> {
+    task: TaskKey,
+    run: RunNumber,
+    worker: &'a WorkerId,
+    outcome: RunOutcome,
+    /// How long the run was listed as being in progress.
+    life: Duration,
+}
 
 impl Dispatcher {
     /// Reads the outcomes of ends that have not been read before, given the lives of the runs. A worker lists an end
@@ -28,21 +38,35 @@
             }
             view.read_until = end.number;
             self.listed_outcomes.push(end.outcome);
-            if state.step_of(&end.task).is_none() {
-                continue;
-            }
+            let Some((_, spec)) = state.step_of(&end.task) else { continue };
             if end.outcome == RunOutcome::Done {
                 view.health.record_success();
                 self.evidence.record_success((end.task.job, end.task.step), worker);
             }
+            let failed = FailedRun { task: end.task, run: end.run, worker, outcome: end.outcome, life: *life };
             if end.outcome == RunOutcome::Failed {
-                self.record_failed_run(now, end.task, worker, *life);
+                self.record_failed_run(now, &failed);
+            }
+            if end.outcome == RunOutcome::Failed || (end.outcome == RunOutcome::Done && spec.long_running) {
+                self.delay_restart(now, state, spec, &failed);
             }
         }
     }
 
-    /// Records a failed run, or one that hangs and is therefore stopped.
-    pub(crate) fn record_failed_run(&mut self, now: MonotonicTime, task: TaskKey, worker: &WorkerId, life: Duration) {
+    /// Records a run that hangs and is therefore stopped.
+    pub(crate) fn record_hung_run(
+        &mut self,
+        now: MonotonicTime,
+        task: TaskKey,
+        run: RunNumber,
+        worker: &WorkerId,
+        life: Duration,
+    ) {
+        self.record_failed_run(now, &FailedRun { task, run, worker, outcome: RunOutcome::Stopped, life });
+    }
+
+    fn record_failed_run(&mut self, now: MonotonicTime, failed: &FailedRun<'_>) {
+        let &FailedRun { task, worker, life, .. } = failed;
         let step = (task.job, task.step);
         if self.evidence.record_failure(step, worker, life) {
             info!("event=job_failing job={} task={task} worker={worker} life_ms={}", task.job, life.as_millis());
@@ -54,6 +78,25 @@
         self.failing_jobs.record(now, task, worker);
     }
 
+    /// Delays the restart of a task that keeps failing. One line is logged for each new longest delay of the job.
+    fn delay_restart(&mut self, now: MonotonicTime, state: &BatchState, spec: &StepSpec, failed: &FailedRun<'_>) {
+        let &FailedRun { task, run, worker, outcome, life } = failed;
+        if !state.is_active(task.job) {
+            return;
+        }
+        let Some((delay, failures)) = self.restart_delays.record_failure(now, (&task, run), spec, life) else { return };
+        let known = self.failing_jobs.get_mut(now, task, worker);
+        if delay > known.longest_delay {
+            known.longest_delay = delay;
+            info!(
+                "event=restart_delayed job={} task={task} run={run} worker={worker} outcome={outcome:?} \
+                 failures_in_a_row={failures} delay_ms={}",
+                task.job,
+                delay.as_millis()
+            );
+        }
+    }
+
     /// Returns the outcomes that workers have listed since the last call.
     pub fn take_listed_outcomes(&mut self) -> Vec<RunOutcome> {
         std::mem::take(&mut self.listed_outcomes)
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -14,7 +14,8 @@
 use crate::worker_rank::WorkerRank;
 use crate::worker_view::{LongRunningTasks, WorkerView};
 use crate::{
-    BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunPlacement, SortedMap, StepSpec, TaskKey, WorkerRecord,
+    BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunPlacement, SortedMap, StepRecord, StepSpec, TaskKey,
+    WorkerRecord,
 };
 
 /// The maximum number of placements in one scheduling cycle, which keeps a cycle well below the leader's heartbeat
@@ -131,7 +132,7 @@
                 continue;
             }
             let before = placements.len();
-            self.place_step(state, step, starved, &mut candidates, &mut placements);
+            self.place_step(now, state, step, starved, &mut candidates, &mut placements);
             let first = TaskKey { job: step.job, occurrence: step.occurrence, step: step.step, index: 0 };
             if spec.long_running
                 && self.has_waited_long(now, &step)
@@ -164,7 +165,10 @@
                     break;
                 }
                 for (step, entry) in (0u16..).zip(&record.steps) {
-                    if entry.waiting > 0 && job.is_unblocked(occurrence, step) {
+                    if entry.waiting > 0
+                        && job.is_unblocked(occurrence, step)
+                        && !self.is_delayed(now, job, id, (occurrence, step), entry)
+                    {
                         let (urgency, has_slack) = *evaluated
                             .get_or_insert_with(|| (JobUrgency::of(job, since, now), has_ample_slack(job, since, now)));
                         let (priority, sequence) = (job.submission.priority, job.sequence);
@@ -281,6 +285,7 @@
     /// Places the waiting tasks of a step until one finds no worker or the limit of the cycle is reached.
     fn place_step(
         &self,
+        now: MonotonicTime,
         state: &BatchState,
         ready: ReadyStep,
         starved: bool,
@@ -306,7 +311,7 @@
         let mut is_first = true;
         for (index, task) in (0u32..).zip(&record.tasks) {
             let key = TaskKey { index, ..first };
-            if task.done || task.live > 0 {
+            if task.done || task.live > 0 || self.restart_delays.is_delayed(now, &key) {
                 continue;
             }
             let mut worker_index = self.choose_worker(&request, &key, &mut ranking, candidates);
@@ -423,6 +428,20 @@
         self.idle_since.get(&step.job).is_some_and(is_long) || waiting_since.is_some_and(is_long)
     }
 
+    /// Returns true if the waiting tasks of a step wait for their restart delays.
+    fn is_delayed(
+        &self,
+        now: MonotonicTime,
+        job: &JobRecord,
+        id: JobId,
+        (occurrence, step): (u32, u16),
+        record: &StepRecord,
+    ) -> bool {
+        let first = TaskKey { job: id, occurrence, step, index: 0 };
+        let spec = job.step_spec(step);
+        spec.is_some_and(|spec| self.restart_delays.is_step_delayed(now, &first, spec, record.waiting))
+    }
+
     /// Returns the index of the worker on which a best-effort task interferes least, regardless of free cores. The
     /// pacing of the task bounds how long a latency-critical task misses its objective.
     fn choose_least_interfering(
--- a/crates/parsleywalk-batch/tests/failing_jobs.rs
+++ b/crates/parsleywalk-batch/tests/failing_jobs.rs
@@ -3,15 +3,17 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use parsleywalk_batch::{JobId, JobSpec, JobSubmission, StepSpec, TaskKey};
+use parsleywalk_batch::{JobId, JobSchedule, JobSpec, JobSubmission, StepSpec, TaskKey};
 use parsleywalk_units::{MemoryBytes, MilliCores, ResourceSize};
 use rstest::rstest;
-use support::{FakeFleet, step, submission};
+use support::{FakeFleet, STEP_DURATION, step, submission};
 
 /// Callers consider a job stuck that has had nothing running for this long while there is capacity for it.
 const STUCK_AFTER: Duration = Duration::from_secs(3);
+/// Callers consider a long-running task stuck that does not run this long after its last run.
+const LONG_RUNNING_STUCK_AFTER: Duration = Duration::from_secs(9);
 /// How long faulty jobs are at it before sound ones come.
 const FAULTY_TIME: Duration = Duration::from_secs(12);
 /// A worker that fails everything may fail this many runs of sound jobs in ten seconds: a few until it loses its work, and one or two
@@ -28,6 +30,7 @@
     LongRunning,
     Gang,
     LongRunningGang,
+    Scheduled,
 }
 
 fn faulty_step(kind: StepKind, tasks: u32) -> StepSpec {
@@ -40,7 +43,12 @@
 }
 
 fn job_of(job: u64, payload: &str, kind: StepKind, tasks: u32, attempt_limit: u16) -> JobSubmission {
-    let spec = JobSpec { payload: payload.to_owned(), steps: vec![faulty_step(kind, tasks)], schedule: None };
+    let schedule = JobSchedule { first_unix_ms: 0, interval_ms: 400, occurrences: 30 };
+    let spec = JobSpec {
+        payload: payload.to_owned(),
+        steps: vec![faulty_step(kind, tasks)],
+        schedule: (kind == StepKind::Scheduled).then_some(schedule),
+    };
     JobSubmission { spec, attempt_limit, ..submission(job, 0, Vec::new()) }
 }
 
@@ -72,7 +80,8 @@
         "completes 100"
     )]
     payload: &str,
-    #[values(StepKind::Plain, StepKind::LongRunning, StepKind::Gang, StepKind::LongRunningGang)] kind: StepKind,
+    #[values(StepKind::Plain, StepKind::LongRunning, StepKind::Gang, StepKind::LongRunningGang, StepKind::Scheduled)]
+    kind: StepKind,
     #[values((1, 6), (30, 2))] (jobs, tasks): (u64, u32),
     #[values(2, 1000)] attempt_limit: u16,
     #[values(false, true)] leader_changes: bool,
@@ -124,3 +133,58 @@
     let unfinished = fleet.state.active_jobs().filter(|(job, _)| *job != JobId::new(FAULTY_JOB)).count();
     assert_eq!(unfinished, 0, "{}", fleet.describe_unfinished());
 }
+
+/// Guards against a long-running task that waits longer for its restart than callers accept, however often it has failed,
+/// and against a restart that stays delayed once the task has been at work.
+#[test]
+fn a_restart_is_delayed_within_bounds() {
+    let mut fleet = FakeFleet::new(3, 1);
+    fleet.run_for(Duration::from_secs(1));
+    let job = fleet.submit(job_of(1, "fails 100", StepKind::LongRunning, 1, 2));
+    let mut longest = Duration::ZERO;
+    let mut idle_since = None;
+    let start = fleet.now;
+    let mut starts = 0;
+    while fleet.now.since(start) < Duration::from_mins(1) {
+        fleet.step();
+        let runs = fleet.workers.iter().any(|worker| worker.runs.keys().any(|task| task.job == job));
+        match idle_since {
+            Some(since) if runs => {
+                longest = longest.max(fleet.now.since(since));
+                starts += 1;
+                idle_since = None;
+            }
+            None if !runs => idle_since = Some(fleet.now),
+            _ => {}
+        }
+    }
+    assert!(longest < LONG_RUNNING_STUCK_AFTER, "{longest:?}");
+    // A run and its restart take 0.3 s without delays.
+    assert!(starts < 30, "{starts} starts in a minute");
+    assert!(longest > STEP_DURATION * 20, "{longest:?}");
+}
+
+/// Guards against a crash loop that takes a growing part of the leader, the log and the workers: each task is started at
+/// most once in the longest delay.
+#[test]
+fn a_crash_loop_costs_a_bounded_share() {
+    const TASKS: u32 = 500;
+    const LONGEST_DELAY: Duration = Duration::from_secs(4);
+    const MEASURED: Duration = Duration::from_secs(20);
+    let mut fleet = FakeFleet::new(300, 1);
+    fleet.run_for(Duration::from_secs(1));
+    fleet.submit(job_of(1, "fails 100", StepKind::LongRunning, TASKS, 2));
+    fleet.run_for(Duration::from_secs(20));
+    let (starts, commands, clock) = (fleet.starts, fleet.commands, Instant::now());
+    fleet.run_for(MEASURED);
+    let (starts, commands) = (fleet.starts - starts, fleet.commands - commands);
+    let seconds = MEASURED.as_secs();
+    eprintln!(
+        "{} starts and {} commands a second, {} us of processor time a simulated second",
+        starts / seconds,
+        commands / seconds,
+        clock.elapsed().as_micros() / u128::from(seconds)
+    );
+    let allowed = u64::from(TASKS) * (seconds / LONGEST_DELAY.as_secs() + 1);
+    assert!(starts <= allowed, "{starts} starts in {MEASURED:?}");
+}
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test uses a part")]
 #![allow(clippy::struct_excessive_bools, reason = "each fault is switched by itself")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use parsleywalk_batch::{
@@ -16,6 +16,8 @@
 
 /// The simulated duration of one step.
 pub(crate) const STEP_DURATION: Duration = Duration::from_millis(50);
+/// How long the members of a gang wait for the others, in milliseconds.
+const GANG_TIMEOUT_MS: f64 = 3000.0;
 /// How long a worker waits for the response to a report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -94,11 +96,17 @@
     pub(crate) incarnation: u64,
     pub(crate) up: bool,
     pub(crate) partitioned: bool,
+    /// Whether a fault has kept the worker from reporting.
+    pub(crate) was_cut: bool,
     pub(crate) draining: bool,
     /// Whether every run fails when its work is done.
     pub(crate) fails_runs: bool,
     /// Whether every run fails as soon as it has started.
     pub(crate) fails_starts: bool,
+    /// Every end so far, with its incarnation.
+    pub(crate) history: Vec<(u64, RunEnd)>,
+    /// The ends that the leader has acknowledged, by incarnation and number.
+    pub(crate) acknowledged: BTreeSet<(u64, EndNumber)>,
     /// The tasks of the runs that have failed here.
     pub(crate) failed_tasks: Vec<TaskKey>,
     /// Whether new runs make no progress.
@@ -132,10 +140,16 @@
     /// The tail latency of a latency-critical task in milliseconds, as a function of the share of cores that
     /// best-effort tasks use.
     pub(crate) tail_latency_ms: fn(f64) -> u32,
+    /// The runs of gangs of which all members have been present, by the step's first task.
+    complete_gangs: BTreeSet<(TaskKey, RunNumber)>,
     /// Tasks with a recorded completion.
     done: BTreeMap<TaskKey, RunNumber>,
     out_since: BTreeMap<ZoneName, MonotonicTime>,
     pub(crate) starts: u64,
+    /// The started runs in order.
+    pub(crate) started: Vec<(TaskKey, RunNumber)>,
+    /// The number of commands that were applied.
+    pub(crate) commands: u64,
     /// The largest size of the payloads and checkpoints of the start orders in one response.
     pub(crate) largest_starts: usize,
     pub(crate) ended_at: BTreeMap<JobId, MonotonicTime>,
@@ -183,9 +197,12 @@
             handled_percent: 100,
             response_loss_percent: 0,
             tail_latency_ms: |_| 40,
+            complete_gangs: BTreeSet::new(),
             done: BTreeMap::new(),
             out_since: BTreeMap::new(),
             starts: 0,
+            started: Vec::new(),
+            commands: 0,
             largest_starts: 0,
             ended_at: BTreeMap::new(),
             longest_violation: Duration::ZERO,
@@ -249,6 +266,7 @@
                 }
             }
         }
+        self.commands += 1;
         // Commands must survive the encoding used in the log.
         let bytes = parsleywalk_batch::encode_commands(std::slice::from_ref(command));
         let decoded = parsleywalk_batch::decode_commands(&bytes).expect("commands decode");
@@ -297,6 +315,7 @@
                 self.workers[index].next_report = self.now + REPORT_TIMEOUT;
             }
         }
+        self.record_complete_gangs();
         self.check();
     }
 
@@ -307,7 +326,9 @@
         if !worker.up {
             return;
         }
+        let mut broken = Vec::new();
         if now >= worker.lease_until && !worker.runs.is_empty() {
+            broken = worker.gang_runs(RunOutcome::LeaseLapsed);
             worker.end_all(RunOutcome::LeaseLapsed);
         }
         let share = worker.best_effort_share();
@@ -325,6 +346,11 @@
         let mut ended = Vec::new();
         for (task, run) in &mut worker.runs {
             run.age_ms += step_ms;
+            let gang = (TaskKey { index: 0, ..*task }, run.run);
+            if run.breaks_gang && run.age_ms >= GANG_TIMEOUT_MS && !self.complete_gangs.contains(&gang) {
+                ended.push((*task, RunOutcome::GangIncomplete));
+                continue;
+            }
             match run.behavior {
                 _ if worker.fails_starts => ended.push((*task, RunOutcome::Failed)),
                 Behavior::Ends(outcome, after_ms) if run.age_ms >= after_ms => ended.push((*task, outcome)),
@@ -339,28 +365,47 @@
                 ended.push((*task, if worker.fails_runs { RunOutcome::Failed } else { RunOutcome::Done }));
             }
         }
-        let mut broken = Vec::new();
         for (task, outcome) in ended {
             if let Some(run) = worker.runs.get(&task).filter(|run| run.breaks_gang) {
-                broken.push((task, run.run));
+                broken.push((task, run.run, outcome));
             }
             if outcome == RunOutcome::Failed {
                 worker.failed_tasks.push(task);
             }
             worker.end(task, outcome);
         }
-        for (task, run) in broken {
-            self.break_gang(&task, run);
+        for (task, run, outcome) in broken {
+            self.break_gang(&task, run, outcome);
+        }
+    }
+
+    /// Ends a run, and with it those of the other members of its gang.
+    pub(crate) fn end_run(&mut self, index: usize, task: TaskKey, outcome: RunOutcome) {
+        let Some(run) = self.workers[index].runs.get(&task).map(|run| run.run) else { return };
+        let is_gang = self.state.step_of(&task).is_some_and(|(_, step)| step.gang);
+        self.workers[index].end(task, outcome);
+        if is_gang {
+            self.break_gang(&task, run, outcome);
+        }
+    }
+
+    /// Starts a worker again, as after a crash.
+    pub(crate) fn crash(&mut self, index: usize) {
+        let broken = self.workers[index].gang_runs(RunOutcome::LeaseLapsed);
+        self.workers[index].restart();
+        for (task, run, outcome) in broken {
+            self.break_gang(&task, run, outcome);
         }
     }
 
-    /// Ends the other members of a gang after one has ended. As done they end together.
-    fn break_gang(&mut self, ended: &TaskKey, run: RunNumber) {
+    /// Ends the other members of a gang after one has ended. They complete together.
+    fn break_gang(&mut self, ended: &TaskKey, run: RunNumber, outcome: RunOutcome) {
+        let outcome = if outcome == RunOutcome::Done { RunOutcome::Done } else { RunOutcome::GangBroken };
         for worker in &mut self.workers {
             let others = worker.runs.iter().filter(|(task, other)| task.same_step(ended) && other.run == run);
             let others: Vec<TaskKey> = others.map(|(task, _)| *task).collect();
             for task in others {
-                worker.end(task, RunOutcome::GangBroken);
+                worker.end(task, outcome);
             }
         }
     }
@@ -388,6 +433,8 @@
         }
         worker.fence = orders.fence;
         worker.lease_until = worker.lease_until.max(now + orders.lease);
+        let acknowledged = worker.ended.iter().filter(|end| end.number <= orders.settled);
+        worker.acknowledged.extend(acknowledged.map(|end| (worker.incarnation, end.number)));
         worker.ended.retain(|end| end.number > orders.settled);
         for (task, run) in orders.stops {
             if worker.runs.get(&task).is_some_and(|known| known.run == run) {
@@ -415,13 +462,14 @@
             }
             assert!(!self.done.contains_key(&order.task), "{} starts after it was done", order.task);
             self.starts += 1;
+            self.started.push((order.task, order.run));
             worker.runs.insert(
                 order.task,
                 FakeRun {
                     run: order.run,
                     behavior: Behavior::of(&order.payload),
                     age_ms: 0.0,
-                    breaks_gang: spec.gang && spec.long_running && !order.payload.starts_with("all-fail"),
+                    breaks_gang: spec.gang && !order.payload.starts_with("all-fail"),
                     size: spec.size,
                     done_ms: order.saved.parse().unwrap_or(0.0),
                     total_ms: spec.estimate.as_secs_f64() * 1000.0,
@@ -436,6 +484,21 @@
         }
     }
 
+    /// Records the gangs of which all members are present.
+    fn record_complete_gangs(&mut self) {
+        let mut present: BTreeMap<(TaskKey, RunNumber), u32> = BTreeMap::new();
+        for worker in &self.workers {
+            for (task, run) in worker.runs.iter().filter(|(_, run)| run.breaks_gang) {
+                *present.entry((TaskKey { index: 0, ..*task }, run.run)).or_default() += 1;
+            }
+        }
+        for (gang, members) in present {
+            if self.state.step_of(&gang.0).is_some_and(|(_, step)| step.count == members) {
+                self.complete_gangs.insert(gang);
+            }
+        }
+    }
+
     /// Checks the invariants that must hold after every step.
     fn check(&mut self) {
         let mut running_on: BTreeMap<TaskKey, &WorkerId> = BTreeMap::new();
@@ -468,9 +531,12 @@
             incarnation: 1,
             up: true,
             partitioned: false,
+            was_cut: false,
             draining: false,
             fails_runs: false,
             fails_starts: false,
+            history: Vec::new(),
+            acknowledged: BTreeSet::new(),
             failed_tasks: Vec::new(),
             hung: false,
             capacity: size(32, 125),
@@ -504,7 +570,15 @@
         self.last_runs.insert(task, run.run);
         let number = EndNumber::new(self.last_end_number);
         let saved = run.checkpoint();
-        self.ended.push(RunEnd { number, task, run: run.run, outcome, saved });
+        let end = RunEnd { number, task, run: run.run, outcome, saved };
+        self.history.push((self.incarnation, end.clone()));
+        self.ended.push(end);
+    }
+
+    /// Returns the runs that belong to gangs, as ended with an outcome.
+    fn gang_runs(&self, outcome: RunOutcome) -> Vec<(TaskKey, RunNumber, RunOutcome)> {
+        let runs = self.runs.iter().filter(|(_, run)| run.breaks_gang);
+        runs.map(|(task, run)| (*task, run.run, outcome)).collect()
     }
 
     fn end_all(&mut self, outcome: RunOutcome) {
