--- a/crates/parsleywalk-batch/tests/settlement.rs
+++ b/crates/parsleywalk-batch/tests/settlement.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use parsleywalk_batch::{
-    BatchCommand, JobId, JobStatus, JobSubmission, ReportAction, RunOutcome, StepSpec, TaskKey, WorkerReport,
+    BatchCommand, BatchState, JobId, JobStatus, JobSubmission, ReportAction, RunOutcome, StepSpec, TaskKey,
+    WorkerReport,
 };
 use rstest::rstest;
 use support::{FakeFleet, step, submission};
@@ -222,3 +223,31 @@
     }
     assert!(!fleet.state.job(job).and_then(|record| record.task(&task)).is_some_and(|record| record.done));
 }
+
+/// Guards against giving up a long-running gang of which the last release has recorded a failed run, the only one that its
+/// attempts leave: the state comes from a snapshot, and the leader changes.
+#[test]
+fn a_long_running_gang_outlives_failures_recorded_by_the_last_release() {
+    let mut fleet = FakeFleet::new(6, 1);
+    let job = fleet.submit(gang(3, 0, true));
+    fleet.run_for(START_TIME);
+    fail_gang(&mut fleet, job, 3, 1, RunOutcome::Failed);
+    let index = fleet.workers.iter().position(|worker| worker.ended.iter().any(|end| end.task == member(job, 0)));
+    let report = fleet.workers[index.expect("a worker")].current_report(fleet.now);
+    for mut command in receive(&mut fleet, &report) {
+        if let BatchCommand::Settle { ends, .. } = &mut command {
+            for end in ends {
+                end.outcome = RunOutcome::Failed;
+            }
+        }
+        fleet.state.apply(&command);
+    }
+    assert_eq!(fleet.state.job(job).map(parsleywalk_batch::JobRecord::failures), Some(1));
+    fleet.state = BatchState::decode(&fleet.state.encode()).expect("a snapshot");
+    fleet.change_leader();
+    for round in 0..4 {
+        fleet.run_for(Duration::from_secs(8));
+        assert_eq!(fleet.status(job), Some(JobStatus::Running), "round {round}");
+        fail_gang(&mut fleet, job, 3, 2, RunOutcome::Failed);
+    }
+}
