--- a/crates/parsleywalk-api/src/lib.rs
+++ b/crates/parsleywalk-api/src/lib.rs
@@ -17,7 +17,7 @@
 //! - Endpoints: [`AnnounceRequest`], [`AnnounceReply`].
 //! - Workers: [`WorkerReport`], [`WorkerReply`], [`WorkerOrder`].
 //! - Operators: [`ConfigurationApply`], [`ZoneCommand`], [`ReplicaCommand`], [`OperationReply`], [`ConfigurationView`],
-//!   [`SystemStatus`], [`JobExplanation`].
+//!   [`SystemStatus`], [`JobExplanation`], [`FailingJobs`].
 
 mod endpoint;
 pub mod headers;
@@ -33,5 +33,7 @@
     ConfigurationApply, ConfigurationView, OperationOutcome, OperationReply, ReplicaChange, ReplicaCommand, ZoneCommand,
 };
 pub use refusal::{Refusal, RefusalOutcome};
-pub use status::{JobExplanation, ReplicaView, SystemStatus, TaskCounts, TaskExplanation, ZoneView};
+pub use status::{
+    FailingJob, FailingJobs, JobExplanation, ReplicaView, SystemStatus, TaskCounts, TaskExplanation, ZoneView,
+};
 pub use worker::{ReportedPhase, TaskReport, WorkerOrder, WorkerReply, WorkerReport};
--- a/crates/parsleywalk-api/src/status.rs
+++ b/crates/parsleywalk-api/src/status.rs
@@ -1,6 +1,6 @@
 //! Messages that describe the state of the system, its jobs and its tasks.
 
-use parsleywalk_units::{ConfigurationVersion, JobKey, TaskId, VmNumber, ZoneName};
+use parsleywalk_units::{ConfigurationVersion, JobKey, TaskId, TimeSpan, VmNumber, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::JobPhase;
@@ -92,3 +92,27 @@
     /// Its tasks that have not ended; at most the first 100.
     pub tasks: Vec<TaskExplanation>,
 }
+
+/// A job of which runs have failed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FailingJob {
+    /// The job's id.
+    pub job: String,
+    /// The number of runs that failed or hung since the leader began to lead.
+    pub failed_runs: u64,
+    /// The time since the newest of them.
+    pub last_failure_age: TimeSpan,
+    /// The task that failed last.
+    pub last_task: String,
+    /// The worker on which it failed.
+    pub last_worker: String,
+    /// The longest delay before a restart so far.
+    pub restart_delay: TimeSpan,
+}
+
+/// The active jobs of which runs have failed, that of the newest failure first.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FailingJobs {
+    /// The jobs, at most a hundred.
+    pub jobs: Vec<FailingJob>,
+}
--- a/crates/parsleywalk-fleet/src/access.rs
+++ b/crates/parsleywalk-fleet/src/access.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use log::info;
-use parsleywalk_batch::{ReportResponse, WorkerReport};
+use parsleywalk_batch::{JobFailures, JobId, ReportResponse, WorkerReport};
 use parsleywalk_peer::{CallWindow, PeerSettings, SteadyClock};
 use tokio::time;
 
@@ -116,6 +116,13 @@
         self.client.leader().map(crate::settings::vm_address)
     }
 
+    /// Returns the active jobs of which runs have failed, that of the newest failure first, with the time since then, or
+    /// `None` if this daemon does not lead.
+    #[must_use]
+    pub fn failing_jobs(&self) -> Option<Vec<(JobId, JobFailures, Duration)>> {
+        self.replica.as_ref()?.failing_jobs()
+    }
+
     /// Renders the metrics after updating the gauges.
     #[must_use]
     pub fn render_metrics(&self) -> String {
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -8,7 +8,8 @@
 
 use log::{debug, error, info};
 use parsleywalk_batch::{
-    BatchCommand, BatchReply, BatchState, FencingToken, JobRecord, SortedMap, decode_commands, encode_commands,
+    BatchCommand, BatchReply, BatchState, FencingToken, JobFailures, JobId, JobRecord, SortedMap, decode_commands,
+    encode_commands,
 };
 use parsleywalk_consensus::{
     ConsensusAction, ConsensusEvent, ConsensusMessage, ConsensusNode, EntryPayload, LogEntry, LogTerm, LogWrite,
@@ -125,6 +126,14 @@
         self.node.leader().is_some()
     }
 
+    /// Returns the active jobs of which runs have failed, that of the newest failure first, with the time since then, or
+    /// `None` if this replica does not lead.
+    pub(crate) fn failing_jobs(&self, now: MonotonicTime) -> Option<Vec<(JobId, JobFailures, Duration)>> {
+        let leader_state = self.leader_state.as_ref().filter(|_| self.is_leader(now))?;
+        let jobs = leader_state.dispatcher.failing_jobs().into_iter();
+        Some(jobs.map(|(job, failures)| (job, failures.clone(), now.since(failures.last_at))).collect())
+    }
+
     /// Updates the metrics that describe the state.
     pub(crate) fn record_state_metrics(&self) {
         self.metrics.record_state(&self.state, crate::clock::unix_ms());
--- a/crates/parsleywalk-fleet/src/replica.rs
+++ b/crates/parsleywalk-fleet/src/replica.rs
@@ -9,7 +9,7 @@
 
 use flume::{Receiver, Sender};
 use log::{error, info, warn};
-use parsleywalk_batch::{ReportResponse, WorkerReport};
+use parsleywalk_batch::{JobFailures, JobId, ReportResponse, WorkerReport};
 use parsleywalk_consensus::{ConsensusNode, ConsensusSettings, LogWrite, RecoveredLog, WriteTicket};
 use parsleywalk_peer::{
     CallWindow, PeerAddress, PeerNetwork, PeerReceivers, PeerSettings, ReceivedCall, SteadyClock, StreamKind,
@@ -206,6 +206,11 @@
         }
     }
 
+    /// Returns the active jobs of which runs have failed, with the time since the newest, if this replica leads.
+    pub(crate) fn failing_jobs(&self) -> Option<Vec<(JobId, JobFailures, Duration)>> {
+        self.core.borrow().failing_jobs(self.clock.now())
+    }
+
     /// Updates the metrics that describe the state.
     pub(crate) fn record_state_metrics(&self) {
         self.core.borrow().record_state_metrics();
--- a/crates/parsleywalk/src/arguments.rs
+++ b/crates/parsleywalk/src/arguments.rs
@@ -44,6 +44,9 @@
     /// The caller address of a daemon, for submit, result and cancel; may be repeated
     #[arg(long = "caller-address", global = true, value_name = "IP:PORT")]
     pub(crate) caller_addresses: Vec<SocketAddr>,
+    /// The metrics address of a daemon on the users' platform, for failing; may be repeated
+    #[arg(long = "metrics-address", global = true, value_name = "IP:PORT")]
+    pub(crate) metrics_addresses: Vec<SocketAddr>,
     /// The file with the operators' token
     #[arg(long, global = true, value_name = "FILE")]
     token_file: Option<PathBuf>,
@@ -81,6 +84,8 @@
     Status,
     /// Explain why a job is in its current state
     Explain(ExplainArguments),
+    /// List the jobs of which runs have failed, that of the newest failure first
+    Failing,
     /// Submit a job; submitting the same key again has no further effect
     Submit(SubmitArguments),
     /// Show the state of a job and, once it has ended, its results
--- a/crates/parsleywalk/src/commands/mod.rs
+++ b/crates/parsleywalk/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod config;
 mod dump;
 pub(crate) mod explain;
+mod failing;
 mod job_text;
 mod operation_text;
 pub(crate) mod replica;
@@ -29,6 +30,7 @@
         Command::Zone(command) => zone::run(command, connection),
         Command::Status => status::run(connection),
         Command::Explain(command) => explain::run(&command, connection),
+        Command::Failing => failing::run(connection),
         Command::Submit(command) => submit::run(command, connection),
         Command::Result(command) => result::run(&command, connection),
         Command::Cancel(command) => cancel::run(&command, connection),
--- a/crates/parsleywalk/src/daemon_client.rs
+++ b/crates/parsleywalk/src/daemon_client.rs
@@ -43,6 +43,11 @@
         Self::new(&arguments.caller_addresses, "--caller-address", None, arguments)
     }
 
+    /// Creates a client for the daemons' metrics addresses, which require no token.
+    pub(crate) fn metrics(arguments: &ConnectionArguments) -> Result<Self> {
+        Self::new(&arguments.metrics_addresses, "--metrics-address", None, arguments)
+    }
+
     fn new(
         addresses: &[SocketAddr],
         option: &'static str,
--- a/crates/parsleywalk/tests/output.rs
+++ b/crates/parsleywalk/tests/output.rs
@@ -36,6 +36,12 @@
 ] }"#;
 const CONFIGURATION: &str =
     r#"{ "version": 7, "digest": "9f86d081", "operation": "op-1", "text": "version: 7\nteams: []\nservices: []\n" }"#;
+const FAILING: &str = r#"{ "jobs": [
+  { "job": "00000000000000b0", "failed_runs": 412, "last_failure_age": "350ms", "last_task": "00000000000000b0.0.0.3",
+    "last_worker": "i-7f3a91c2", "restart_delay": "4s" },
+  { "job": "000000000000001f", "failed_runs": 1, "last_failure_age": "2m", "last_task": "000000000000001f.0.1.0",
+    "last_worker": "i-02", "restart_delay": "0s" }
+] }"#;
 const ACCEPTED: &str = r#"{ "outcome": "accepted", "message": "zone zone-b is out of service", "version": 7, "in_force": [1, 2, 3], "not_heard": [7] }"#;
 
 fn answer(line: &str) -> (u16, String) {
@@ -46,6 +52,7 @@
         "GET /v1/jobs/planning/ended" => ENDED,
         "GET /v1/jobs/planning/ended/result" => RESULT,
         "GET /v1/configuration" => CONFIGURATION,
+        "GET /failing-jobs" => FAILING,
         "GET /v1/dump" => r#"{ "revision": 4711 }"#,
         "POST /v1/zones/zone-b" | "POST /v1/replicas" => ACCEPTED,
         _ => return (404, r#"{ "outcome": "not_run", "reason": "no such job" }"#.to_owned()),
@@ -61,6 +68,7 @@
 #[case::explain_unknown("explain planning/other")]
 #[case::config("config")]
 #[case::dump("dump")]
+#[case::failing("failing")]
 #[case::submit("submit planning/night-4 slope-resurvey --count 140")]
 #[case::result_running("result planning/night-4")]
 #[case::result_failed("result planning/ended")]
@@ -70,7 +78,8 @@
 fn text_of_command(#[case] arguments: &str) {
     let daemon = FakeDaemon::start(answer);
     let address = &daemon.address;
-    let text = run_text(&format!("--operator-address {address} --caller-address {address} {arguments}"));
+    let addresses = format!("--operator-address {address} --caller-address {address} --metrics-address {address}");
+    let text = run_text(&format!("{addresses} {arguments}"));
     let name = arguments.replace(|letter: char| !letter.is_ascii_alphanumeric(), "_");
     assert_snapshot!(name, text);
 }
--- a/crates/parsleywalkd/tests/failing_jobs.rs
+++ b/crates/parsleywalkd/tests/failing_jobs.rs
@@ -5,8 +5,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::platform::start_platform;
+use common::platform::{DAEMONS, start_platform};
 use common::wait_until;
+use parsleywalk_api::FailingJobs;
 use parsleywalk_platform_soak::{FleetProbe, ProcessFleet, ScriptedWorkers};
 use serde_json::json;
 use tempfile::TempDir;
@@ -39,15 +40,43 @@
         .into_bytes()
 }
 
-/// Guards against healthy workers that get no work for seconds, since all runs of a long-running gang fail on them.
+/// Checks that the leader, and no other daemon, lists the job with its failed runs, and counts and logs them as such.
+fn check_listing(fleet: &ProcessFleet, workers: &ScriptedWorkers, job: &str) {
+    let get = |index, path| {
+        let response = attohttpc::get(format!("http://{}/{path}", fleet.metrics(index))).send().expect("a response");
+        (response.status().as_u16(), response.text().expect("a body"))
+    };
+    let leaders: Vec<usize> = (0..DAEMONS).filter(|index| get(*index, "failing-jobs").0 == 200).collect();
+    let [leader] = leaders[..] else { panic!("one daemon leads: {leaders:?}") };
+    let listing: FailingJobs = serde_json::from_str(&get(leader, "failing-jobs").1).expect("a listing");
+    let [failing] = &listing.jobs[..] else { panic!("one job fails: {listing:?}") };
+    assert_eq!(failing.job, job);
+    let starts = u64::try_from(workers.starts(job).len()).expect("small");
+    assert!(failing.failed_runs > 0 && failing.failed_runs <= starts, "{failing:?} of {starts}");
+    assert!(failing.last_task.starts_with(job) && failing.last_worker.starts_with("scripted-"), "{failing:?}");
+    let metrics = get(leader, "metrics").1;
+    let counted = metrics.lines().find(|line| line.starts_with("parsleywalk_runs_ended_total{outcome=\"failed\""));
+    assert!(counted.is_some(), "{metrics}");
+    let log = fleet.log(leader).expect("a log");
+    let is_logged = |event: &str, text: &str| {
+        log.lines().any(|line| line.contains(&format!("event={event} job={job}")) && line.contains(text))
+    };
+    assert!(is_logged("run_ended", "outcome=Failed recorded=Stopped"));
+    assert!(is_logged("job_failing", "worker=scripted-"));
+    assert!(is_logged("restart_delayed", "outcome=Failed failures_in_a_row=9 delay_ms=4000"));
+}
+
+/// Guards against healthy workers that get no work for seconds, since all runs of a long-running gang fail on them, and
+/// against a failing job that log, metrics and listing show as a healthy one.
 #[test]
 fn a_failing_gang_keeps_no_sound_job_waiting() {
     let folder = TempDir::new().expect("a folder");
-    let (_fleet, probe, workers) = start(&folder, 3);
+    let (fleet, probe, workers) = start(&folder, 3);
     let gang = json!({"count": 6, "cpu": 500, "mem_mb": 100, "gang": true, "long_running": true});
     submit(&probe, "00000000000000b0", "fails 200", &gang);
     thread::sleep(FAULTY_TIME);
     assert_eq!(probe.state("00000000000000b0").as_deref(), Some("running"), "it is restarted however it ends");
+    check_listing(&fleet, &workers, "00000000000000b0");
     for round in 0..3 {
         let job = format!("00000000000000c{round}");
         submit(&probe, &job, "lasts", &json!({"count": 6, "cpu": 1000, "mem_mb": 100, "estimate_ms": 1000}));
