--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -421,10 +421,11 @@
         ready.sort_unstable();
     }
 
-    /// Returns true if the job has had no live run for long, or if tasks of the long-running step have waited for long.
+    /// Returns true if the job has had no live run for long, or if tasks of a long-running step have waited for long.
     fn is_starved(&self, now: MonotonicTime, spec: &StepSpec, step: &ReadyStep) -> bool {
         let is_long = |since: &MonotonicTime| now.since(*since) >= STARVATION_TIMEOUT;
-        let waiting_since = self.waiting_since.get(&(step.job, step.step)).filter(|_| spec.long_running);
+        // A best-effort task beside others of its job can wait for a worker on which it does not interfere.
+        let waiting_since = self.waiting_since.get(&(step.job, step.step)).filter(|_| !spec.best_effort);
         self.idle_since.get(&step.job).is_some_and(is_long) || waiting_since.is_some_and(is_long)
     }
 
