Drop charges of jobs at fault when they end; judge tasks as well

Change: a task that fails on a second worker is at fault itself until it works, and failures of ended jobs that were at fault are dropped before their evidence.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -257,6 +257,9 @@
         self.avoided.retain(|task, _| state.is_unfinished(task));
         self.begun_jobs.prune(state);
         self.gang_runs.prune(state);
+        for (_, view) in self.workers.iter_mut() {
+            view.health.prune(state, &self.evidence);
+        }
         self.evidence.prune(state);
         self.restart_delays.prune(state);
         self.failing_jobs.prune(state);
@@ -319,11 +322,10 @@
                 run.rate == 100 && idle >= self.settings.stall_timeout.max(step.bounded_estimate() / 4) * stall_factor
             };
             let life = now.since(run.first_seen);
-            let step_key = (task.job, task.step);
             if hung && !view.evicting.contains(task) {
                 hung_runs.push((*task, run.run, life));
-            } else if !hung && self.evidence.is_survivor(&step_key, life) {
-                self.evidence.record_success(step_key, worker);
+            } else if !hung && self.evidence.is_survivor(task, life) {
+                self.evidence.record_success(task, worker);
             }
         }
         let best_effort: Vec<BestEffortLoad> =
--- a/crates/parsleywalk-batch/src/failure_evidence.rs
+++ b/crates/parsleywalk-batch/src/failure_evidence.rs
@@ -1,7 +1,8 @@
 //! Whether failed runs are the fault of their job or of the worker.
 //!
 //! A failed run alone doesn't tell. A step that fails on several workers, and works on fewer, is taken to be at fault
-//! itself, and its failures say nothing about the workers. The evidence is built from the outcomes that workers list, not
+//! itself, and so is a task that fails on several workers, whatever the others of its step do. Their failures say nothing
+//! about the workers. The evidence is built from the outcomes that workers list, not
 //! from the recorded ones, and is judged whenever it is used: failures of a step that turns out to work elsewhere count
 //! against their workers after all. It is part of the leader's memory, as the health of the workers is, and both start
 //! anew with a new leader.
@@ -10,10 +11,10 @@
 
 use parsleywalk_units::WorkerId;
 
-use crate::{BatchState, JobId, SortedMap};
+use crate::{BatchState, JobId, SortedMap, TaskKey};
 
 /// A step of a job, in all occurrences.
-pub(crate) type JobStep = (JobId, u16);
+type JobStep = (JobId, u16);
 
 /// A step that has failed on fewer workers is not taken to be at fault.
 const MIN_FAULTY_WORKERS: usize = 2;
@@ -39,43 +40,59 @@
     }
 }
 
-/// The evidence about the steps of which runs have failed.
+/// The workers on which a task has failed since it last worked.
+#[derive(Debug)]
+struct TaskEvidence {
+    first: WorkerId,
+    /// Whether it has failed on another one as well.
+    is_at_fault: bool,
+}
+
+/// The evidence about the steps and tasks of which runs have failed.
 #[derive(Debug, Default)]
 pub(crate) struct FailureEvidence {
     steps: SortedMap<JobStep, StepEvidence>,
+    tasks: SortedMap<TaskKey, TaskEvidence>,
+}
+
+fn step_of(task: &TaskKey) -> JobStep {
+    (task.job, task.step)
 }
 
 /// Read-only methods.
 impl FailureEvidence {
-    /// Returns true if the step's failures are its own fault.
-    pub(crate) fn is_at_fault(&self, step: &JobStep) -> bool {
-        self.steps.get(step).is_some_and(StepEvidence::is_at_fault)
+    /// Returns true if the task's failures are its own fault or its step's.
+    pub(crate) fn is_at_fault(&self, task: &TaskKey) -> bool {
+        self.tasks.get(task).is_some_and(|known| known.is_at_fault)
+            || self.steps.get(&step_of(task)).is_some_and(StepEvidence::is_at_fault)
     }
 
-    /// Returns true if a run of the step works, since it has outlived those that failed. Without failures, no run of it
-    /// needs to be recorded.
-    pub(crate) fn is_survivor(&self, step: &JobStep, life: Duration) -> bool {
-        let known = self.steps.get(step);
+    /// Returns true if a run of the task works, since it has outlived those of its step that failed. Without failures, no
+    /// run needs to be recorded.
+    pub(crate) fn is_survivor(&self, task: &TaskKey, life: Duration) -> bool {
+        let known = self.steps.get(&step_of(task));
         known.is_some_and(|known| life >= known.longest_life * SURVIVAL_PERCENT / 100 + SURVIVAL_MARGIN)
     }
 }
 
 /// Methods that change the state.
 impl FailureEvidence {
-    /// Records a run of the step that failed or hung after `life`. Returns true if the step is therefore at fault and
-    /// was not before.
-    pub(crate) fn record_failure(&mut self, step: JobStep, worker: &WorkerId, life: Duration) -> bool {
-        let known = self.steps.entry(step, StepEvidence::default);
-        let was_at_fault = known.is_at_fault();
+    /// Records a run that failed or hung after `life`. Returns true if the task is therefore at fault and was not before.
+    pub(crate) fn record_failure(&mut self, task: TaskKey, worker: &WorkerId, life: Duration) -> bool {
+        let was_at_fault = self.is_at_fault(&task);
+        let known = self.steps.entry(step_of(&task), StepEvidence::default);
         known.longest_life = known.longest_life.max(life);
         insert(&mut known.failed_on, worker);
         remove(&mut known.worked_on, worker);
-        known.is_at_fault() && !was_at_fault
+        let known = self.tasks.entry(task, || TaskEvidence { first: worker.clone(), is_at_fault: false });
+        known.is_at_fault |= known.first != *worker;
+        self.is_at_fault(&task) && !was_at_fault
     }
 
-    /// Records a run of the step that completed or works, if others have failed.
-    pub(crate) fn record_success(&mut self, step: JobStep, worker: &WorkerId) {
-        if let Some(known) = self.steps.get_mut(&step) {
+    /// Records a run that completed or works, if others of its step have failed.
+    pub(crate) fn record_success(&mut self, task: &TaskKey, worker: &WorkerId) {
+        self.tasks.remove(task);
+        if let Some(known) = self.steps.get_mut(&step_of(task)) {
             insert(&mut known.worked_on, worker);
             remove(&mut known.failed_on, worker);
         }
@@ -84,6 +101,7 @@
     /// Forgets the steps of jobs that are final.
     pub(crate) fn prune(&mut self, state: &BatchState) {
         self.steps.retain(|(job, _), _| state.is_active(*job));
+        self.tasks.retain(|task, _| state.is_active(task.job));
     }
 }
 
--- a/crates/parsleywalk-batch/src/health.rs
+++ b/crates/parsleywalk-batch/src/health.rs
@@ -4,7 +4,8 @@
 
 use parsleywalk_units::MonotonicTime;
 
-use crate::failure_evidence::{FailureEvidence, JobStep};
+use crate::failure_evidence::FailureEvidence;
+use crate::{BatchState, TaskKey};
 
 /// The number of consecutive failures after which a worker is quarantined.
 const FAILURE_LIMIT: usize = 2;
@@ -16,8 +17,8 @@
 /// The health of a worker as shown by its recent runs.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct WorkerHealth {
-    /// The steps of the failed and hung runs since the last completed run, the newest last.
-    failures: Vec<JobStep>,
+    /// The tasks of the failed and hung runs since the last completed run, the newest last.
+    failures: Vec<TaskKey>,
     quarantined_until: MonotonicTime,
     /// The number of quarantines since the last completed run.
     quarantines: u32,
@@ -30,24 +31,29 @@
         *self = Self::default();
     }
 
-    /// Records a failed or hung run of a step, which the evidence covers already.
+    /// Records a failed or hung run of a task, which the evidence covers already.
     pub(crate) fn record_failure(
         &mut self,
         now: MonotonicTime,
-        step: JobStep,
+        task: TaskKey,
         quarantine: Duration,
         evidence: &FailureEvidence,
     ) {
         if self.failures.len() >= MAX_FAILURES {
             self.failures.remove(0);
         }
-        self.failures.push(step);
+        self.failures.push(task);
         if now >= self.quarantined_until && self.is_on_probation(evidence) {
             let factor = (1 << self.quarantines.min(MAX_QUARANTINE_FACTOR)).min(MAX_QUARANTINE_FACTOR);
             self.quarantined_until = now + quarantine * factor;
             self.quarantines += 1;
         }
     }
+
+    /// Forgets the failures of jobs that are final and were at fault, before the evidence about them is forgotten.
+    pub(crate) fn prune(&mut self, state: &BatchState, evidence: &FailureEvidence) {
+        self.failures.retain(|task| state.is_active(task.job) || !evidence.is_at_fault(task));
+    }
 }
 
 /// Read-only methods.
@@ -58,10 +64,10 @@
     }
 
     /// Returns true if the worker gets only one run at a time, to test whether it works again. Failures that are the
-    /// fault of their step don't count.
+    /// fault of their task or step don't count.
     pub(crate) fn is_on_probation(&self, evidence: &FailureEvidence) -> bool {
         self.failures.len() >= FAILURE_LIMIT
-            && self.failures.iter().filter(|step| !evidence.is_at_fault(step)).count() >= FAILURE_LIMIT
+            && self.failures.iter().filter(|task| !evidence.is_at_fault(task)).count() >= FAILURE_LIMIT
     }
 
     /// Returns the number of consecutive failures, whoever is at fault.
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -33,6 +33,7 @@
 mod spec;
 mod state;
 mod urgency;
+mod waiting;
 mod worker_rank;
 mod worker_view;
 
--- a/crates/parsleywalk-batch/src/outcomes.rs
+++ b/crates/parsleywalk-batch/src/outcomes.rs
@@ -41,7 +41,7 @@
             let Some((_, spec)) = state.step_of(&end.task) else { continue };
             if end.outcome == RunOutcome::Done {
                 view.health.record_success();
-                self.evidence.record_success((end.task.job, end.task.step), worker);
+                self.evidence.record_success(&end.task, worker);
             }
             let failed = FailedRun { task: end.task, run: end.run, worker, outcome: end.outcome, life: *life };
             if end.outcome == RunOutcome::Failed {
@@ -67,12 +67,11 @@
 
     fn record_failed_run(&mut self, now: MonotonicTime, failed: &FailedRun<'_>) {
         let &FailedRun { task, worker, life, .. } = failed;
-        let step = (task.job, task.step);
-        if self.evidence.record_failure(step, worker, life) {
+        if self.evidence.record_failure(task, worker, life) {
             info!("event=job_failing job={} task={task} worker={worker} life_ms={}", task.job, life.as_millis());
         }
         if let Some(view) = self.workers.get_mut(worker) {
-            view.health.record_failure(now, step, self.settings.quarantine, &self.evidence);
+            view.health.record_failure(now, task, self.settings.quarantine, &self.evidence);
         }
         self.avoided.insert(task, worker.clone());
         self.failing_jobs.record(now, task, worker);
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -14,8 +14,7 @@
 use crate::worker_rank::WorkerRank;
 use crate::worker_view::{LongRunningTasks, WorkerView};
 use crate::{
-    BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunPlacement, SortedMap, StepRecord, StepSpec, TaskKey,
-    WorkerRecord,
+    BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunPlacement, SortedMap, StepSpec, TaskKey, WorkerRecord,
 };
 
 /// The maximum number of placements in one scheduling cycle, which keeps a cycle well below the leader's heartbeat
@@ -28,13 +27,6 @@
 /// The interval at which the compatibility of images is looked at again. It changes with nearly every report, and
 /// decides only which of several suitable workers is taken.
 const COMPATIBILITY_INTERVAL: Duration = Duration::from_secs(1);
-/// A job without a live run for this long, or a long-running step with waiting tasks, gets a worker for one task even if
-/// that causes interference, exceeds the limit of a worker on probation, or the worker is quarantined. Callers consider
-/// them stuck after about twice as long.
-const STARVATION_TIMEOUT: Duration = Duration::from_millis(1500);
-/// A long-running task that has waited for this long gets a worker reserved. Callers consider it stuck after about
-/// three times as long.
-const RESERVATION_DELAY: Duration = Duration::from_secs(2);
 /// At most one worker per this many, plus one, is reserved, because a reserved worker takes no other tasks.
 const WORKERS_PER_RESERVATION: usize = 60;
 /// The maximum age of a job that a new leader derives from the wall clock.
@@ -53,15 +45,15 @@
 
 /// A step with waiting tasks whose dependencies are done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct ReadyStep {
-    priority: u8,
-    urgency: JobUrgency,
-    sequence: u64,
-    job: JobId,
-    occurrence: u32,
-    step: u16,
+pub(crate) struct ReadyStep {
+    pub(crate) priority: u8,
+    pub(crate) urgency: JobUrgency,
+    pub(crate) sequence: u64,
+    pub(crate) job: JobId,
+    pub(crate) occurrence: u32,
+    pub(crate) step: u16,
     /// Whether the job has ample slack.
-    has_slack: bool,
+    pub(crate) has_slack: bool,
 }
 
 /// The properties that decide whether a task can be placed. Where one task cannot be placed, an equal or larger one of
@@ -368,29 +360,6 @@
         image.map_or_else(Vec::new, |image| self.interference.coefficients_of(image))
     }
 
-    /// Tracks since when jobs with a ready step have had no live run and since when long-running steps have waited.
-    fn track_waiting(&mut self, now: MonotonicTime, state: &BatchState, ready: &[ReadyStep]) {
-        let mut idle: SortedMap<JobId, MonotonicTime> = SortedMap::default();
-        for step in ready {
-            let runs = state.job(step.job).is_some_and(JobRecord::has_live_runs);
-            if !runs {
-                let since = self.idle_since.get(&step.job).copied().unwrap_or(now);
-                idle.insert(step.job, since);
-            }
-        }
-        self.idle_since = idle;
-        let mut waiting: SortedMap<(JobId, u16), MonotonicTime> = SortedMap::default();
-        for step in ready {
-            let long_running =
-                state.job(step.job).and_then(|job| job.step_spec(step.step)).is_some_and(|spec| spec.long_running);
-            if long_running {
-                let key = (step.job, step.step);
-                waiting.insert(key, self.waiting_since.get(&key).copied().unwrap_or(now));
-            }
-        }
-        self.waiting_since = waiting;
-    }
-
     /// Reserves a worker for a long-running task that has waited long. Without a reservation, small tasks take each
     /// core that becomes free, and a large task never finds enough capacity on one worker. Capacity allocated
     /// to other long-running tasks does not become free, so only a worker on which the task fits beside them qualifies;
@@ -407,42 +376,6 @@
         }
     }
 
-    fn has_waited_long(&self, now: MonotonicTime, step: &ReadyStep) -> bool {
-        let since = self.waiting_since.get(&(step.job, step.step));
-        since.is_some_and(|since| now.since(*since) >= RESERVATION_DELAY)
-    }
-
-    /// Sorts the steps by priority and urgency; long-running steps that have waited long go first within their
-    /// priority.
-    fn sort_ready_steps(&self, now: MonotonicTime, ready: &mut [ReadyStep]) {
-        for step in ready.iter_mut().filter(|step| self.has_waited_long(now, step)) {
-            step.urgency = JobUrgency::OnTime(Duration::ZERO);
-        }
-        ready.sort_unstable();
-    }
-
-    /// Returns true if the job has had no live run for long, or if tasks of a long-running step have waited for long.
-    fn is_starved(&self, now: MonotonicTime, spec: &StepSpec, step: &ReadyStep) -> bool {
-        let is_long = |since: &MonotonicTime| now.since(*since) >= STARVATION_TIMEOUT;
-        // A best-effort task beside others of its job can wait for a worker on which it does not interfere.
-        let waiting_since = self.waiting_since.get(&(step.job, step.step)).filter(|_| !spec.best_effort);
-        self.idle_since.get(&step.job).is_some_and(is_long) || waiting_since.is_some_and(is_long)
-    }
-
-    /// Returns true if the waiting tasks of a step wait for their restart delays.
-    fn is_delayed(
-        &self,
-        now: MonotonicTime,
-        job: &JobRecord,
-        id: JobId,
-        (occurrence, step): (u32, u16),
-        record: &StepRecord,
-    ) -> bool {
-        let first = TaskKey { job: id, occurrence, step, index: 0 };
-        let spec = job.step_spec(step);
-        spec.is_some_and(|spec| self.restart_delays.is_step_delayed(now, &first, spec, record.waiting))
-    }
-
     /// Returns the index of the worker on which a best-effort task interferes least, regardless of free cores. The
     /// pacing of the task bounds how long a latency-critical task misses its objective.
     fn choose_least_interfering(
--- a/crates/parsleywalk-batch/tests/failing_jobs.rs
+++ b/crates/parsleywalk-batch/tests/failing_jobs.rs
@@ -77,7 +77,8 @@
         "fails 3500",
         "hangs",
         "alone 3000",
-        "completes 100"
+        "completes 100",
+        "one-fails 100"
     )]
     payload: &str,
     #[values(StepKind::Plain, StepKind::LongRunning, StepKind::Gang, StepKind::LongRunningGang, StepKind::Scheduled)]
@@ -104,6 +105,25 @@
     }
 }
 
+/// Guards against healthy workers that take one run at a time, since one task of a step fails wherever it runs, while the
+/// step's other tasks complete.
+#[test]
+fn a_task_that_fails_everywhere_leaves_workers_in_use() {
+    let mut fleet = FakeFleet::new(3, 1);
+    fleet.run_for(Duration::from_secs(1));
+    for job in 0..3 {
+        let mut faulty = job_of(100 + job, "one-fails 100", StepKind::Plain, 4, 4);
+        faulty.spec.steps[0].estimate = Duration::from_secs(5);
+        fleet.submit(faulty);
+        fleet.run_for(Duration::from_millis(800));
+    }
+    let job = fleet.submit(submission(1, 0, vec![step(24, 1, 5_000)]));
+    fleet.run_for(Duration::from_millis(300));
+    let running: usize =
+        fleet.workers.iter().map(|worker| worker.runs.keys().filter(|task| task.job == job).count()).sum();
+    assert_eq!(running, 24, "tasks of a sound job run at once");
+}
+
 /// Guards against a worker that fails or hangs all its runs and goes on getting work, whether or not a faulty job fails
 /// on the others as well.
 #[rstest]
