--- a/crates/parsleywalk-batch/src/candidate.rs
+++ b/crates/parsleywalk-batch/src/candidate.rs
@@ -6,7 +6,7 @@
 
 use crate::dispatcher::ratio;
 use crate::interference::{CriticalLoad, INITIAL_COEFFICIENT, ImageIndex};
-use crate::placement_request::PlacementRequest;
+use crate::placement_request::{HealthLeniency, PlacementRequest};
 use crate::worker_view::WorkerView;
 use crate::{JobSubmission, RunNumber, RunPlacement, StepSpec, TaskKey, WorkerRecord};
 
@@ -29,6 +29,7 @@
     /// The number of runs that may be assigned in this cycle: at most one while the worker is on probation, and none
     /// while it is quarantined.
     pub(crate) probation_limit: usize,
+    pub(crate) is_quarantined: bool,
     /// The number of runs that the worker can have besides those that it has.
     pub(crate) run_limit: usize,
     /// Whether the worker is reserved for a task that has waited long.
@@ -47,8 +48,7 @@
         } else {
             spec.size.cores <= self.free.cores
         };
-        let admitted = request.ignores_probation || self.admits_on_probation();
-        fits && admitted && self.fits_ignoring_cores(submission, spec, &task)
+        fits && self.is_admitted(request.leniency) && self.fits_ignoring_cores(submission, spec, &task)
     }
 
     /// Returns true if the task fits when neither its cores nor the worker's probation count.
@@ -68,6 +68,15 @@
         self.probation_limit != usize::MAX
     }
 
+    /// Returns true if the health of the worker admits a task with this leniency.
+    pub(crate) fn is_admitted(&self, leniency: HealthLeniency) -> bool {
+        match leniency {
+            HealthLeniency::None => self.admits_on_probation(),
+            HealthLeniency::Probation => !self.is_quarantined,
+            HealthLeniency::Quarantine => true,
+        }
+    }
+
     /// Returns true unless the worker is quarantined, or on probation and has its run.
     pub(crate) fn admits_on_probation(&self) -> bool {
         self.placed.len() < self.probation_limit
--- a/crates/parsleywalk-batch/src/gang_placement.rs
+++ b/crates/parsleywalk-batch/src/gang_placement.rs
@@ -2,19 +2,19 @@
 
 use crate::candidate::CandidateWorker;
 use crate::placement::{MIN_HEADROOM, best_rack};
-use crate::placement_request::PlacementRequest;
+use crate::placement_request::{HealthLeniency, PlacementRequest};
 use crate::ranking::WorkerRanking;
 use crate::{Dispatcher, JobRecord, RunPlacement, StepSpec, TaskKey};
 
 impl Dispatcher {
-    /// Places all tasks of a gang or none. Workers on probation get at most one of them unless `ignores_probation`: then
-    /// a gang with more members than there are such workers would never be placed.
+    /// Places all tasks of a gang or none. Without leniency, workers on probation get at most one of them: then a gang with
+    /// more members than there are such workers would never be placed.
     pub(crate) fn place_gang(
         &self,
         job: &JobRecord,
         spec: &StepSpec,
         first: TaskKey,
-        ignores_probation: bool,
+        leniency: HealthLeniency,
         candidates: &mut [CandidateWorker<'_>],
         placements: &mut Vec<RunPlacement>,
     ) {
@@ -25,7 +25,7 @@
         let run = record.tasks.iter().map(|task| task.last_run).max().unwrap_or_default().next();
         let rack = spec.rack_local.then(|| best_rack(job, spec, record.waiting, candidates)).flatten();
         let request = self.placement_request(&job.submission, spec, first, rack.as_deref(), MIN_HEADROOM);
-        let request = PlacementRequest { ignores_probation, ..request };
+        let request = PlacementRequest { leniency, ..request };
         let mut ranking = WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, None, candidate));
         let mut chosen = Vec::with_capacity(record.tasks.len());
         for index in 0..spec.count {
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -8,7 +8,7 @@
 use crate::candidate::CandidateWorker;
 use crate::dispatcher::ratio;
 use crate::interference::{ImageIndex, InterferenceModel};
-use crate::placement_request::PlacementRequest;
+use crate::placement_request::{HealthLeniency, PlacementRequest};
 use crate::ranking::WorkerRanking;
 use crate::urgency::{JobUrgency, has_ample_slack};
 use crate::worker_rank::WorkerRank;
@@ -196,6 +196,7 @@
                 critical_images: Cow::default(),
                 compatible_images: 0,
                 probation_limit: usize::MAX,
+                is_quarantined: false,
                 run_limit: self.settings.worker_runs.saturating_sub(record.map_or(0, |record| record.runs.len())),
                 reserved: false,
                 record: None,
@@ -221,7 +222,8 @@
                     candidate.probation_limit = usize::from(!record.runs.iter().any(|(task, _)| ends(task)));
                 }
             }
-            if view.health.is_quarantined(now, &self.evidence) {
+            candidate.is_quarantined = view.health.is_quarantined(now, &self.evidence);
+            if candidate.is_quarantined {
                 candidate.probation_limit = 0;
             } else if is_on_probation {
                 candidate.probation_limit = candidate.probation_limit.min(1);
@@ -290,9 +292,10 @@
         let Some(record) = job.step(&first) else { return };
         if spec.gang {
             let before = placements.len();
-            self.place_gang(job, spec, first, false, candidates, placements);
+            self.place_gang(job, spec, first, HealthLeniency::None, candidates, placements);
             if starved && placements.len() == before && candidates.iter().any(CandidateWorker::is_on_probation) {
-                self.place_gang(job, spec, first, true, candidates, placements);
+                let leniency = leniency_of_starved(&job.submission, spec, candidates);
+                self.place_gang(job, spec, first, leniency, candidates, placements);
             }
             return;
         }
@@ -308,10 +311,12 @@
             }
             let mut worker_index = self.choose_worker(&request, &key, &mut ranking, candidates);
             if worker_index.is_none() && starved && is_first {
+                let leniency = leniency_of_starved(&job.submission, spec, candidates);
+                let lenient = PlacementRequest { leniency, ..request.clone() };
                 worker_index = if spec.best_effort {
-                    self.choose_least_interfering(&job.submission, spec, &key, candidates)
+                    self.choose_least_interfering(&lenient, &key, candidates)
                 } else {
-                    self.choose_on_probation(&request, &key, candidates)
+                    self.choose_on_probation(&lenient, &key, candidates)
                 };
             }
             is_first = false;
@@ -350,7 +355,7 @@
             incompatible: incompatible.unwrap_or_default(),
             coefficients: self.coefficients_of(spec),
             min_headroom,
-            ignores_probation: false,
+            leniency: HealthLeniency::None,
         }
     }
 
@@ -380,15 +385,16 @@
     /// pacing of the task bounds how long a latency-critical task misses its objective.
     fn choose_least_interfering(
         &self,
-        submission: &JobSubmission,
-        spec: &StepSpec,
+        request: &PlacementRequest<'_>,
         task: &TaskKey,
         candidates: &[CandidateWorker<'_>],
     ) -> Option<usize> {
+        let &PlacementRequest { submission, spec, leniency, .. } = request;
         let coefficients = self.coefficients_of(spec);
         let fitting = candidates
             .iter()
             .enumerate()
+            .filter(|(_, candidate)| candidate.is_admitted(leniency))
             .filter(|(_, candidate)| candidate.fits_ignoring_cores(submission, spec, task));
         let headroom = |candidate: &CandidateWorker<'_>| {
             candidate.headroom_with(&coefficients, spec.size.cores).unwrap_or(f32::INFINITY)
@@ -400,19 +406,18 @@
         fitting.max_by(|left, right| compare(left.1, right.1)).map(|(worker_index, _)| worker_index)
     }
 
-    /// Returns the index of the best worker for a task when workers on probation may get more than one run.
+    /// Returns the index of the best worker for a task among those whose runs have failed.
     fn choose_on_probation(
         &self,
-        request: &PlacementRequest<'_>,
+        lenient: &PlacementRequest<'_>,
         task: &TaskKey,
         candidates: &[CandidateWorker<'_>],
     ) -> Option<usize> {
-        let lenient = PlacementRequest { ignores_probation: true, ..request.clone() };
         let mut ranking = WorkerRanking::new(candidates, |candidate| {
             // The others have been ranked before.
-            if candidate.is_on_probation() { self.rank_worker(&lenient, None, candidate) } else { None }
+            if candidate.is_on_probation() { self.rank_worker(lenient, None, candidate) } else { None }
         });
-        self.choose_worker(&lenient, task, &mut ranking, candidates)
+        self.choose_worker(lenient, task, &mut ranking, candidates)
     }
 
     /// Returns the rank of a worker for a step, or `None` if it cannot receive a task of it. `avoided` is the worker on
@@ -486,6 +491,19 @@
     }
 }
 
+/// Returns which workers a starved step may use. While half of its service's cores are in use, jobs wait for them, and a
+/// faulty worker that is always free would fail one after the other. Failures of long-running tasks cost no attempts.
+fn leniency_of_starved(
+    submission: &JobSubmission,
+    spec: &StepSpec,
+    candidates: &[CandidateWorker<'_>],
+) -> HealthLeniency {
+    let of_service = || candidates.iter().filter(|candidate| candidate.view.service == submission.service);
+    let capacity: u64 = of_service().map(|candidate| u64::from(candidate.view.capacity.cores.get())).sum();
+    let free: u64 = of_service().map(|candidate| u64::from(candidate.free.cores.get())).sum();
+    if spec.long_running || free > capacity / 2 { HealthLeniency::Quarantine } else { HealthLeniency::Probation }
+}
+
 /// Returns the long-running tasks placed on a worker, without the number of compatible images.
 fn long_running_tasks(
     interference: &mut InterferenceModel,
--- a/crates/parsleywalk-batch/src/placement_request.rs
+++ b/crates/parsleywalk-batch/src/placement_request.rs
@@ -3,6 +3,17 @@
 use crate::interference::ImageIndex;
 use crate::{JobSubmission, StepSpec, TaskKey};
 
+/// Which workers whose runs have failed may get a task that finds no other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HealthLeniency {
+    /// Those on probation, one run at a time.
+    None,
+    /// Those on probation, without a limit.
+    Probation,
+    /// Quarantined ones as well.
+    Quarantine,
+}
+
 /// What the tasks of a step need from a worker.
 #[derive(Debug, Clone)]
 pub(crate) struct PlacementRequest<'a> {
@@ -20,6 +31,5 @@
     pub(crate) coefficients: Vec<f32>,
     /// The headroom that a best-effort task must leave to latency-critical ones.
     pub(crate) min_headroom: f32,
-    /// Whether workers on probation may get more than one run, and quarantined workers any.
-    pub(crate) ignores_probation: bool,
+    pub(crate) leniency: HealthLeniency,
 }
--- a/crates/parsleywalk-batch/tests/failing_jobs.rs
+++ b/crates/parsleywalk-batch/tests/failing_jobs.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use parsleywalk_batch::{JobId, JobSchedule, JobSpec, JobSubmission, StepSpec, TaskKey};
+use parsleywalk_batch::{JobId, JobSchedule, JobSpec, JobStatus, JobSubmission, StepSpec, TaskKey};
 use parsleywalk_units::{MemoryBytes, MilliCores, ResourceSize};
 use rstest::rstest;
 use support::{FakeFleet, STEP_DURATION, step, submission};
@@ -154,6 +154,24 @@
     assert_eq!(unfinished, 0, "{}", fleet.describe_unfinished());
 }
 
+/// Guards against jobs that wait for a place on full workers and are given one that fails everything, which costs them
+/// their attempts.
+#[test]
+fn a_faulty_worker_gets_no_work_while_others_are_full() {
+    let mut fleet = FakeFleet::new(4, 1);
+    fleet.run_for(Duration::from_secs(1));
+    fleet.workers[0].fails_starts = true;
+    for job in 0..20 {
+        fleet.submit(submission(1 + job, 0, vec![step(8, 16, 1_000)]));
+    }
+    fleet.run_for(Duration::from_secs(10));
+    let failed = fleet.workers[0].failed_tasks.len();
+    assert!((1..=FEW_FAILURES).contains(&failed), "{failed} runs failed");
+    fleet.run_until_done(Duration::from_mins(1));
+    let completed = fleet.state.ended_jobs().filter(|(_, job)| job.status == JobStatus::Completed).count();
+    assert_eq!(completed, 20, "{}", fleet.describe_unfinished());
+}
+
 /// Guards against a long-running task that waits longer for its restart than callers accept, however often it has failed,
 /// and against a restart that stays delayed once the task has been at work.
 #[test]
