Judge a worker by the jobs that fail on it as well

Change: a worker that has failed runs of two jobs, and on which nothing completes or outlives the failed runs meanwhile, is at fault whatever those jobs do elsewhere, and failures of ended jobs are excused, not forgotten.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -326,6 +326,7 @@
                 hung_runs.push((*task, run.run, life));
             } else if !hung && self.evidence.is_survivor(task, life) {
                 self.evidence.record_success(task, worker);
+                view.health.record_survivor(&self.evidence);
             }
         }
         let best_effort: Vec<BestEffortLoad> =
--- a/crates/parsleywalk-batch/tests/failing_jobs.rs
+++ b/crates/parsleywalk-batch/tests/failing_jobs.rs
@@ -156,20 +156,23 @@
 
 /// Guards against jobs that wait for a place on full workers and are given one that fails everything, which costs them
 /// their attempts.
-#[test]
-fn a_faulty_worker_gets_no_work_while_others_are_full() {
-    let mut fleet = FakeFleet::new(4, 1);
+#[rstest]
+fn a_faulty_worker_gets_no_work_while_others_are_full(#[values(1, 2, 3)] faulty_workers: usize) {
+    let mut fleet = FakeFleet::new(3 + faulty_workers, 1);
     fleet.run_for(Duration::from_secs(1));
-    fleet.workers[0].fails_starts = true;
-    for job in 0..20 {
-        fleet.submit(submission(1 + job, 0, vec![step(8, 16, 1_000)]));
+    for worker in fleet.workers.iter_mut().take(faulty_workers) {
+        worker.fails_starts = true;
+    }
+    for job in 0..40 {
+        fleet.submit(submission(1 + job, 0, vec![step(4, 16, 1_000)]));
     }
     fleet.run_for(Duration::from_secs(10));
-    let failed = fleet.workers[0].failed_tasks.len();
-    assert!((1..=FEW_FAILURES).contains(&failed), "{failed} runs failed");
+    let faulty = fleet.workers.iter().take(faulty_workers);
+    let failed: Vec<usize> = faulty.map(|worker| worker.failed_tasks.len()).collect();
+    assert!(failed.iter().all(|failed| (1..=FEW_FAILURES).contains(failed)), "{failed:?} runs failed");
     fleet.run_until_done(Duration::from_mins(1));
     let completed = fleet.state.ended_jobs().filter(|(_, job)| job.status == JobStatus::Completed).count();
-    assert_eq!(completed, 20, "{}", fleet.describe_unfinished());
+    assert_eq!(completed, 40, "{}", fleet.describe_unfinished());
 }
 
 /// Guards against a long-running task that waits longer for its restart than callers accept, however often it has failed,
