Keep a job that has begun running under a new leader

Callers saw a job that was running become pending for a moment after a change of leader.

Ends of a long-running gang are recorded as stops, which leave no trace of a run in the state; the same holds for long-running tasks that end as done and for stopped runs without a checkpoint. A new leader knew such a job from the reports of its next run only, and took it for one that was placed and never began.

Change: a leader remembers of which jobs it has placed the first run. Of the others, runs whose ends left no trace count as begun for the status.

--- a/crates/parsleywalk-batch/src/begun_jobs.rs
+++ b/crates/parsleywalk-batch/src/begun_jobs.rs
@@ -3,17 +3,22 @@
 //! A job has begun once a worker has listed a run of it, in progress or ended. A placement alone does not count: the
 //! worker may be lost before the start order reaches it, or refuse the run. The replicated state holds only the
 //! placements, and of what has run the completed tasks, the failures and the checkpoints. The rest is the leader's own
-//! knowledge, which a new leader regains from the first reports.
+//! knowledge, which a new leader regains from the first reports. Ends that leave no trace, such as those of a long-running
+//! gang, which are recorded as stops, it doesn't hear of again: a job with such ends is shown as running, so that what its
+//! caller saw stays true, and is counted as waiting, of which too few would be wrong.
 
 use parsleywalk_units::MonotonicTime;
 
 use crate::admission::LEADER_WARM_UP;
-use crate::{BatchState, Dispatcher, JobId, JobRecord, JobStatus, RunOutcome, SortedMap, WorkerReport};
+use crate::{BatchState, Dispatcher, JobId, JobRecord, JobStatus, RunOutcome, RunPlacement, SortedMap, WorkerReport};
 
-/// The active jobs of which a worker has listed a run.
+/// What the leader knows of the active jobs that have begun.
 #[derive(Debug, Default)]
 pub(crate) struct BegunJobs {
+    /// The jobs of which a worker has listed a run.
     jobs: SortedMap<JobId, ()>,
+    /// The jobs of which this leader has placed the first run, so that it has heard of every run.
+    first_placed: SortedMap<JobId, ()>,
 }
 
 impl BegunJobs {
@@ -23,9 +28,19 @@
         }
     }
 
+    /// Records the jobs of which this leader places the first runs.
+    pub(crate) fn record_placed(&mut self, state: &BatchState, placements: &[RunPlacement]) {
+        for RunPlacement { task, .. } in placements {
+            if state.job(task.job).is_some_and(|record| record.status == JobStatus::Pending) {
+                self.first_placed.insert(task.job, ());
+            }
+        }
+    }
+
     /// Forgets the jobs that are final.
     pub(crate) fn prune(&mut self, state: &BatchState) {
-        self.jobs.retain(|job, ()| state.job(*job).is_some_and(|record| !record.status.is_final()));
+        self.jobs.retain(|job, ()| state.is_active(*job));
+        self.first_placed.retain(|job, ()| state.is_active(*job));
     }
 }
 
@@ -46,20 +61,24 @@
     #[must_use]
     pub fn waiting_count(&self, now: MonotonicTime, state: &BatchState, queue: &str) -> usize {
         let of_queue = state.active_jobs().filter(|(_, record)| record.submission.queue == queue);
-        of_queue.filter(|(id, record)| self.status(now, state, *id, record) == JobStatus::Pending).count()
+        of_queue.filter(|(id, record)| !self.has_begun(now, state, *id, record)).count()
     }
 
-    /// Returns a job's status as it is shown to callers. A job that has been placed and has not begun is pending.
+    /// Returns a job's status as it is shown to callers. A job that has been placed and has not begun is pending; one with
+    /// runs that an earlier leader placed, and whose ends left no trace, is taken to have begun.
     #[must_use]
     pub fn status(&self, now: MonotonicTime, state: &BatchState, id: JobId, record: &JobRecord) -> JobStatus {
+        let is_inherited = !self.begun_jobs.first_placed.contains(&id);
+        let has_begun = self.has_begun(now, state, id, record) || (is_inherited && record.has_ended_run());
         match record.status {
-            JobStatus::Running if !self.has_begun(now, state, id, record) => JobStatus::Pending,
+            JobStatus::Running if !has_begun => JobStatus::Pending,
             status => status,
         }
     }
 
     fn has_begun(&self, now: MonotonicTime, state: &BatchState, id: JobId, record: &JobRecord) -> bool {
-        self.begun_jobs.jobs.contains(&id) || record.has_run() || self.may_have_begun(now, state, id)
+        record.status != JobStatus::Pending
+            && (self.begun_jobs.jobs.contains(&id) || record.has_run() || self.may_have_begun(now, state, id))
     }
 
     /// Returns true if this leader is new and has not heard from a worker on which the job is placed.
--- a/crates/parsleywalk-batch/src/job.rs
+++ b/crates/parsleywalk-batch/src/job.rs
@@ -141,6 +141,14 @@
         steps.flat_map(|step| &step.tasks).any(has_run)
     }
 
+    /// Returns true if a run of the job has ended, or been lost, withdrawn or refused, whether it had started or not.
+    #[must_use]
+    pub fn has_ended_run(&self) -> bool {
+        let has_ended = |task: &TaskRecord| task.last_run.get() > u32::from(task.live);
+        let steps = self.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+        steps.flat_map(|step| &step.tasks).any(has_ended)
+    }
+
     /// Returns true if any run of the job is placed on a worker.
     #[must_use]
     pub fn has_live_runs(&self) -> bool {
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -142,6 +142,7 @@
             }
         }
         self.gang_runs.record_placed(state, &placements);
+        self.begun_jobs.record_placed(state, &placements);
         placements
     }
 
--- a/crates/parsleywalk-batch/tests/run_ends.rs
+++ b/crates/parsleywalk-batch/tests/run_ends.rs
@@ -7,6 +7,7 @@
 //! - A job is completed if each of its tasks has ended as done. One such end stands for all members of a gang.
 //! - A job is failed if one of its tasks, or a gang as a whole, has failed as often as its queue permits. A run of a gang
 //!   fails once, however many members do.
+//! - A job is pending until a task of it has started, and never again, whoever leads.
 //! - A sound job has a task running within 3 s while healthy workers are free, whatever other jobs do.
 
 mod support;
@@ -249,6 +250,22 @@
         }
     }
 
+    /// Checks that the job is shown as pending until a task of it has started, and not after the leader has heard of that.
+    fn check_begun(&self, id: JobId) {
+        let fleet = &self.fleet;
+        let record = fleet.state.job(id).expect("the job is stored");
+        let shown = fleet.dispatcher.status(fleet.now, &fleet.state, id, record);
+        let is_heard = fleet.workers.iter().any(|worker| {
+            let ends =
+                worker.history.iter().filter(|(_, end)| end.task.job == id && end.outcome != RunOutcome::Refused);
+            ends.into_iter().any(|(incarnation, end)| worker.acknowledged.contains(&(*incarnation, end.number)))
+        });
+        assert!(!is_heard || shown != JobStatus::Pending, "{id} is shown as pending although it has begun");
+        // A new leader takes runs of which it knows nothing for begun.
+        let has_started = self.leader_changes > 0 || fleet.started.iter().any(|(task, _)| task.job == id);
+        assert!(has_started || shown != JobStatus::Running, "{id} is shown as running and has not begun");
+    }
+
     /// Submits a sound job and checks that it starts in time.
     fn submit_sound_job(&mut self) {
         // The job may be placed on a worker that has just been cut off, until the leader takes it for unresponsive.
@@ -343,6 +360,7 @@
         for (id, job) in &test.jobs {
             let status = test.fleet.status(*id).expect("the job is stored");
             test.check_job(job, status);
+            test.check_begun(*id);
         }
     }
 
--- a/crates/parsleywalk-batch/tests/settlement.rs
+++ b/crates/parsleywalk-batch/tests/settlement.rs
@@ -251,3 +251,33 @@
         fail_gang(&mut fleet, job, 3, 2, RunOutcome::Failed);
     }
 }
+
+/// Guards against a job that has begun and is shown as pending by a new leader, since the ends of its runs leave no trace in
+/// the replicated state: those of a long-running gang are recorded as stops, and other stopped runs have no checkpoint.
+#[rstest]
+#[case::failed_gang(gang(3, 0, true), RunOutcome::Failed)]
+#[case::done_gang(gang(3, 0, true), RunOutcome::Done)]
+#[case::done_task(submission(1, 0, vec![StepSpec { long_running: true, ..step(3, 1, 0) }]), RunOutcome::Done)]
+#[case::stopped_task(submission(1, 0, vec![step(3, 1, 60_000)]), RunOutcome::Stopped)]
+fn a_job_that_has_begun_stays_so_under_a_new_leader(#[case] submission: JobSubmission, #[case] outcome: RunOutcome) {
+    let mut fleet = FakeFleet::new(6, 1);
+    let job = fleet.submit(submission);
+    fleet.run_for(START_TIME);
+    for index in 0..3 {
+        assert!(end(&mut fleet, member(job, index), outcome), "member {index} runs");
+    }
+    // The new leader hears of no other run, wherever the last one was recorded.
+    let has_live_runs = |fleet: &FakeFleet| fleet.state.job(job).expect("known").has_live_runs();
+    while has_live_runs(&fleet) {
+        fleet.step();
+    }
+    for worker in &mut fleet.workers {
+        worker.partitioned = true;
+    }
+    fleet.change_leader();
+    for _ in 0..100 {
+        let record = fleet.state.job(job).expect("known");
+        assert_eq!(fleet.dispatcher.status(fleet.now, &fleet.state, job, record), JobStatus::Running);
+        fleet.run_for(Duration::from_millis(100));
+    }
+}
