Log what a data folder held when a replica opens it

The log said nothing of it: founding=true in both.

long_running_gangs_are_restarted_across_leaders checks the line of the first and the second start.

--- a/crates/parsleywalk-fleet/src/replica.rs
+++ b/crates/parsleywalk-fleet/src/replica.rs
@@ -71,9 +71,16 @@
         let id = store.id();
         let contact_points = settings.seeds.iter().map(|seed| vm_number(*seed)).collect();
         let consensus = ConsensusSettings { contact_points, ..ConsensusSettings::default() };
+        // What the folder held tells a first start from one on the data of an earlier one.
+        info!(
+            "event=replica_opened replica={id} founding={} log_term={} log_entries={} snapshot={}",
+            settings.bootstrap,
+            recovered.hard_state.term,
+            recovered.entries.len(),
+            recovered.snapshot.is_some()
+        );
         let node = ConsensusNode::open(consensus, id, recovered, random_seed(), clock.now())
             .map_err(|cause| FleetError::Log { cause })?;
-        info!("event=replica_opened replica={id} founding={}", settings.bootstrap);
         let (network, receivers) =
             PeerNetwork::start_local(PeerSettings::clone(&peers)).await.map_err(|cause| FleetError::Peer { cause })?;
         // The channel needs no bound: the log limits the bytes that are proposed and not yet synced.
--- a/crates/parsleywalkd/tests/failing_jobs.rs
+++ b/crates/parsleywalkd/tests/failing_jobs.rs
@@ -124,6 +124,12 @@
         fleet.start(daemon).expect("the daemon starts");
     }
     wait_until("a leader", || probe.state(&jobs[0]).is_some());
+    // Jobs of earlier data can be told from jobs of this run.
+    let log = fleet.log(0).expect("a log");
+    let opened: Vec<&str> = log.lines().filter(|line| line.contains("event=replica_opened")).collect();
+    let [first, second] = opened[..] else { panic!("two starts: {opened:?}") };
+    assert!(first.contains("log_term=0 log_entries=0 snapshot=false"), "{first}");
+    assert!(!second.contains("log_term=0 "), "{second}");
     for job in &jobs {
         let state = probe.state(job);
         assert_eq!(state.as_deref(), Some("running"), "{job}");
