Take work from workers that refuse it

On nearly empty workers, jobs had nothing running for 3 s and more while one of three workers refused every start order: a job of one task was placed there 16 times in 3 s.

Cause: an outcome that nobody read. A refusal counted neither for the worker's health nor as a reason to avoid it, and a worker that runs nothing is the best place by free cores and failures.

Change: the refusal of a placed run counts like a failed run for health, evidence, avoided worker and restart delay, and not as an attempt. A refused repeat of an order doesn't count, as its run is no longer placed.

--- a/crates/parsleywalk-batch/src/outcomes.rs
+++ b/crates/parsleywalk-batch/src/outcomes.rs
@@ -10,7 +10,7 @@
 
 use crate::{BatchState, Dispatcher, JobFailures, JobId, RunEnd, RunNumber, RunOutcome, StepSpec, TaskKey};
 
-/// A run that failed or hung, or a long-running one that ended as done.
+/// A run that failed, hung or was refused, or a long-running one that ended as done.
 struct FailedRun<'a> {
     task: TaskKey,
     run: RunNumber,
@@ -44,12 +44,16 @@
                 self.evidence.record_success(&end.task, worker);
             }
             let failed = FailedRun { task: end.task, run: end.run, worker, outcome: end.outcome, life: *life };
-            if end.outcome == RunOutcome::Failed {
-                self.record_failed_run(now, &failed);
-            }
-            if end.outcome == RunOutcome::Failed || (end.outcome == RunOutcome::Done && spec.long_running) {
-                self.delay_restart(now, state, spec, &failed);
+            match end.outcome {
+                RunOutcome::Failed => {
+                    self.record_failed_run(now, &failed);
+                    self.failing_jobs.record(now, end.task, worker);
+                }
+                RunOutcome::Refused if is_placed(state, worker, end) => self.record_failed_run(now, &failed),
+                RunOutcome::Done if spec.long_running => {}
+                _ => continue,
             }
+            self.delay_restart(now, state, spec, &failed);
         }
     }
 
@@ -63,8 +67,11 @@
         life: Duration,
     ) {
         self.record_failed_run(now, &FailedRun { task, run, worker, outcome: RunOutcome::Stopped, life });
+        self.failing_jobs.record(now, task, worker);
     }
 
+    /// Records a run that failed, hung or was refused. A refusal costs no attempt, but a worker that refuses everything is
+    /// the emptiest one and would be chosen again and again.
     fn record_failed_run(&mut self, now: MonotonicTime, failed: &FailedRun<'_>) {
         let &FailedRun { task, worker, life, .. } = failed;
         if self.evidence.record_failure(task, worker, life) {
@@ -74,7 +81,6 @@
             view.health.record_failure(now, task, self.settings.quarantine, &self.evidence);
         }
         self.avoided.insert(task, worker.clone());
-        self.failing_jobs.record(now, task, worker);
     }
 
     /// Delays the restart of a task that keeps failing. One line is logged for each new longest delay of the job.
@@ -107,3 +113,10 @@
         self.failing_jobs.newest_first()
     }
 }
+
+/// Returns true if the end is that of a run which is placed on the worker. A worker also refuses repeated orders for runs
+/// that have ended there.
+fn is_placed(state: &BatchState, worker: &WorkerId, end: &RunEnd) -> bool {
+    let entry = state.worker(worker).and_then(|record| record.runs.get(&end.task));
+    entry.is_some_and(|entry| entry.run == end.run)
+}
--- a/crates/parsleywalk-batch/tests/failing_jobs.rs
+++ b/crates/parsleywalk-batch/tests/failing_jobs.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use parsleywalk_batch::{JobId, JobSchedule, JobSpec, JobStatus, JobSubmission, StepSpec, TaskKey};
+use parsleywalk_batch::{JobId, JobSchedule, JobSpec, JobStatus, JobSubmission, RunEnd, RunOutcome, StepSpec, TaskKey};
 use parsleywalk_units::{MemoryBytes, MilliCores, ResourceSize};
 use rstest::rstest;
 use support::{FakeFleet, STEP_DURATION, step, submission};
@@ -154,6 +154,33 @@
     assert_eq!(unfinished, 0, "{}", fleet.describe_unfinished());
 }
 
+/// Guards against a worker that refuses whatever it is ordered to start, and is chosen again and again since it is the
+/// emptiest: jobs have nothing running on nearly empty workers.
+#[rstest]
+fn a_worker_that_refuses_its_starts_keeps_no_job_waiting(
+    #[values(1, 2)] refusing_workers: usize,
+    #[values(StepKind::Plain, StepKind::LongRunning, StepKind::Gang)] kind: StepKind,
+    #[values(1, 6)] tasks: u32,
+) {
+    let mut fleet = FakeFleet::new(3, 1);
+    fleet.run_for(Duration::from_secs(1));
+    for worker in fleet.workers.iter_mut().take(refusing_workers) {
+        worker.refuses_starts = true;
+    }
+    for round in 0..6 {
+        let job = fleet.submit(job_of(1 + round, "works", kind, tasks, 2));
+        let waited = wait_for_start(&mut fleet, job);
+        assert!(waited.is_some(), "job {round} has not started: {}", fleet.describe_unfinished());
+        fleet.run_for(Duration::from_secs(4));
+        let running = fleet.workers.iter().flat_map(|worker| worker.runs.keys()).filter(|task| task.job == job).count();
+        assert!(kind != StepKind::LongRunning || running == tasks as usize, "{running} of {tasks} tasks run");
+    }
+    let is_refused = |(_, end): &&(u64, RunEnd)| end.outcome == RunOutcome::Refused;
+    let refused: Vec<usize> =
+        fleet.workers.iter().map(|worker| worker.history.iter().filter(is_refused).count()).collect();
+    assert!(refused.iter().all(|refused| *refused <= FEW_FAILURES), "{refused:?} refusals");
+}
+
 /// Guards against jobs that wait for a place on full workers and are given one that fails everything, which costs them
 /// their attempts.
 #[rstest]
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -378,6 +378,10 @@
             if already_ended || worker.runs.contains_key(&order.task) {
                 continue;
             }
+            if worker.refuses_starts {
+                worker.refuse(order.task, order.run);
+                continue;
+            }
             if let Some(since) = self.out_since.get(&worker.zone) {
                 assert!(now.since(*since) < Duration::from_secs(2), "{} starts in a zone out of service", order.task);
             }
--- a/crates/parsleywalk-batch/tests/support/worker.rs
+++ b/crates/parsleywalk-batch/tests/support/worker.rs
@@ -71,6 +71,8 @@
     pub(crate) fails_runs: bool,
     /// Whether every run fails as soon as it has started.
     pub(crate) fails_starts: bool,
+    /// Whether every start order is refused.
+    pub(crate) refuses_starts: bool,
     /// Every end so far, with its incarnation.
     pub(crate) history: Vec<(u64, RunEnd)>,
     /// The ends that the leader has acknowledged, by incarnation and number.
@@ -104,6 +106,7 @@
             draining: false,
             fails_runs: false,
             fails_starts: false,
+            refuses_starts: false,
             history: Vec::new(),
             acknowledged: BTreeSet::new(),
             failed_tasks: Vec::new(),
@@ -135,11 +138,19 @@
     /// Ends a run.
     pub(crate) fn end(&mut self, task: TaskKey, outcome: RunOutcome) {
         let Some(run) = self.runs.remove(&task) else { return };
+        self.list_end(task, run.run, outcome, run.checkpoint());
+    }
+
+    /// Refuses to start a run.
+    pub(super) fn refuse(&mut self, task: TaskKey, run: RunNumber) {
+        self.list_end(task, run, RunOutcome::Refused, String::new());
+    }
+
+    fn list_end(&mut self, task: TaskKey, run: RunNumber, outcome: RunOutcome, saved: String) {
         self.last_end_number += 1;
-        self.last_runs.insert(task, run.run);
+        self.last_runs.insert(task, run);
         let number = EndNumber::new(self.last_end_number);
-        let saved = run.checkpoint();
-        let end = RunEnd { number, task, run: run.run, outcome, saved };
+        let end = RunEnd { number, task, run, outcome, saved };
         self.history.push((self.incarnation, end.clone()));
         self.ended.push(end);
     }
