Count a run as running once a worker lists it

Quarantined workers are open to a job after 1.5 s; the first refused its run, and the wait began anew.

Cause: a placement ended the time without anything running, although its run may be refused, withdrawn or lost with its worker before it starts.

Change: that time ends when a worker lists a run of the job, in progress or ended. A job with a placed run still gets no second worker out of turn.

--- a/crates/parsleywalk-batch/src/begun_jobs.rs
+++ b/crates/parsleywalk-batch/src/begun_jobs.rs
@@ -45,15 +45,18 @@
 }
 
 impl Dispatcher {
-    /// Records the jobs of the runs in a report that the previous one did not list.
+    /// Records the jobs of the runs in a report that the previous one did not list. Those with runs in progress
+    /// aren't idle.
     pub(crate) fn record_begun(&mut self, now: MonotonicTime, report: &WorkerReport) {
-        if let Some(view) = self.workers.get(&report.worker) {
-            for (task, _) in view.running.iter().filter(|(_, run)| run.first_seen == now) {
-                self.begun_jobs.record(task.job);
-            }
+        let Some(view) = self.workers.get(&report.worker) else { return };
+        let running = view.running.iter().filter(|(_, run)| run.first_seen == now).map(|(task, _)| task.job);
+        let ended = report.ended.iter().filter(|end| end.outcome != RunOutcome::Refused).map(|end| end.task.job);
+        for job in running {
+            self.begun_jobs.record(job);
+            self.idle_since.remove(&job);
         }
-        for end in report.ended.iter().filter(|end| end.outcome != RunOutcome::Refused) {
-            self.begun_jobs.record(end.task.job);
+        for job in ended {
+            self.begun_jobs.record(job);
         }
     }
 
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -59,7 +59,7 @@
     /// The worker on which each task last failed or stalled; the task is placed elsewhere if capacity permits.
     pub(crate) avoided: SortedMap<TaskKey, WorkerId>,
     pub(crate) interference: InterferenceModel,
-    /// Since when each job with a runnable task has had no live run.
+    /// Since when each job with a runnable task has had nothing running.
     pub(crate) idle_since: SortedMap<JobId, MonotonicTime>,
     /// Since when each long-running step has had waiting tasks.
     pub(crate) waiting_since: SortedMap<(JobId, u16), MonotonicTime>,
--- a/crates/parsleywalk-batch/src/outcomes.rs
+++ b/crates/parsleywalk-batch/src/outcomes.rs
@@ -38,6 +38,9 @@
             }
             view.read_until = end.number;
             self.listed_outcomes.push(end.outcome);
+            if end.outcome != RunOutcome::Refused {
+                self.idle_since.remove(&end.task.job);
+            }
             let Some((_, spec)) = state.step_of(&end.task) else { continue };
             if end.outcome == RunOutcome::Done {
                 view.health.record_success();
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -118,7 +118,7 @@
             }
             let Some(job) = state.job(step.job) else { continue };
             let Some(spec) = job.step_spec(step.step) else { continue };
-            let starved = self.is_starved(now, spec, &step);
+            let starved = self.is_starved(now, job, spec, &step);
             let shape = TaskShape::of(&job.submission, spec, step.has_slack);
             if !starved && unplaceable.iter().any(|known| shape.is_at_least_as_hard_as(known)) {
                 continue;
--- a/crates/parsleywalk-batch/src/waiting.rs
+++ b/crates/parsleywalk-batch/src/waiting.rs
@@ -17,7 +17,7 @@
 const RESERVATION_DELAY: Duration = Duration::from_secs(2);
 
 impl Dispatcher {
-    /// Tracks since when jobs with a ready step have had no live run and since when long-running steps have waited.
+    /// Tracks since when jobs with a ready step have had nothing running and since when long-running steps have waited.
     pub(crate) fn track_waiting(&mut self, now: MonotonicTime, state: &BatchState, ready: &[ReadyStep]) {
         let mut idle: SortedMap<JobId, MonotonicTime> = SortedMap::default();
         for step in ready {
@@ -27,6 +27,12 @@
                 idle.insert(step.job, since);
             }
         }
+        // A placed run doesn't count until a worker lists it, as it may be refused or withdrawn.
+        for (job, since) in self.idle_since.iter() {
+            if !idle.contains(job) && state.job(*job).is_some_and(JobRecord::has_live_runs) && state.is_active(*job) {
+                idle.insert(*job, *since);
+            }
+        }
         self.idle_since = idle;
         let mut waiting: SortedMap<(JobId, u16), MonotonicTime> = SortedMap::default();
         for step in ready {
@@ -54,12 +60,14 @@
         ready.sort_unstable();
     }
 
-    /// Returns true if the job has had no live run for long, or if tasks of a long-running step have waited for long.
-    pub(crate) fn is_starved(&self, now: MonotonicTime, spec: &StepSpec, step: &ReadyStep) -> bool {
+    /// Returns true if the job has no live run and has had nothing running for long, or if tasks of a long-running step
+    /// have waited for long.
+    pub(crate) fn is_starved(&self, now: MonotonicTime, job: &JobRecord, spec: &StepSpec, step: &ReadyStep) -> bool {
         let is_long = |since: &MonotonicTime| now.since(*since) >= STARVATION_TIMEOUT;
         // A best-effort task beside others of its job can wait for a worker on which it does not interfere.
         let waiting_since = self.waiting_since.get(&(step.job, step.step)).filter(|_| !spec.best_effort);
-        self.idle_since.get(&step.job).is_some_and(is_long) || waiting_since.is_some_and(is_long)
+        let is_idle = !job.has_live_runs() && self.idle_since.get(&step.job).is_some_and(is_long);
+        is_idle || waiting_since.is_some_and(is_long)
     }
 
     /// Returns true if the waiting tasks of a step wait for their restart delays.
--- a/crates/parsleywalk-batch/tests/failing_jobs.rs
+++ b/crates/parsleywalk-batch/tests/failing_jobs.rs
@@ -181,6 +181,25 @@
     assert!(refused.iter().all(|refused| *refused <= FEW_FAILURES), "{refused:?} refusals");
 }
 
+/// Guards against a job that waits anew after each refusal: while all workers are quarantined, it has nothing running for
+/// more than 3 s, as the first of them that it gets refuses its run.
+#[test]
+fn a_refused_run_does_not_restart_the_wait_of_its_job() {
+    for faulty_time in (0..40).map(|step| Duration::from_millis(1_000 + 100 * step)) {
+        let mut fleet = FakeFleet::new(5, 1);
+        fleet.run_for(Duration::from_secs(1));
+        fleet.submit(job_of(100, "fails 200", StepKind::LongRunning, 5, 1));
+        let mut hanging = job_of(101, "hangs", StepKind::Scheduled, 2, 1);
+        hanging.spec.schedule = Some(JobSchedule { first_unix_ms: 0, interval_ms: 500, occurrences: 2 });
+        fleet.submit(hanging);
+        fleet.workers[0].refuses_starts = true;
+        fleet.run_for(faulty_time);
+        let job = fleet.submit(submission(1, 0, vec![step(2, 1, 300)]));
+        let waited = wait_for_start(&mut fleet, job);
+        assert!(waited.is_some(), "{faulty_time:?}: the sound job has not started: {}", fleet.describe_unfinished());
+    }
+}
+
 /// Guards against jobs that wait for a place on full workers and are given one that fails everything, which costs them
 /// their attempts.
 #[rstest]
--- a/crates/parsleywalk-batch/tests/run_ends.rs
+++ b/crates/parsleywalk-batch/tests/run_ends.rs
@@ -99,6 +99,8 @@
     Crash(usize),
     /// A worker fails all that it starts, or works again.
     Fail(usize, bool),
+    /// A worker refuses all start orders, or works again.
+    Refuse(usize, bool),
     /// The share of responses that are lost, in percent.
     LoseResponses(u64),
     ChangeLeader,
@@ -112,6 +114,7 @@
     jobs: Vec<ModelJob>,
     cut: Option<usize>,
     failing: Option<usize>,
+    refusing: Option<usize>,
 }
 
 impl ReferenceStateMachine for ModelState {
@@ -148,6 +151,7 @@
             1 => (0..WORKERS, any::<bool>()).prop_map(|(worker, cut)| Transition::Cut(worker, cut)),
             1 => (0..WORKERS).prop_map(Transition::Crash),
             1 => (0..WORKERS, any::<bool>()).prop_map(|(worker, fails)| Transition::Fail(worker, fails)),
+            1 => (0..WORKERS, any::<bool>()).prop_map(|(worker, refuses)| Transition::Refuse(worker, refuses)),
             1 => prop::sample::select(vec![0, 0, 10, 40]).prop_map(Transition::LoseResponses),
             1 => Just(Transition::ChangeLeader),
             1 => Just(Transition::Restore),
@@ -160,17 +164,19 @@
             Transition::Submit(job) => state.jobs.push(job.clone()),
             Transition::Cut(worker, cut) => state.cut = cut.then_some(*worker),
             Transition::Fail(worker, fails) => state.failing = fails.then_some(*worker),
+            Transition::Refuse(worker, refuses) => state.refusing = refuses.then_some(*worker),
             _ => {}
         }
         state
     }
 
-    /// At most one worker is cut off and one fails its runs, so that there are healthy ones.
+    /// At most one worker is cut off, one fails its runs and one refuses them, so that there are healthy ones.
     fn preconditions(state: &Self, transition: &Transition) -> bool {
         match transition {
             Transition::Submit(job) => state.jobs.iter().all(|known| known.id != job.id),
             Transition::Cut(worker, true) => state.cut.is_none_or(|known| known == *worker),
             Transition::Fail(worker, true) => state.failing.is_none_or(|known| known == *worker),
+            Transition::Refuse(worker, true) => state.refusing.is_none_or(|known| known == *worker),
             _ => true,
         }
     }
@@ -344,6 +350,11 @@
                     known.fails_starts = fails && index == worker;
                 }
             }
+            Transition::Refuse(worker, refuses) => {
+                for (index, known) in test.fleet.workers.iter_mut().enumerate() {
+                    known.refuses_starts = refuses && index == worker;
+                }
+            }
             Transition::LoseResponses(percent) => test.fleet.response_loss_percent = percent,
             Transition::ChangeLeader => {
                 test.leader_changes += 1;
@@ -368,7 +379,7 @@
     fn teardown(mut test: Self, _: ModelState) {
         test.fleet.response_loss_percent = 0;
         for worker in &mut test.fleet.workers {
-            (worker.partitioned, worker.fails_starts) = (false, false);
+            (worker.partitioned, worker.fails_starts, worker.refuses_starts) = (false, false, false);
         }
         test.fleet.run_for(Duration::from_secs(25));
         let mut idle = BTreeMap::new();
