Test: jobs that every worker refuses keep no sound one waiting

The table of faulty jobs and run_ends had no job that is refused wherever it is placed. Such a job counts against the workers as failing ones do, so it could have kept sound jobs waiting.

--- a/crates/parsleywalk-batch/tests/failing_jobs.rs
+++ b/crates/parsleywalk-batch/tests/failing_jobs.rs
@@ -78,7 +78,8 @@
         "hangs",
         "alone 3000",
         "completes 100",
-        "one-fails 100"
+        "one-fails 100",
+        "refused"
     )]
     payload: &str,
     #[values(StepKind::Plain, StepKind::LongRunning, StepKind::Gang, StepKind::LongRunningGang, StepKind::Scheduled)]
--- a/crates/parsleywalk-batch/tests/run_ends.rs
+++ b/crates/parsleywalk-batch/tests/run_ends.rs
@@ -136,8 +136,15 @@
             StepKind::LongRunningGang,
             StepKind::Scheduled,
         ]);
-        let payloads =
-            prop::sample::select(vec!["works", "works", "fails 200", "all-fail 150", "completes 300", "hangs"]);
+        let payloads = prop::sample::select(vec![
+            "works",
+            "works",
+            "fails 200",
+            "all-fail 150",
+            "completes 300",
+            "hangs",
+            "refused",
+        ]);
         let submit = (kinds, 1..6_u32, 1..4_u16, payloads).prop_map(move |(kind, tasks, attempt_limit, payload)| {
             Transition::Submit(ModelJob { id, kind, tasks, attempt_limit, payload })
         });
@@ -389,6 +396,9 @@
             for (id, job) in active.iter().filter(|(id, job)| job.is_long_running() && !test.cancelled.contains(id)) {
                 for index in 0..job.tasks {
                     let task = TaskKey { job: *id, occurrence: 0, step: 0, index };
+                    if job.payload == "refused" {
+                        continue;
+                    }
                     if test.fleet.workers.iter().any(|worker| worker.runs.contains_key(&task)) {
                         idle.remove(&task);
                     } else {
@@ -402,7 +412,7 @@
         for (id, job) in &active {
             let status = test.fleet.status(*id).expect("the job is stored");
             test.check_job(job, status);
-            if !job.is_long_running() && job.payload != "hangs" {
+            if !job.is_long_running() && !matches!(job.payload, "hangs" | "refused") {
                 assert!(status.is_final(), "{job:?} has not ended: {}", test.fleet.describe_unfinished());
             }
         }
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -378,7 +378,7 @@
             if already_ended || worker.runs.contains_key(&order.task) {
                 continue;
             }
-            if worker.refuses_starts {
+            if worker.refuses_starts || order.payload == "refused" {
                 worker.refuse(order.task, order.run);
                 continue;
             }
