--- a/crates/parsleywalkd/tests/failing_jobs.rs
+++ b/crates/parsleywalkd/tests/failing_jobs.rs
@@ -130,6 +130,8 @@
     let [first, second] = opened[..] else { panic!("two starts: {opened:?}") };
     assert!(first.contains("log_term=0 log_entries=0 snapshot=false"), "{first}");
     assert!(!second.contains("log_term=0 "), "{second}");
+    let answered = "event=order_answered order=configuration version=1 status=200";
+    assert!((0..3).any(|daemon| fleet.log(daemon).expect("a log").contains(answered)), "the order is logged");
     for job in &jobs {
         let state = probe.state(job);
         assert_eq!(state.as_deref(), Some("running"), "{job}");
