Take work from workers that keep crashing

While one of three workers crashed every 0.3 to 1.5 s and was back at once, every crash ended runs (33 of 33, 14 of 14 and 6 of 6), and tasks that run for longer than it lives did not end until it stopped crashing, beside two idle workers. Workers that go down and up by turns are among the platform's troubles.

Cause: a worker's health began anew with each life, and a lost run counts for nobody. A worker that is back is empty and has no failures, so it is chosen first.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -125,6 +125,10 @@
         if known.is_none_or(|view| view.incarnation < report.incarnation) {
             let mut view = WorkerView::new(report, now);
             view.lease_until = inherited_until.max(now);
+            // Without a notice, the worker's last life ended with a crash.
+            if let Some(known) = known.filter(|known| !known.departed && !known.draining) {
+                view.health = known.health.after_crash(now, self.settings.quarantine);
+            }
             self.workers.insert(report.worker.clone(), view);
         } else if known.is_some_and(|view| view.departed || view.sequence >= report.sequence) {
             return ReportAction::Stale;
--- a/crates/parsleywalk-batch/src/health.rs
+++ b/crates/parsleywalk-batch/src/health.rs
@@ -1,4 +1,4 @@
-//! Quarantine of workers whose runs fail.
+//! Quarantine of workers whose runs fail, and of workers that crash again and again.
 
 use std::time::Duration;
 
@@ -17,6 +17,12 @@
 /// The number of failures that are kept; more say nothing new.
 const MAX_FAILURES: usize = 8;
 
+/// A worker that has crashed this often in a row is quarantined: whatever it has is lost with each crash, and since it is
+/// empty when it is back, it would be chosen first.
+const CRASH_LIMIT: u32 = 2;
+/// A life of a worker that lasted this long, with the time until its next one, ends the row of crashes.
+const STABLE_LIFE: Duration = Duration::from_secs(10);
+
 /// A run that failed or hung.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct RunFailure {
@@ -33,13 +39,33 @@
     quarantined_until: MonotonicTime,
     /// The number of quarantines since the last completed run.
     quarantines: u32,
+    /// When the first report of this life arrived.
+    alive_since: MonotonicTime,
+    /// The number of lives in a row that ended with a crash before [`STABLE_LIFE`].
+    crashes: u32,
+    /// Whether the worker has to complete a run after a row of crashes.
+    is_unproven: bool,
 }
 
 /// Methods that change the state.
 impl WorkerHealth {
+    /// Returns the health of a worker that has become known.
+    pub(crate) fn new(now: MonotonicTime) -> Self {
+        Self { alive_since: now, ..Self::default() }
+    }
+
+    /// Returns the health of the worker's next life after a crash.
+    pub(crate) fn after_crash(&self, now: MonotonicTime, quarantine: Duration) -> Self {
+        let is_stable = now.since(self.alive_since) >= STABLE_LIFE;
+        let crashes = if is_stable { 1 } else { self.crashes.saturating_add(1) };
+        let next = Self { crashes, ..Self::new(now) };
+        let Some(doublings) = crashes.checked_sub(CRASH_LIMIT) else { return next };
+        Self { is_unproven: true, quarantined_until: now + quarantine * quarantine_factor(doublings), ..next }
+    }
+
     /// Records a completed run.
     pub(crate) fn record_success(&mut self) {
-        *self = Self::default();
+        *self = Self { alive_since: self.alive_since, crashes: self.crashes, ..Self::default() };
     }
 
     /// Records a failed or hung run of a task, which the evidence covers already.
@@ -55,8 +81,7 @@
         }
         self.failures.push(RunFailure { task, is_excused: false });
         if now >= self.quarantined_until && self.is_on_probation(evidence) {
-            let factor = (1 << self.quarantines.min(MAX_QUARANTINE_FACTOR)).min(MAX_QUARANTINE_FACTOR);
-            self.quarantined_until = now + quarantine * factor;
+            self.quarantined_until = now + quarantine * quarantine_factor(self.quarantines);
             self.quarantines += 1;
         }
     }
@@ -84,6 +109,10 @@
     /// Returns true if the worker gets only one run at a time, to test whether it works again. Failures that are the
     /// fault of their task or step don't count, unless they are of several jobs.
     pub(crate) fn is_on_probation(&self, evidence: &FailureEvidence) -> bool {
+        self.is_unproven || self.has_failed_often(evidence)
+    }
+
+    fn has_failed_often(&self, evidence: &FailureEvidence) -> bool {
         self.failures.len() >= FAILURE_LIMIT
             && (self.failed_jobs() >= BROAD_FAILURE_JOBS
                 || self.failures.iter().filter(|failure| failure.counts(evidence)).count() >= FAILURE_LIMIT)
@@ -109,3 +138,8 @@
         !self.is_excused && !evidence.is_at_fault(&self.task)
     }
 }
+
+/// Returns the length of a quarantine as a multiple of the first.
+fn quarantine_factor(earlier: u32) -> u32 {
+    (1 << earlier.min(MAX_QUARANTINE_FACTOR)).min(MAX_QUARANTINE_FACTOR)
+}
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -130,7 +130,7 @@
             evicting: SortedMap::default(),
             loss_pending: false,
             withdrawing: SortedMap::default(),
-            health: WorkerHealth::default(),
+            health: WorkerHealth::new(now),
             read_until: EndNumber::ZERO,
             pacing: PaceController::default(),
             critical_loads: Vec::new(),
--- a/crates/parsleywalk-batch/tests/failing_jobs.rs
+++ b/crates/parsleywalk-batch/tests/failing_jobs.rs
@@ -276,3 +276,26 @@
     let allowed = u64::from(TASKS) * (seconds / LONGEST_DELAY.as_secs() + 1);
     assert!(starts <= allowed, "{starts} starts in {MEASURED:?}");
 }
+
+/// Guards against a worker that crashes again and again and is given the same tasks each time it is back, since it is empty
+/// then: a task that runs for longer than the worker lives never ends, beside idle workers.
+#[rstest]
+fn a_worker_that_keeps_crashing_loses_its_work(
+    #[values(StepKind::Plain, StepKind::LongRunning)] kind: StepKind,
+    #[values(1, 4)] tasks: u32,
+    #[values(300, 700, 1_500)] life_ms: u64,
+) {
+    let mut fleet = FakeFleet::new(3, 1);
+    fleet.run_for(Duration::from_secs(1));
+    let crashes = 10_000 / life_ms;
+    let mut lost_runs = 0;
+    for crash in 0..crashes {
+        let mut job = job_of(1 + crash, "works", kind, tasks, 2);
+        job.spec.steps[0].estimate = Duration::from_secs(2);
+        fleet.submit(job);
+        fleet.run_for(Duration::from_millis(life_ms));
+        lost_runs += usize::from(!fleet.workers[0].runs.is_empty());
+        fleet.crash(0);
+    }
+    assert!(lost_runs <= FEW_FAILURES / 2, "{lost_runs} of {crashes} crashes ended runs");
+}
