Test: workers that hang or refuse lose their work within a few runs

The table of faulty workers had two of the four ways in which a worker can be faulty, and counted failed runs only.

--- a/crates/parsleywalk-batch/tests/failing_jobs.rs
+++ b/crates/parsleywalk-batch/tests/failing_jobs.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use parsleywalk_batch::{JobId, JobSchedule, JobSpec, JobStatus, JobSubmission, RunEnd, RunOutcome, StepSpec, TaskKey};
+use parsleywalk_batch::{JobId, JobSchedule, JobSpec, JobStatus, JobSubmission, RunEnd, RunOutcome, StepSpec};
 use parsleywalk_units::{MemoryBytes, MilliCores, ResourceSize};
 use rstest::rstest;
 use support::{FakeFleet, STEP_DURATION, step, submission};
@@ -125,11 +125,11 @@
     assert_eq!(running, 24, "tasks of a sound job run at once");
 }
 
-/// Guards against a worker that fails or hangs all its runs and goes on getting work, whether or not a faulty job fails
-/// on the others as well.
+/// Guards against a worker that fails, hangs or refuses all its runs and goes on getting work, whether or not a faulty job
+/// fails on the others as well.
 #[rstest]
 fn a_faulty_worker_loses_its_work(
-    #[values("starts", "work")] fault: &str,
+    #[values("fails starts", "fails work", "hangs", "refuses")] fault: &str,
     #[values(1, 2)] faulty_workers: usize,
     #[values(false, true)] beside_faulty_job: bool,
 ) {
@@ -139,15 +139,16 @@
         fleet.submit(job_of(FAULTY_JOB, "fails 200", StepKind::LongRunning, 6, 2));
     }
     for worker in fleet.workers.iter_mut().take(faulty_workers) {
-        (worker.fails_starts, worker.fails_runs) = (fault == "starts", fault == "work");
+        (worker.fails_starts, worker.fails_runs) = (fault == "fails starts", fault == "fails work");
+        (worker.hung, worker.refuses_starts) = (fault == "hangs", fault == "refuses");
     }
     for job in 0..50 {
         fleet.submit(submission(1 + job, 0, vec![step(6, 1, 400)]));
         fleet.run_for(Duration::from_millis(200));
     }
-    let is_sound = |task: &&TaskKey| task.job != JobId::new(FAULTY_JOB);
+    let is_lost = |(_, end): &&(u64, RunEnd)| end.task.job != JobId::new(FAULTY_JOB) && end.outcome != RunOutcome::Done;
     let faulty = fleet.workers.iter().take(faulty_workers);
-    let failed: Vec<usize> = faulty.map(|worker| worker.failed_tasks.iter().filter(is_sound).count()).collect();
+    let failed: Vec<usize> = faulty.map(|worker| worker.history.iter().filter(is_lost).count()).collect();
     assert!(failed.iter().all(|failed| (1..=FEW_FAILURES).contains(failed)), "{failed:?}");
     // Every job is done although each may fail three runs of a task only.
     fleet.run_for(Duration::from_secs(5));
