--- a/crates/parsleywalk-batch/src/begun_jobs.rs
+++ b/crates/parsleywalk-batch/src/begun_jobs.rs
@@ -3,9 +3,11 @@
 //! A job has begun once a worker has listed a run of it, in progress or ended. A placement alone does not count: the
 //! worker may be lost before the start order reaches it, or refuse the run. The replicated state holds only the
 //! placements, and of what has run the completed tasks, the failures and the checkpoints. The rest is the leader's own
-//! knowledge, which a new leader regains from the first reports. Ends that leave no trace, such as those of a long-running
-//! gang, which are recorded as stops, it doesn't hear of again: a job with such ends is shown as running, so that what its
-//! caller saw stays true, and is counted as waiting, of which too few would be wrong.
+//! knowledge, which a new leader regains from the first reports.
+//!
+//! A new leader never hears of ends that left no trace in the state, such as those of a long-running gang, which are recorded
+//! as stops. A job with such ends is shown as running, so that its status doesn't go back. The count of waiting jobs includes
+//! it, since a count must not leave out jobs that wait.
 
 use parsleywalk_units::MonotonicTime;
 
@@ -45,8 +47,8 @@
 }
 
 impl Dispatcher {
-    /// Records the jobs of the runs in a report that the previous one did not list. Those with runs in progress
-    /// aren't idle.
+    /// Records the jobs of the runs in a report that the previous one did not list. Those with runs in progress aren't
+    /// idle.
     pub(crate) fn record_begun(&mut self, now: MonotonicTime, report: &WorkerReport) {
         let Some(view) = self.workers.get(&report.worker) else { return };
         let running = view.running.iter().filter(|(_, run)| run.first_seen == now).map(|(task, _)| task.job);
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -128,6 +128,13 @@
             // Without a notice, the worker's last life ended with a crash.
             if let Some(known) = known.filter(|known| !known.departed && !known.draining) {
                 view.health = known.health.after_crash(now, self.settings.quarantine);
+                log::info!(
+                    "event=worker_crashed worker={} incarnation={} crashes_in_a_row={} quarantined={}",
+                    report.worker,
+                    report.incarnation,
+                    view.health.crashes(),
+                    view.health.is_quarantined(now, &self.evidence)
+                );
             }
             self.workers.insert(report.worker.clone(), view);
         } else if known.is_some_and(|view| view.departed || view.sequence >= report.sequence) {
--- a/crates/parsleywalk-batch/src/health.rs
+++ b/crates/parsleywalk-batch/src/health.rs
@@ -17,8 +17,8 @@
 /// The number of failures that are kept; more say nothing new.
 const MAX_FAILURES: usize = 8;
 
-/// A worker that has crashed this often in a row is quarantined: whatever it has is lost with each crash, and since it is
-/// empty when it is back, it would be chosen first.
+/// A worker that has crashed this often in a row is quarantined: each crash loses its runs, and since the worker is empty
+/// when it is back, it would be chosen first.
 const CRASH_LIMIT: u32 = 2;
 /// A life of a worker that lasted this long, with the time until its next one, ends the row of crashes.
 const STABLE_LIFE: Duration = Duration::from_secs(10);
@@ -126,6 +126,11 @@
         jobs.len()
     }
 
+    /// Returns the number of crashes in a row.
+    pub(crate) fn crashes(&self) -> u32 {
+        self.crashes
+    }
+
     /// Returns the number of consecutive failures, whoever is at fault.
     pub(crate) fn failures(&self) -> u32 {
         u32::try_from(self.failures.len()).unwrap_or(u32::MAX)
