--- a/crates/parsleywalk-batch/tests/settlement.rs
+++ b/crates/parsleywalk-batch/tests/settlement.rs
@@ -281,3 +281,23 @@
         fleet.run_for(Duration::from_millis(100));
     }
 }
+
+/// Guards against a job that is running and is shown as pending by a new leader, since its worker can't be reached: after the
+/// warm-up, the leader takes the run for one that was placed and never began, until the worker is declared lost.
+#[test]
+fn a_running_job_on_an_unreachable_worker_stays_running() {
+    let mut fleet = FakeFleet::new(1, 1);
+    let job = fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
+    fleet.run_for(START_TIME);
+    let shown = |fleet: &FakeFleet| {
+        let record = fleet.state.job(job).expect("known");
+        fleet.dispatcher.status(fleet.now, &fleet.state, job, record)
+    };
+    assert_eq!(shown(&fleet), JobStatus::Running);
+    fleet.workers[0].partitioned = true;
+    fleet.change_leader();
+    for step in 0..100 {
+        assert_eq!(shown(&fleet), JobStatus::Running, "{} ms after the change of leader", 100 * step);
+        fleet.run_for(Duration::from_millis(100));
+    }
+}
