Test: say what run_ends checks of a job's status

Its model said that a running job is never pending again; it checks that from the first acknowledged end on. A comment only.

--- a/crates/parsleywalk-batch/tests/run_ends.rs
+++ b/crates/parsleywalk-batch/tests/run_ends.rs
@@ -7,7 +7,7 @@
 //! - A job is completed if each of its tasks has ended as done. One such end stands for all members of a gang.
 //! - A job is failed if one of its tasks, or a gang as a whole, has failed as often as its queue permits. A run of a gang
 //!   fails once, however many members do.
-//! - A job is pending until a task of it has started, and never again, whoever leads.
+//! - A job is pending until a task of it has started, and not after an end of a run was acknowledged, whoever leads.
 //! - A sound job has a task running within 3 s while healthy workers are free, whatever other jobs do.
 
 mod support;
