--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -12,6 +12,7 @@
 use crate::job_failures::FailingJobs;
 use crate::restart_delays::RestartDelays;
 use crate::settlement::GangRuns;
+use crate::work_model::WorkModel;
 use crate::worker_view::WorkerView;
 use crate::{
     BatchCommand, BatchState, DispatchSettings, FencingToken, JobId, ReportResponse, RunNumber, RunOutcome, SortedMap,
@@ -66,6 +67,7 @@
     /// When each active job was accepted, on this leader's clock.
     pub(crate) accepted_times: SortedMap<JobId, MonotonicTime>,
     pub(crate) short_demand: ShortTaskDemand,
+    pub(crate) work_model: WorkModel,
     pub(crate) begun_jobs: BegunJobs,
     pub(crate) gang_runs: GangRuns,
     pub(crate) evidence: FailureEvidence,
@@ -95,6 +97,7 @@
             waiting_since: SortedMap::default(),
             accepted_times: SortedMap::default(),
             short_demand: ShortTaskDemand::default(),
+            work_model: WorkModel::default(),
             begun_jobs: BegunJobs::default(),
             gang_runs: GangRuns::default(),
             evidence: FailureEvidence::default(),
--- a/crates/parsleywalk-batch/src/job.rs
+++ b/crates/parsleywalk-batch/src/job.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use parsleywalk_units::WorkspaceName;
 use serde::{Deserialize, Serialize};
 
 use crate::{JobSubmission, RunNumber, StepSpec, TaskKey};
@@ -86,6 +87,9 @@
     pub sequence: u64,
     /// The occurrences in order.
     pub occurrences: Vec<OccurrenceRecord>,
+    /// The workspace that owns the job, if it was submitted with a key. Snapshots hold it in their extension.
+    #[serde(skip)]
+    pub workspace: Option<WorkspaceName>,
 }
 
 impl JobRecord {
@@ -94,7 +98,7 @@
             steps: submission.spec.steps.iter().map(|step| StepRecord::new(step.count)).collect(),
         };
         let occurrences = (0..submission.spec.occurrences()).map(steps).collect();
-        Self { submission, status: JobStatus::Pending, sequence, occurrences }
+        Self { submission, status: JobStatus::Pending, sequence, occurrences, workspace: None }
     }
 
     /// Returns true if the record only says that the job was cancelled before it arrived.
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -34,8 +34,10 @@
 mod state;
 mod urgency;
 mod waiting;
+mod work_model;
 mod worker_rank;
 mod worker_view;
+mod workspace;
 
 pub use admission::JobRefusal;
 pub use command::{BatchCommand, JobSubmission, RunEnd, RunOutcome, RunPlacement, decode_commands, encode_commands};
@@ -50,3 +52,4 @@
 pub use sorted_map::SortedMap;
 pub use spec::{JobSchedule, JobSpec, MAX_JOB_STEPS, MAX_JOB_TASKS, MAX_PAYLOAD_BYTES, StepSpec};
 pub use state::{BatchReply, BatchState, PlacedRun, WorkerRecord};
+pub use workspace::{ApiKey, Workspace, WorkspaceConfiguration};
--- a/crates/parsleywalk-batch/src/state.rs
+++ b/crates/parsleywalk-batch/src/state.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
-use parsleywalk_units::{Incarnation, ResourceSize, WorkerId, ZoneDirection, ZoneName};
+use parsleywalk_units::{Incarnation, ResourceSize, WorkerId, WorkspaceName, ZoneDirection, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::error::{decode, encode};
 use crate::{
     BatchCommand, EndNumber, JobId, JobRecord, JobStatus, JobSubmission, QueueConfiguration, Result, RunEnd, RunNumber,
-    RunOutcome, RunPlacement, SortedMap, StepSpec, TaskKey,
+    RunOutcome, RunPlacement, SortedMap, StepSpec, TaskKey, WorkspaceConfiguration,
 };
 
 /// The runs placed on a worker.
@@ -102,6 +102,12 @@
     submitted: u64,
     /// The jobs that are not final.
     active: SortedMap<JobId, ()>,
+    /// The workspaces of the configuration with their version. Snapshots hold them in their extension.
+    #[serde(skip)]
+    workspaces: Option<Arc<WorkspaceConfiguration>>,
+    /// The resources allocated to the placed runs of each workspace.
+    #[serde(skip)]
+    workspace_allocations: SortedMap<WorkspaceName, ResourceSize>,
     /// The jobs that became final since the last call of `take_newly_ended`.
     #[serde(skip)]
     newly_ended: Vec<(JobId, JobStatus)>,
@@ -115,6 +121,19 @@
         self.configuration.as_ref()
     }
 
+    /// Returns the workspaces of the active configuration, or `None` if it has none and every call is permitted.
+    #[must_use]
+    pub fn workspaces(&self) -> Option<&Arc<WorkspaceConfiguration>> {
+        let active = self.configuration.as_ref()?.version;
+        self.workspaces.as_ref().filter(|workspaces| workspaces.version == active)
+    }
+
+    /// Returns the resources allocated to the placed runs of a workspace. Best-effort runs count with their cores.
+    #[must_use]
+    pub fn workspace_allocation(&self, workspace: &WorkspaceName) -> ResourceSize {
+        self.workspace_allocations.get(workspace).copied().unwrap_or_default()
+    }
+
     /// Returns true if operators have taken the zone out of service.
     #[must_use]
     pub fn is_out_of_service(&self, zone: &ZoneName) -> bool {
--- /dev/null
+++ b/crates/parsleywalk-batch/src/workspace.rs
@@ -0,0 +1,74 @@
+//! Workspaces: the owners of jobs, with their keys, limits and weights.
+
+use std::fmt::{self, Debug, Formatter};
+
+use parsleywalk_shares::ResourceLimit;
+use parsleywalk_units::{ConfigurationVersion, WorkspaceName};
+use serde::{Deserialize, Serialize};
+
+/// A secret by which a caller shows that it acts for a workspace. `Debug` hides it.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ApiKey(String);
+
+impl ApiKey {
+    /// Creates a key from its text.
+    #[must_use]
+    pub const fn new(text: String) -> Self {
+        Self(text)
+    }
+
+    /// Returns true if the keys are equal. The time that it takes depends only on the lengths.
+    #[must_use]
+    pub fn matches(&self, other: &Self) -> bool {
+        let (one, other) = (self.0.as_bytes(), other.0.as_bytes());
+        one.len() == other.len() && one.iter().zip(other).fold(0, |difference, (a, b)| difference | (a ^ b)) == 0
+    }
+}
+
+impl Debug for ApiKey {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter.write_str("ApiKey(..)")
+    }
+}
+
+/// A workspace of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Workspace {
+    /// The name, which stays when keys change.
+    pub name: WorkspaceName,
+    /// The valid keys.
+    pub keys: Vec<ApiKey>,
+    /// The share of the workspace when all capacity is in use, and the jobs that it may submit per second before others
+    /// of its priority come first.
+    pub weight: u32,
+    /// What the workspace may have running on all workers.
+    pub limit: ResourceLimit,
+}
+
+/// The workspaces of one version of the configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkspaceConfiguration {
+    /// The version of the configuration that they belong to.
+    pub version: ConfigurationVersion,
+    /// The workspaces, sorted by name.
+    pub workspaces: Vec<Workspace>,
+    /// The positions, in the configuration's list of queues, of those that need no key, in ascending order.
+    pub public_queues: Vec<u32>,
+}
+
+impl WorkspaceConfiguration {
+    /// Returns the workspace with a name.
+    #[must_use]
+    pub fn find(&self, name: &WorkspaceName) -> Option<&Workspace> {
+        let index = self.workspaces.binary_search_by(|workspace| workspace.name.cmp(name)).ok()?;
+        Some(&self.workspaces[index])
+    }
+
+    /// Returns the workspace that a key belongs to. Every key is compared, so that the time shows nothing about them.
+    #[must_use]
+    pub fn owner(&self, key: &ApiKey) -> Option<&Workspace> {
+        let matching =
+            |workspace: &&Workspace| workspace.keys.iter().fold(false, |found, known| found | known.matches(key));
+        self.workspaces.iter().filter(matching).last()
+    }
+}
--- a/crates/parsleywalk-units/src/lib.rs
+++ b/crates/parsleywalk-units/src/lib.rs
@@ -15,7 +15,7 @@
 //! # Ok::<(), parsleywalk_units::UnitError>(())
 //! ```
 //!
-//! - Names: [`ZoneName`], [`RackName`], [`TeamName`], [`ServiceName`], [`WorkerId`], [`EndpointId`], [`CallerName`],
+//! - Names: [`ZoneName`], [`RackName`], [`TeamName`], [`WorkspaceName`], [`ServiceName`], [`WorkerId`], [`EndpointId`], [`CallerName`],
 //!   [`IdempotencyKey`], [`OperationId`].
 //! - Numbers: [`VmNumber`], [`Incarnation`], [`TaskId`], [`AttemptNumber`], [`ConfigurationVersion`], [`ClaimId`],
 //!   [`RequestId`], [`DispatchId`].
@@ -43,7 +43,8 @@
 pub use millicores::MilliCores;
 pub use monotonic::MonotonicTime;
 pub use name::{
-    CallerName, EndpointId, IdempotencyKey, OperationId, RackName, ServiceName, TeamName, WorkerId, ZoneName,
+    CallerName, EndpointId, IdempotencyKey, OperationId, RackName, ServiceName, TeamName, WorkerId, WorkspaceName,
+    ZoneName,
 };
 pub use number::{
     AcceleratorCount, AttemptNumber, ClaimId, ConfigurationVersion, DispatchId, Incarnation, RequestId, TaskId,
--- a/crates/parsleywalk-units/src/name.rs
+++ b/crates/parsleywalk-units/src/name.rs
@@ -81,6 +81,10 @@
     /// The name of a team that owns services and jobs.
     TeamName
 }
+name_type! {
+    /// The name of a workspace, which owns jobs on the users' platform.
+    WorkspaceName
+}
 name_type! {
     /// The name of a service in the operators' configuration.
     ServiceName
