Record the workspaces of jobs and what is allocated to them

Placement orders workspaces by what they have allocated and skips those at their limit, which nothing recorded. The commands ConfigureWorkspaces and SubmitOwned set the active workspaces and a job's owner. Each placed run holds the workspace that it counts for, so that a run counts until its end is known even if its job has been removed. The sums are exact: a sum in a ResourceSize saturates, and a saturated sum that is reduced is too low.

The requests KeyedQueue and ConfigureWorkspaces and the replies Unauthorized, Forbidden and NotReady are declared; the leader answers both requests with NotReady until it checks keys.

--- a/crates/parsleywalk-batch/src/command.rs
+++ b/crates/parsleywalk-batch/src/command.rs
@@ -1,10 +1,13 @@
 //! Commands of the replicated state machine.
 
-use parsleywalk_units::{Incarnation, WorkerId, ZoneDirection, ZoneName};
+use parsleywalk_units::{Incarnation, WorkerId, WorkspaceName, ZoneDirection, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::error::{decode, encode};
-use crate::{EndNumber, JobId, JobQueue, JobSpec, QueueConfiguration, Result, RunNumber, TaskKey};
+use crate::{
+    EndNumber, JobId, JobQueue, JobSpec, QueueConfiguration, Result, RunNumber, TaskKey, Workspace,
+    WorkspaceConfiguration,
+};
 
 /// A change of the replicated state. Preconditions are checked again when a command is applied.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -62,6 +65,16 @@
         /// The jobs to remove, in ascending order.
         jobs: Vec<JobId>,
     },
+    /// Activates the workspaces of the active configuration, which the command before it in the log has activated. It
+    /// changes nothing if the active configuration has another version, or workspaces already. Since release 2.
+    ConfigureWorkspaces(Box<WorkspaceConfiguration>),
+    /// Stores a job that a workspace owns; a job id that is already known changes nothing. Since release 2.
+    SubmitOwned {
+        /// The job.
+        submission: Box<JobSubmission>,
+        /// The owner.
+        workspace: WorkspaceName,
+    },
 }
 
 /// A job with the properties its queue had when the job was accepted.
@@ -99,12 +112,16 @@
         let rows = match self {
             Self::Configure(configuration) => configuration.text.len() * 4,
             Self::SetZone { .. } | Self::Cancel { .. } => 0,
-            Self::Submit(submission) => submission.spec.size_hint(),
+            Self::Submit(submission) | Self::SubmitOwned { submission, .. } => submission.spec.size_hint(),
             Self::Settle { ends, .. } => ends.iter().map(|end| COMMAND_ROW_BYTES + end.saved.len()).sum(),
             Self::Place { runs } => runs.len() * COMMAND_ROW_BYTES,
             Self::Lose { saved, .. } => saved.iter().map(|(_, saved)| COMMAND_ROW_BYTES + saved.len()).sum(),
             Self::Withdraw { runs, .. } => runs.len() * COMMAND_ROW_BYTES,
             Self::Forget { jobs } => jobs.len() * COMMAND_ROW_BYTES,
+            Self::ConfigureWorkspaces(configuration) => {
+                let rows = configuration.workspaces.iter().map(Workspace::size_hint).sum::<usize>();
+                rows + configuration.public_queues.len() * size_of::<u64>()
+            }
         };
         2 * COMMAND_ROW_BYTES + rows
     }
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -38,6 +38,7 @@
 mod worker_rank;
 mod worker_view;
 mod workspace;
+mod workspace_usage;
 
 pub use admission::JobRefusal;
 pub use command::{BatchCommand, JobSubmission, RunEnd, RunOutcome, RunPlacement, decode_commands, encode_commands};
--- a/crates/parsleywalk-batch/src/state.rs
+++ b/crates/parsleywalk-batch/src/state.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::{decode, encode};
+use crate::workspace_usage::WorkspaceUsage;
 use crate::{
     BatchCommand, EndNumber, JobId, JobRecord, JobStatus, JobSubmission, QueueConfiguration, Result, RunEnd, RunNumber,
     RunOutcome, RunPlacement, SortedMap, StepSpec, TaskKey, WorkspaceConfiguration,
@@ -40,6 +41,9 @@
     /// Whether the run is best-effort, so that its cores are not allocated.
     #[serde(rename = "filling")]
     pub best_effort: bool,
+    /// The workspace whose allocation includes the run. It stays when the job is removed while the run goes on.
+    #[serde(skip)]
+    pub workspace: Option<WorkspaceName>,
 }
 
 impl WorkerRecord {
@@ -48,11 +52,10 @@
         Self { incarnation, version: self.version + 1, ..Self::default() }
     }
 
-    fn add(&mut self, task: TaskKey, run: RunNumber, step: &StepSpec) {
-        let entry = PlacedRun { run, size: step.size, best_effort: step.best_effort };
+    fn add(&mut self, task: TaskKey, entry: PlacedRun) {
         if entry.best_effort {
             self.best_effort_cores =
-                self.best_effort_cores.checked_add(step.size.cores).unwrap_or(self.best_effort_cores);
+                self.best_effort_cores.checked_add(entry.size.cores).unwrap_or(self.best_effort_cores);
         }
         let allocation = entry.allocation();
         self.allocated = self.allocated.checked_add(&allocation).unwrap_or(self.allocated);
@@ -60,17 +63,18 @@
         self.runs.insert(task, entry);
     }
 
-    fn remove(&mut self, task: &TaskKey, run: RunNumber) -> bool {
+    /// Removes a run and returns its entry, or `None` if the run is not on the worker.
+    fn remove(&mut self, task: &TaskKey, run: RunNumber) -> Option<PlacedRun> {
         if self.runs.get(task).is_none_or(|entry| entry.run != run) {
-            return false;
+            return None;
         }
-        let Some(entry) = self.runs.remove(task) else { return false };
+        let entry = self.runs.remove(task)?;
         if entry.best_effort {
             self.best_effort_cores = self.best_effort_cores.saturating_sub(entry.size.cores);
         }
         self.allocated = self.allocated.saturating_sub(&entry.allocation());
         self.version += 1;
-        true
+        Some(entry)
     }
 }
 
@@ -107,7 +111,7 @@
     workspaces: Option<Arc<WorkspaceConfiguration>>,
     /// The resources allocated to the placed runs of each workspace.
     #[serde(skip)]
-    workspace_allocations: SortedMap<WorkspaceName, ResourceSize>,
+    workspace_usage: WorkspaceUsage,
     /// The jobs that became final since the last call of `take_newly_ended`.
     #[serde(skip)]
     newly_ended: Vec<(JobId, JobStatus)>,
@@ -124,14 +128,13 @@
     /// Returns the workspaces of the active configuration, or `None` if it has none and every call is permitted.
     #[must_use]
     pub fn workspaces(&self) -> Option<&Arc<WorkspaceConfiguration>> {
-        let active = self.configuration.as_ref()?.version;
-        self.workspaces.as_ref().filter(|workspaces| workspaces.version == active)
+        self.workspaces.as_ref()
     }
 
     /// Returns the resources allocated to the placed runs of a workspace. Best-effort runs count with their cores.
     #[must_use]
     pub fn workspace_allocation(&self, workspace: &WorkspaceName) -> ResourceSize {
-        self.workspace_allocations.get(workspace).copied().unwrap_or_default()
+        self.workspace_usage.allocated(workspace)
     }
 
     /// Returns true if operators have taken the zone out of service.
@@ -228,7 +231,7 @@
                 };
                 BatchReply::Done
             }
-            BatchCommand::Submit(submission) => self.submit(submission),
+            BatchCommand::Submit(submission) => self.submit(submission, None),
             BatchCommand::Cancel { job } => self.cancel(*job),
             BatchCommand::Settle { worker, incarnation, ends } => self.settle(worker, *incarnation, ends),
             BatchCommand::Place { runs } => {
@@ -243,6 +246,8 @@
                 self.jobs.retain(|job, record| !record.status.is_final() || jobs.binary_search(job).is_err());
                 BatchReply::Done
             }
+            BatchCommand::ConfigureWorkspaces(workspaces) => self.configure_workspaces(workspaces),
+            BatchCommand::SubmitOwned { submission, workspace } => self.submit(submission, Some(workspace.clone())),
         }
     }
 
@@ -254,14 +259,26 @@
     fn configure(&mut self, configuration: &QueueConfiguration) -> BatchReply {
         if self.configuration.as_ref().is_none_or(|current| current.version < configuration.version) {
             self.configuration = Some(Arc::new(configuration.clone()));
+            self.workspaces = None;
+        }
+        BatchReply::Done
+    }
+
+    /// Activates the workspaces of the active configuration. Once a version has workspaces, they do not change, as the
+    /// configuration of a version does not.
+    fn configure_workspaces(&mut self, workspaces: &WorkspaceConfiguration) -> BatchReply {
+        let active = self.configuration.as_ref().map(|configuration| configuration.version);
+        if active == Some(workspaces.version) && self.workspaces.is_none() {
+            self.workspaces = Some(Arc::new(workspaces.clone()));
         }
         BatchReply::Done
     }
 
-    fn submit(&mut self, submission: &JobSubmission) -> BatchReply {
+    fn submit(&mut self, submission: &JobSubmission, workspace: Option<WorkspaceName>) -> BatchReply {
         if !self.jobs.contains(&submission.job) {
             self.submitted += 1;
             let record = JobRecord::new(Arc::new(submission.clone()), self.submitted);
+            let record = JobRecord { workspace, ..record };
             self.jobs.insert(submission.job, record);
             self.active.insert(submission.job, ());
         }
@@ -306,7 +323,10 @@
         }
         entry.live += 1;
         entry.last_run = *run;
-        worker_record.add(*task, *run, &spec);
+        let workspace = record.workspace.clone();
+        self.workspace_usage.charge(workspace.as_ref(), &spec.size);
+        let entry = PlacedRun { run: *run, size: spec.size, best_effort: spec.best_effort, workspace };
+        worker_record.add(*task, entry);
         if record.status == JobStatus::Pending {
             record.status = JobStatus::Running;
         }
@@ -327,7 +347,8 @@
             }
             worker_record.settled = end.number;
             // The end of a run that was already declared lost changes nothing.
-            if worker_record.remove(&end.task, end.run) {
+            if let Some(entry) = worker_record.remove(&end.task, end.run) {
+                self.workspace_usage.refund(entry.workspace.as_ref(), &entry.size);
                 self.end_run(&end.task, end.run, end.outcome, &end.saved);
             }
         }
@@ -344,6 +365,7 @@
         let lost = std::mem::replace(worker_record, next);
         for (task, entry) in lost.runs.iter() {
             let checkpoint = saved.iter().find(|(key, _)| key == task).map_or("", |(_, checkpoint)| checkpoint);
+            self.workspace_usage.refund(entry.workspace.as_ref(), &entry.size);
             self.end_run(task, entry.run, RunOutcome::LeaseLapsed, checkpoint);
         }
         BatchReply::Done
@@ -353,7 +375,8 @@
         for (task, run) in runs {
             let worker_record =
                 self.workers.get_mut(worker).filter(|worker_record| worker_record.incarnation == incarnation);
-            if worker_record.is_some_and(|worker_record| worker_record.remove(task, *run)) {
+            if let Some(entry) = worker_record.and_then(|worker_record| worker_record.remove(task, *run)) {
+                self.workspace_usage.refund(entry.workspace.as_ref(), &entry.size);
                 self.end_run(task, *run, RunOutcome::Refused, "");
             }
         }
--- a/crates/parsleywalk-batch/src/workspace.rs
+++ b/crates/parsleywalk-batch/src/workspace.rs
@@ -45,6 +45,17 @@
     pub limit: ResourceLimit,
 }
 
+/// The size of a workspace or a key in a log entry without its text in bytes, which is at least that of its encoding.
+const ROW_BYTES: usize = 64;
+
+impl Workspace {
+    /// Returns about how many bytes the workspace takes in a log entry, rounded up.
+    pub(crate) fn size_hint(&self) -> usize {
+        let keys = self.keys.iter().map(|key| ROW_BYTES + key.0.len()).sum::<usize>();
+        ROW_BYTES + self.name.as_str().len() + keys
+    }
+}
+
 /// The workspaces of one version of the configuration.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkspaceConfiguration {
--- /dev/null
+++ b/crates/parsleywalk-batch/tests/workspaces.rs
@@ -0,0 +1,145 @@
+//! Tests of workspaces in the replicated state.
+
+mod support;
+
+use parsleywalk_batch::{
+    ApiKey, BatchCommand, BatchState, EndNumber, JobId, QueueConfiguration, RunEnd, RunNumber, RunOutcome,
+    RunPlacement, StepSpec, TaskKey, Workspace, WorkspaceConfiguration,
+};
+use parsleywalk_shares::ResourceLimit;
+use parsleywalk_units::{ConfigurationVersion, Incarnation, WorkerId, WorkspaceName};
+use support::{TestRng, step, submission};
+
+const JOBS: u64 = 6;
+const WORKERS: u64 = 3;
+const TASKS: u32 = 4;
+
+fn workspace(name: &str) -> WorkspaceName {
+    name.parse().expect("a name")
+}
+
+fn owner(job: u64) -> Option<WorkspaceName> {
+    [None, Some("alpha"), Some("beta")][(job % 3) as usize].map(workspace)
+}
+
+fn configure(version: u64) -> BatchCommand {
+    BatchCommand::Configure(Box::new(QueueConfiguration {
+        version: ConfigurationVersion::new(version),
+        text: String::new(),
+        queues: Vec::new(),
+        pools: Vec::new(),
+        body_limit: 0,
+    }))
+}
+
+fn configure_workspaces(version: u64, names: &[&str]) -> BatchCommand {
+    let row = |name: &&str| Workspace {
+        name: workspace(name),
+        keys: vec![ApiKey::new(format!("key-{name}"))],
+        weight: 1,
+        limit: ResourceLimit::default(),
+    };
+    BatchCommand::ConfigureWorkspaces(Box::new(WorkspaceConfiguration {
+        version: ConfigurationVersion::new(version),
+        workspaces: names.iter().map(row).collect(),
+        public_queues: vec![1],
+    }))
+}
+
+/// Returns a submission with a step of plain tasks and one of best-effort tasks.
+fn submit(job: u64, owner: Option<WorkspaceName>) -> BatchCommand {
+    let best_effort = StepSpec { best_effort: true, ..step(TASKS, 1, 500) };
+    let submission = Box::new(submission(job, 0, vec![step(TASKS, 2, 500), best_effort]));
+    match owner {
+        Some(workspace) => BatchCommand::SubmitOwned { submission, workspace },
+        None => BatchCommand::Submit(submission),
+    }
+}
+
+/// Returns a random command about the jobs' runs. Run and end numbers increase with `number`.
+fn random_command(rng: &mut TestRng, number: u32) -> BatchCommand {
+    let job = rng.next_below(JOBS);
+    let mut task = || {
+        let step = u16::try_from(rng.next_below(2)).expect("small");
+        let index = u32::try_from(rng.next_below(u64::from(TASKS))).expect("small");
+        TaskKey { job: JobId::new(job), occurrence: 0, step, index }
+    };
+    let (task, other) = (task(), task());
+    let worker: WorkerId = format!("worker-{}", rng.next_below(WORKERS)).parse().expect("a name");
+    let incarnation = Incarnation::new(1);
+    let run = RunNumber::new(number);
+    let earlier = RunNumber::new(number.saturating_sub(u32::try_from(rng.next_below(8)).expect("small")));
+    match rng.next_below(16) {
+        0 => submit(job, owner(job)),
+        1 => BatchCommand::Cancel { job: task.job },
+        2 => BatchCommand::Forget { jobs: vec![task.job] },
+        3 => BatchCommand::Lose { worker, incarnation, saved: Vec::new() },
+        4 | 5 => BatchCommand::Withdraw { worker, incarnation, runs: vec![(task, earlier)] },
+        6..=8 => {
+            let outcome = if rng.chance(50) { RunOutcome::Stopped } else { RunOutcome::Done };
+            let number = EndNumber::new(u64::from(number));
+            let end = RunEnd { number, task, run: earlier, outcome, saved: String::new() };
+            BatchCommand::Settle { worker, incarnation, ends: vec![end] }
+        }
+        _ => {
+            let placement = |task| RunPlacement { task, run, worker: worker.clone(), incarnation };
+            BatchCommand::Place { runs: vec![placement(task), placement(other)] }
+        }
+    }
+}
+
+/// Guards against an allocation that drifts from the placed runs, so that a workspace is limited wrongly for good. A run
+/// counts until its end is known, also if its job has been removed.
+#[test]
+fn allocations_are_those_of_the_placed_runs() {
+    for seed in 0..40 {
+        let mut rng = TestRng::new(seed);
+        let mut state = BatchState::default();
+        let mut highest = 0;
+        for number in 1..400 {
+            state.apply(&random_command(&mut rng, number));
+            for name in ["alpha", "beta"].map(workspace) {
+                let runs = state.workers().flat_map(|(_, worker)| worker.runs.iter());
+                let jobs = (0..JOBS).filter(|job| owner(*job).as_ref() == Some(&name)).map(JobId::new);
+                let jobs: Vec<JobId> = jobs.collect();
+                let owned = runs.filter(|(task, _)| jobs.contains(&task.job));
+                let cores: u32 = owned.map(|(_, run)| run.size.cores.get()).sum();
+                assert_eq!(state.workspace_allocation(&name).cores.get(), cores, "seed {seed}, command {number}");
+                highest = highest.max(cores);
+            }
+        }
+        assert!(highest > 0, "seed {seed} places no run");
+    }
+}
+
+/// Guards against workspaces that are active with another configuration than theirs: their public queues are positions in
+/// its list.
+#[test]
+fn workspaces_are_active_with_their_configuration_only() {
+    let mut state = BatchState::default();
+    let mut active = |commands: &[BatchCommand]| -> Option<usize> {
+        for command in commands {
+            state.apply(command);
+        }
+        state.workspaces().map(|active| active.workspaces.len())
+    };
+    assert_eq!(active(&[configure_workspaces(3, &["alpha"])]), None, "no configuration is active");
+    assert_eq!(active(&[configure(3), configure_workspaces(3, &["alpha"])]), Some(1));
+    assert_eq!(active(&[configure(3), configure_workspaces(3, &["alpha", "beta"])]), Some(1), "a second proposal");
+    assert_eq!(active(&[configure(2), configure_workspaces(2, &["alpha", "beta"])]), Some(1), "an earlier version");
+    assert_eq!(active(&[configure(4)]), None, "a configuration without workspaces");
+    assert_eq!(active(&[configure_workspaces(3, &["alpha"])]), None, "workspaces of an earlier configuration");
+    assert_eq!(active(&[configure(5), configure_workspaces(5, &[])]), Some(0), "no key is valid");
+}
+
+/// Guards against a job that changes hands: the first submission decides.
+#[test]
+fn a_job_keeps_its_workspace() {
+    let mut state = BatchState::default();
+    state.apply(&submit(1, Some(workspace("alpha"))));
+    state.apply(&submit(1, Some(workspace("beta"))));
+    state.apply(&submit(1, None));
+    state.apply(&submit(2, None));
+    let owner = |job| state.job(JobId::new(job)).expect("the job is stored").workspace.clone();
+    assert_eq!((owner(1), owner(2)), (Some(workspace("alpha")), None));
+}
--- a/crates/parsleywalk-fleet/src/core/requests.rs
+++ b/crates/parsleywalk-fleet/src/core/requests.rs
@@ -80,6 +80,10 @@
                 info!("event=zone_change zone={zone} direction={direction} age_ms={age_ms}");
                 self.propose(vec![BatchCommand::SetZone { zone: zone.clone(), direction }], Waiter::Reply(sender));
             }
+            // Not supported yet: answering without a check of the key would disregard ownership.
+            LeaderRequest::KeyedQueue { .. } | LeaderRequest::ConfigureWorkspaces { .. } => {
+                sender.send(LeaderReply::NotReady);
+            }
             LeaderRequest::Queue { host, path, action } => {
                 let Some(leader_state) = &self.leader_state else { return };
                 let (state, dispatcher) = (&self.state, &leader_state.dispatcher);
--- a/crates/parsleywalk-fleet/src/message.rs
+++ b/crates/parsleywalk-fleet/src/message.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use parsleywalk_batch::{JobSpec, JobStatus, QueueConfiguration, ReportResponse, WorkerReport};
+use parsleywalk_batch::{
+    ApiKey, JobSpec, JobStatus, QueueConfiguration, ReportResponse, WorkerReport, WorkspaceConfiguration,
+};
 use parsleywalk_consensus::{ConsensusMessage, LogTerm, ReplicaId};
 use parsleywalk_units::{ConfigurationVersion, Incarnation, VmNumber, WorkerId, ZoneDirection, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -72,6 +74,35 @@
         /// The reports, at most one for each worker.
         reports: Vec<Arc<WorkerReport>>,
     },
+    /// A caller's request to a queue, with a key. Leaders of release 1 cannot decode it.
+    KeyedQueue {
+        /// The host that the caller addressed, in lower case.
+        host: String,
+        /// The path of the caller's request.
+        path: String,
+        /// The requested action.
+        action: QueueAction,
+        /// The key that the caller sent.
+        key: ApiKey,
+    },
+    /// Activates an operator's configuration that has workspaces. Leaders of release 1 cannot decode it.
+    ConfigureWorkspaces {
+        /// The configuration.
+        configuration: Box<QueueConfiguration>,
+        /// The workspaces, with the version of the configuration.
+        workspaces: Box<WorkspaceConfiguration>,
+    },
+}
+
+impl QueueAction {
+    /// Returns the action's name in the log.
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Submit(_) => "submit",
+            Self::Read => "read",
+            Self::Cancel => "cancel",
+        }
+    }
 }
 
 impl Display for LeaderRequest {
@@ -79,12 +110,14 @@
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         match self {
             Self::Locate => write!(formatter, "locate"),
-            Self::Queue { path, action: QueueAction::Submit(_), .. } => write!(formatter, "submit path={path:?}"),
-            Self::Queue { path, action: QueueAction::Read, .. } => write!(formatter, "read path={path:?}"),
-            Self::Queue { path, action: QueueAction::Cancel, .. } => write!(formatter, "cancel path={path:?}"),
+            Self::Queue { path, action, .. } | Self::KeyedQueue { path, action, .. } => {
+                write!(formatter, "{} path={path:?}", action.name())
+            }
             Self::Report(report) => write!(formatter, "report worker={}", report.worker),
             Self::Leave { worker, .. } => write!(formatter, "leave worker={worker}"),
-            Self::Configure(configuration) => write!(formatter, "configure version={}", configuration.version),
+            Self::Configure(configuration) | Self::ConfigureWorkspaces { configuration, .. } => {
+                write!(formatter, "configure version={}", configuration.version)
+            }
             Self::ReadConfiguration => write!(formatter, "read_configuration"),
             Self::SetZone { zone, direction } => write!(formatter, "set_zone zone={zone} direction={direction}"),
             Self::Relay { reports } => write!(formatter, "relay reports={}", reports.len()),
@@ -161,4 +194,11 @@
     },
     /// The request had no effect, because its caller no longer waits or a later order has overtaken it.
     Overtaken,
+    /// The queue is not public, and the request has no key or an unknown one.
+    Unauthorized,
+    /// The job belongs to another workspace than the key, or the request has no key.
+    Forbidden,
+    /// The request had no effect, because not every daemon that takes part in it is known to support it. It can be
+    /// repeated.
+    NotReady,
 }
