--- a/crates/parsleywalk-batch/src/error.rs
+++ b/crates/parsleywalk-batch/src/error.rs
@@ -29,12 +29,17 @@
 
 /// Decodes a value from the log or a snapshot and rejects trailing bytes.
 pub(crate) fn decode<T: serde::de::DeserializeOwned>(step: &'static str, bytes: &[u8]) -> Result<T> {
-    let limited = bincode::config::standard().with_limit::<DECODE_LIMIT_BYTES>();
-    let decoded = bincode::serde::decode_from_slice(bytes, limited);
-    let (value, used) = decoded.map_err(|cause| BatchError::Decode { step, reason: cause.to_string() })?;
+    let (value, used) = decode_prefix(step, bytes)?;
     if used == bytes.len() {
         Ok(value)
     } else {
         Err(BatchError::Decode { step, reason: format!("{} trailing bytes", bytes.len() - used) })
     }
 }
+
+/// Decodes a value at the start of the bytes, and returns how many of them it takes.
+pub(crate) fn decode_prefix<T: serde::de::DeserializeOwned>(step: &'static str, bytes: &[u8]) -> Result<(T, usize)> {
+    let limited = bincode::config::standard().with_limit::<DECODE_LIMIT_BYTES>();
+    let decoded = bincode::serde::decode_from_slice(bytes, limited);
+    decoded.map_err(|cause| BatchError::Decode { step, reason: cause.to_string() })
+}
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -29,6 +29,7 @@
 mod restart_delays;
 mod settings;
 mod settlement;
+mod snapshot_extension;
 mod sorted_map;
 mod spec;
 mod state;
--- a/crates/parsleywalk-batch/src/state.rs
+++ b/crates/parsleywalk-batch/src/state.rs
@@ -5,7 +5,8 @@
 use parsleywalk_units::{Incarnation, ResourceSize, WorkerId, WorkspaceName, ZoneDirection, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::error::{decode, encode};
+use crate::error::{decode_prefix, encode};
+use crate::snapshot_extension::{self, SnapshotExtension};
 use crate::workspace_usage::WorkspaceUsage;
 use crate::{
     BatchCommand, EndNumber, JobId, JobRecord, JobStatus, JobSubmission, QueueConfiguration, Result, RunEnd, RunNumber,
@@ -149,6 +150,11 @@
         self.jobs.get(&job)
     }
 
+    /// Returns all jobs, in the order of their ids.
+    pub(crate) fn jobs(&self) -> impl Iterator<Item = (JobId, &JobRecord)> {
+        self.jobs.iter().map(|(job, record)| (*job, record))
+    }
+
     /// Returns the jobs that are not final, in the order of their ids.
     pub fn active_jobs(&self) -> impl Iterator<Item = (JobId, &JobRecord)> {
         self.active.iter().filter_map(|(job, ())| Some((*job, self.jobs.get(job)?)))
@@ -205,7 +211,9 @@
     /// Encodes the state as a snapshot.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
-        encode(self)
+        let mut bytes = encode(self);
+        bytes.extend(SnapshotExtension::of(self).iter().flat_map(SnapshotExtension::encode));
+        bytes
     }
 
     /// Decodes a snapshot.
@@ -214,7 +222,44 @@
     ///
     /// Returns an error if the bytes are not a valid snapshot.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
-        decode("snapshot", bytes)
+        let (mut state, used): (Self, usize) = decode_prefix("snapshot", bytes)?;
+        if used < bytes.len() {
+            state.extend(SnapshotExtension::decode(&bytes[used..])?)?;
+        }
+        Ok(state)
+    }
+
+    /// Sets the owners of jobs and runs and the active workspaces of a decoded state.
+    fn extend(&mut self, extension: SnapshotExtension) -> Result<()> {
+        let active = self.configuration.as_ref().map(|configuration| configuration.version);
+        if let Some(workspaces) = extension.workspaces {
+            if active != Some(workspaces.version) {
+                let reason = format!("the workspaces of version {} are not those of {active:?}", workspaces.version);
+                return Err(snapshot_extension::error(reason));
+            }
+            self.workspaces = Some(workspaces);
+        }
+        for (workspace, jobs) in extension.jobs {
+            for job in jobs {
+                let record = self.jobs.get_mut(&job).filter(|record| record.workspace.is_none());
+                let unknown = || snapshot_extension::error(format!("{job} has no record or two owners"));
+                record.ok_or_else(unknown)?.workspace = Some(workspace.clone());
+            }
+        }
+        for (_, worker_record) in self.workers.iter_mut() {
+            for (task, run) in worker_record.runs.iter_mut() {
+                run.workspace = self.jobs.get(&task.job).and_then(|record| record.workspace.clone());
+            }
+        }
+        for (worker, task, workspace) in extension.runs {
+            let run = self.workers.get_mut(&worker).and_then(|worker_record| worker_record.runs.get_mut(&task));
+            run.ok_or_else(|| snapshot_extension::error(format!("{worker} has no run of {task}")))?.workspace =
+                workspace;
+        }
+        for run in self.workers.iter().flat_map(|(_, worker_record)| worker_record.runs.iter().map(|(_, run)| run)) {
+            self.workspace_usage.charge(run.workspace.as_ref(), &run.size);
+        }
+        Ok(())
     }
 }
 
--- a/crates/parsleywalk-batch/src/workspace.rs
+++ b/crates/parsleywalk-batch/src/workspace.rs
@@ -78,8 +78,8 @@
     /// Returns the workspace that a key belongs to. Every key is compared, so that the time shows nothing about them.
     #[must_use]
     pub fn owner(&self, key: &ApiKey) -> Option<&Workspace> {
-        let matching =
-            |workspace: &&Workspace| workspace.keys.iter().fold(false, |found, known| found | known.matches(key));
-        self.workspaces.iter().filter(matching).last()
+        let has_key =
+            |workspace: &Workspace| workspace.keys.iter().fold(false, |found, known| found | known.matches(key));
+        self.workspaces.iter().fold(None, |owner, workspace| if has_key(workspace) { Some(workspace) } else { owner })
     }
 }
--- a/crates/parsleywalk-batch/tests/compatibility.rs
+++ b/crates/parsleywalk-batch/tests/compatibility.rs
@@ -3,7 +3,7 @@
 //! The fixtures hold log entries, each with its length as four bytes before it, and snapshots. An earlier release made its
 //! entries in about 20 s of a simulated fleet with faults, with every kind of command, and applied them; it also applied
 //! the entries that the release after it made. The files named after a release are those of 93f58e9; the others name the
-//! commit, and theirs hold crash-looping gangs as well.
+//! commit, and theirs hold crash-looping gangs as well. None holds workspaces, which no release before this one has.
 
 use std::collections::HashSet;
 
@@ -44,6 +44,11 @@
     include_bytes!("fixtures/later-than-9dacde6.entries"),
     include_bytes!("fixtures/later-than-9dacde6-applied-by-9dacde6.snapshot")
 )]
+#[case::made_by_0acfabd(include_bytes!("fixtures/0acfabd.entries"), include_bytes!("fixtures/0acfabd.snapshot"))]
+#[case::made_after_0acfabd(
+    include_bytes!("fixtures/later-than-0acfabd.entries"),
+    include_bytes!("fixtures/later-than-0acfabd-applied-by-0acfabd.snapshot")
+)]
 fn both_releases_apply_a_log_alike(#[case] log: &[u8], #[case] snapshot: &[u8]) {
     let mut state = BatchState::default();
     let mut kinds = HashSet::new();
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::struct_excessive_bools, reason = "each fault is switched by itself")]
 
 mod worker;
+pub(crate) mod workspaces;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
--- a/crates/parsleywalk-batch/tests/workspaces.rs
+++ b/crates/parsleywalk-batch/tests/workspaces.rs
@@ -3,65 +3,25 @@
 mod support;
 
 use parsleywalk_batch::{
-    ApiKey, BatchCommand, BatchState, EndNumber, JobId, QueueConfiguration, RunEnd, RunNumber, RunOutcome,
-    RunPlacement, StepSpec, TaskKey, Workspace, WorkspaceConfiguration,
+    BatchCommand, BatchState, EndNumber, JobId, RunEnd, RunNumber, RunOutcome, RunPlacement, TaskKey,
 };
-use parsleywalk_shares::ResourceLimit;
-use parsleywalk_units::{ConfigurationVersion, Incarnation, WorkerId, WorkspaceName};
-use support::{TestRng, step, submission};
+use parsleywalk_units::{Incarnation, WorkerId, WorkspaceName};
+use support::TestRng;
+use support::workspaces::{TASKS_OF_A_STEP, configure, configure_workspaces, submit, workspace};
 
 const JOBS: u64 = 6;
 const WORKERS: u64 = 3;
-const TASKS: u32 = 4;
-
-fn workspace(name: &str) -> WorkspaceName {
-    name.parse().expect("a name")
-}
 
 fn owner(job: u64) -> Option<WorkspaceName> {
     [None, Some("alpha"), Some("beta")][(job % 3) as usize].map(workspace)
 }
 
-fn configure(version: u64) -> BatchCommand {
-    BatchCommand::Configure(Box::new(QueueConfiguration {
-        version: ConfigurationVersion::new(version),
-        text: String::new(),
-        queues: Vec::new(),
-        pools: Vec::new(),
-        body_limit: 0,
-    }))
-}
-
-fn configure_workspaces(version: u64, names: &[&str]) -> BatchCommand {
-    let row = |name: &&str| Workspace {
-        name: workspace(name),
-        keys: vec![ApiKey::new(format!("key-{name}"))],
-        weight: 1,
-        limit: ResourceLimit::default(),
-    };
-    BatchCommand::ConfigureWorkspaces(Box::new(WorkspaceConfiguration {
-        version: ConfigurationVersion::new(version),
-        workspaces: names.iter().map(row).collect(),
-        public_queues: vec![1],
-    }))
-}
-
-/// Returns a submission with a step of plain tasks and one of best-effort tasks.
-fn submit(job: u64, owner: Option<WorkspaceName>) -> BatchCommand {
-    let best_effort = StepSpec { best_effort: true, ..step(TASKS, 1, 500) };
-    let submission = Box::new(submission(job, 0, vec![step(TASKS, 2, 500), best_effort]));
-    match owner {
-        Some(workspace) => BatchCommand::SubmitOwned { submission, workspace },
-        None => BatchCommand::Submit(submission),
-    }
-}
-
 /// Returns a random command about the jobs' runs. Run and end numbers increase with `number`.
 fn random_command(rng: &mut TestRng, number: u32) -> BatchCommand {
     let job = rng.next_below(JOBS);
     let mut task = || {
         let step = u16::try_from(rng.next_below(2)).expect("small");
-        let index = u32::try_from(rng.next_below(u64::from(TASKS))).expect("small");
+        let index = u32::try_from(rng.next_below(u64::from(TASKS_OF_A_STEP))).expect("small");
         TaskKey { job: JobId::new(job), occurrence: 0, step, index }
     };
     let (task, other) = (task(), task());
@@ -98,6 +58,12 @@
         let mut highest = 0;
         for number in 1..400 {
             state.apply(&random_command(&mut rng, number));
+            if number % 40 == 0 {
+                state.take_newly_ended();
+                let restored = BatchState::decode(&state.encode()).expect("a snapshot");
+                assert_eq!(restored, state, "seed {seed}, command {number}");
+                state = restored;
+            }
             for name in ["alpha", "beta"].map(workspace) {
                 let runs = state.workers().flat_map(|(_, worker)| worker.runs.iter());
                 let jobs = (0..JOBS).filter(|job| owner(*job).as_ref() == Some(&name)).map(JobId::new);
@@ -112,6 +78,32 @@
     }
 }
 
+/// Guards against snapshots that release 1 cannot read although no workspace was ever used, and against a change of the
+/// part that it wrote.
+#[test]
+fn snapshots_begin_with_those_of_release_1() {
+    for seed in 0..10 {
+        let mut rng = TestRng::new(seed);
+        let (mut state, mut plain) = (BatchState::default(), BatchState::default());
+        for command in [configure(3), configure_workspaces(3, &["alpha", "beta"])] {
+            state.apply(&command);
+        }
+        plain.apply(&configure(3));
+        for number in 1..200 {
+            let command = random_command(&mut rng, number);
+            state.apply(&command);
+            plain.apply(&match command {
+                BatchCommand::SubmitOwned { submission, .. } => BatchCommand::Submit(submission),
+                other => other,
+            });
+        }
+        let (bytes, plain) = (state.encode(), plain.encode());
+        assert!(bytes.starts_with(&plain) && bytes.len() > plain.len(), "seed {seed}");
+        state.take_newly_ended();
+        assert_eq!(BatchState::decode(&bytes).as_ref(), Ok(&state));
+    }
+}
+
 /// Guards against workspaces that are active with another configuration than theirs: their public queues are positions in
 /// its list.
 #[test]
