Decide callers' requests by their keys and the owners of jobs

In a deployment with workspaces every caller could read, cancel and replace every job. The leader now decides each request by the committed configuration: 404 for an unknown queue, 401 for a key that is missing or unknown on a queue that is not public, 403 for a job of another workspace, whatever the queue. Tombstones have owners too. A job with a task or a gang beyond its workspace's limit is invalid, because it would wait forever.

Commands do not check owners when they are applied, so the leader remembers for whom the jobs being committed are stored: a cancel that was decided before a submission is applied would otherwise cancel another workspace's job, and a second copy would replace a tombstone of another workspace. A submission that finds another workspace's job when it is applied is answered with 403.

--- a/crates/parsleywalk-batch/src/command.rs
+++ b/crates/parsleywalk-batch/src/command.rs
@@ -152,16 +152,22 @@
         Self::new(job, JobSpec::default(), queue, unix_ms)
     }
 
+    /// Returns the command that stores the job with its owner, if it has one.
+    #[must_use]
+    pub fn into_command(self, owner: Option<WorkspaceName>) -> BatchCommand {
+        let submission = Box::new(self);
+        match owner {
+            Some(workspace) => BatchCommand::SubmitOwned { submission, workspace },
+            None => BatchCommand::Submit(submission),
+        }
+    }
+
     /// Returns the commands of one entry that store the job as cancelled; no task of it ever starts. Replicas of every
-    /// release apply them alike. A tombstone of the job is replaced.
+    /// release apply them alike, unless the job has an owner. A tombstone of the job is replaced.
     #[must_use]
-    pub fn into_cancelled(self) -> Vec<BatchCommand> {
+    pub fn into_cancelled(self, owner: Option<WorkspaceName>) -> Vec<BatchCommand> {
         let job = self.job;
-        vec![
-            BatchCommand::Forget { jobs: vec![job] },
-            BatchCommand::Submit(Box::new(self)),
-            BatchCommand::Cancel { job },
-        ]
+        vec![BatchCommand::Forget { jobs: vec![job] }, self.into_command(owner), BatchCommand::Cancel { job }]
     }
 }
 
--- a/crates/parsleywalk-batch/src/queues.rs
+++ b/crates/parsleywalk-batch/src/queues.rs
@@ -68,7 +68,14 @@
     /// Returns the queue with the matching host and the longest matching path prefix.
     #[must_use]
     pub fn queue(&self, host: &str, path: &str) -> Option<&JobQueue> {
-        let matching = self.queues.iter().filter(|queue| queue.host == host && path.starts_with(&queue.path_prefix));
-        matching.max_by_key(|queue| queue.path_prefix.len())
+        self.queues.get(self.queue_position(host, path)?)
+    }
+
+    /// Returns the position in the list of the queue with the matching host and the longest matching path prefix.
+    #[must_use]
+    pub fn queue_position(&self, host: &str, path: &str) -> Option<usize> {
+        let queues = self.queues.iter().enumerate();
+        let matching = queues.filter(|(_, queue)| queue.host == host && path.starts_with(&queue.path_prefix));
+        matching.max_by_key(|(_, queue)| queue.path_prefix.len()).map(|(position, _)| position)
     }
 }
--- a/crates/parsleywalk-batch/src/workspace.rs
+++ b/crates/parsleywalk-batch/src/workspace.rs
@@ -3,9 +3,11 @@
 use std::fmt::{self, Debug, Formatter};
 
 use parsleywalk_shares::ResourceLimit;
-use parsleywalk_units::{ConfigurationVersion, WorkspaceName};
+use parsleywalk_units::{ConfigurationVersion, MemoryBytes, MilliCores, ResourceSize, WorkspaceName};
 use serde::{Deserialize, Serialize};
 
+use crate::JobSpec;
+
 /// A secret by which a caller shows that it acts for a workspace. `Debug` hides it.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ApiKey(String);
@@ -49,6 +51,16 @@
 const ROW_BYTES: usize = 64;
 
 impl Workspace {
+    /// Returns why a task or a gang of the job can never run within the limit, or `None` if each can.
+    #[must_use]
+    pub fn limit_error(&self, spec: &JobSpec) -> Option<String> {
+        spec.steps.iter().enumerate().find_map(|(number, step)| {
+            let (tasks, what) = if step.gang { (step.count, "the gang") } else { (1, "a task") };
+            let exceeded = exceeded_bound(&self.limit, &step.size, tasks)?;
+            Some(format!("{what} of step {number} needs {exceeded} of workspace {}", self.name))
+        })
+    }
+
     /// Returns about how many bytes the workspace takes in a log entry, rounded up.
     pub(crate) fn size_hint(&self) -> usize {
         let keys = self.keys.iter().map(|key| ROW_BYTES + key.0.len()).sum::<usize>();
@@ -56,6 +68,24 @@
     }
 }
 
+/// Returns the first resource of which this many tasks need more than the limit permits, with its bound.
+fn exceeded_bound(limit: &ResourceLimit, size: &ResourceSize, tasks: u32) -> Option<String> {
+    let tasks = u64::from(tasks);
+    let cores = u64::from(size.cores.get()) * tasks;
+    if let Some(bound) = limit.cores.filter(|bound| cores > u64::from(bound.get())) {
+        let needed =
+            u32::try_from(cores).map_or((cores / 1000).to_string(), |cores| MilliCores::new(cores).to_string());
+        return Some(format!("{needed} cores, over the limit of {bound}"));
+    }
+    let memory = size.memory.get().saturating_mul(tasks);
+    if let Some(bound) = limit.memory.filter(|bound| memory > bound.get()) {
+        return Some(format!("{} of memory, over the limit of {bound}", MemoryBytes::new(memory)));
+    }
+    let accelerators = u64::from(size.accelerators.get()) * tasks;
+    let bound = limit.accelerators.filter(|bound| accelerators > u64::from(bound.get()))?;
+    Some(format!("{accelerators} accelerators, over the limit of {bound}"))
+}
+
 /// The workspaces of one version of the configuration.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkspaceConfiguration {
@@ -75,6 +105,12 @@
         Some(&self.workspaces[index])
     }
 
+    /// Returns true if the queue at a position of the configuration's list needs no key.
+    #[must_use]
+    pub fn is_public(&self, queue_position: usize) -> bool {
+        self.public_queues.iter().any(|public| *public as usize == queue_position)
+    }
+
     /// Returns the workspace that a key belongs to. Every key is compared, so that the time shows nothing about them.
     #[must_use]
     pub fn owner(&self, key: &ApiKey) -> Option<&Workspace> {
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -21,7 +21,7 @@
 use crate::leader_state::LeaderState;
 use crate::members::{self, MemberView};
 use crate::settings::FleetSettings;
-use crate::waiter::{AppendedProposal, EntryWaiters, QueuedCommands, Waiter};
+use crate::waiter::{AppendedProposal, EntryWaiters, JobRequest, QueuedCommands, Waiter};
 use crate::{FleetMetrics, LeaderReply, LogMessage};
 
 /// The interval between two checks of leases and members.
@@ -258,6 +258,9 @@
     }
 
     fn propose(&mut self, commands: Vec<BatchCommand>, waiter: Waiter) {
+        if let (Some(leader_state), Some(request)) = (&mut self.leader_state, waiter.job_request()) {
+            leader_state.pending_jobs.begin(request.job, request.owner.as_ref());
+        }
         self.queued.push(QueuedCommands { commands, waiter });
     }
 
@@ -368,8 +371,10 @@
 
     /// Releases a waiter whose commands were not committed or may not have been.
     fn abandon(&mut self, waiter: Waiter, reply: LeaderReply) {
+        self.end_job_request(&waiter);
         match waiter {
-            Waiter::Reply(sender) | Waiter::Cancel(sender, _) => sender.send(reply),
+            Waiter::Reply(sender) => sender.send(reply),
+            Waiter::Submit(request) | Waiter::Cancel(request) => request.sender.send(reply),
             Waiter::Report(report) => report.sender.send(LeaderReply::NotLeader { leader: None }),
             Waiter::Plan => {
                 if let Some(leader_state) = &mut self.leader_state {
@@ -440,7 +445,15 @@
         self.leader_state = Some(LeaderState::new(self.settings.dispatch.clone(), FencingToken::new(term.get()), now));
     }
 
+    /// Records that the commands of a waiter are applied or were not committed.
+    fn end_job_request(&mut self, waiter: &Waiter) {
+        if let (Some(leader_state), Some(request)) = (&mut self.leader_state, waiter.job_request()) {
+            leader_state.pending_jobs.end(request.job);
+        }
+    }
+
     fn complete(&mut self, now: MonotonicTime, waiter: Waiter, reply: BatchReply) {
+        self.end_job_request(&waiter);
         match waiter {
             Waiter::Reply(sender) => {
                 let reply = match reply {
@@ -449,7 +462,13 @@
                 };
                 sender.send(reply);
             }
-            Waiter::Cancel(sender, job) => {
+            Waiter::Submit(JobRequest { job, owner, sender }) => {
+                // Another workspace's job with the same id may have been committed first.
+                let stored = self.state.job(job).and_then(|record| record.workspace.as_ref());
+                let is_foreign = self.state.workspaces().is_some() && stored.is_some() && stored != owner.as_ref();
+                sender.send(if is_foreign { LeaderReply::Forbidden } else { LeaderReply::Done });
+            }
+            Waiter::Cancel(JobRequest { job, sender, .. }) => {
                 let is_known = self.state.job(job).is_some_and(|record| !record.is_tombstone());
                 sender.send(if is_known { LeaderReply::Done } else { LeaderReply::NoJob });
             }
--- a/crates/parsleywalk-fleet/src/core/requests.rs
+++ b/crates/parsleywalk-fleet/src/core/requests.rs
@@ -3,14 +3,15 @@
 use std::time::Duration;
 
 use log::info;
-use parsleywalk_batch::{BatchCommand, Dispatcher, JobRefusal, JobSubmission};
+use parsleywalk_batch::{BatchCommand, Dispatcher, JobRefusal};
 use parsleywalk_peer::CallWindow;
 use parsleywalk_units::{MonotonicTime, ZoneDirection};
 
 use super::ReplicaCore;
-use crate::queue_decision::{self, LeaderKnowledge, QueueDecision};
+use crate::leader_state::LeaderState;
+use crate::queue_decision::{self, LeaderKnowledge, OwnedSubmission, QueueDecision, QueueRequest};
 use crate::submission_history::PriorDecision;
-use crate::waiter::{ReplySender, Waiter};
+use crate::waiter::{JobRequest, ReplySender, Waiter};
 use crate::{LeaderReply, LeaderRequest};
 
 /// The maximum number of tombstones; one takes less than 1 KB.
@@ -81,20 +82,26 @@
                 self.propose(vec![BatchCommand::SetZone { zone: zone.clone(), direction }], Waiter::Reply(sender));
             }
             // Not supported yet: answering without a check of the key would disregard ownership.
-            LeaderRequest::KeyedQueue { .. } | LeaderRequest::ConfigureWorkspaces { .. } => {
-                sender.send(LeaderReply::NotReady);
-            }
+            LeaderRequest::ConfigureWorkspaces { .. } => sender.send(LeaderReply::NotReady),
             LeaderRequest::Queue { host, path, action } => {
-                let Some(leader_state) = &self.leader_state else { return };
-                let (state, dispatcher) = (&self.state, &leader_state.dispatcher);
-                let knowledge = LeaderKnowledge { state, dispatcher, now, unix_ms: crate::clock::unix_ms() };
-                let decision = queue_decision::decide(knowledge, &host, &path, action);
-                self.carry_out(now, window, decision, sender);
+                self.handle_queue(now, window, QueueRequest { host, path, action, key: None }, sender);
+            }
+            LeaderRequest::KeyedQueue { host, path, action, key } => {
+                self.handle_queue(now, window, QueueRequest { host, path, action, key: Some(key) }, sender);
             }
         }
         self.advance(now);
     }
 
+    fn handle_queue(&mut self, now: MonotonicTime, window: CallWindow, request: QueueRequest, sender: ReplySender) {
+        let Some(leader_state) = &self.leader_state else { return };
+        let LeaderState { dispatcher, pending_jobs, .. } = leader_state;
+        let unix_ms = crate::clock::unix_ms();
+        let knowledge = LeaderKnowledge { state: &self.state, dispatcher, pending_jobs, now, unix_ms };
+        let decision = queue_decision::decide(knowledge, request);
+        self.carry_out(now, window, decision, sender);
+    }
+
     /// Answers a request that must not take effect any more.
     fn drop_overtaken(&self, now: MonotonicTime, request: &LeaderRequest, window: CallWindow, sender: ReplySender) {
         self.metrics.call_overtaken();
@@ -109,14 +116,16 @@
         match decision {
             QueueDecision::Reply(reply) => sender.send(reply),
             QueueDecision::Submit(submission) => self.submit(now, window, submission, sender),
-            QueueDecision::SubmitCancelled(submission) => {
+            QueueDecision::SubmitCancelled(OwnedSubmission { submission, owner }) => {
                 info!("event=job_cancelled_before_arrival job={} queue={}", submission.job, submission.queue);
-                self.propose(submission.into_cancelled(), Waiter::Reply(sender));
+                let request = JobRequest { job: submission.job, owner: owner.clone(), sender };
+                self.propose(submission.into_cancelled(owner), Waiter::Submit(request));
             }
             QueueDecision::Cancel(job) => {
-                self.propose(vec![BatchCommand::Cancel { job }], Waiter::Cancel(sender, job));
+                let request = JobRequest { job, owner: None, sender };
+                self.propose(vec![BatchCommand::Cancel { job }], Waiter::Cancel(request));
             }
-            QueueDecision::CancelUnknown(tombstone) => {
+            QueueDecision::CancelUnknown(OwnedSubmission { submission: tombstone, owner }) => {
                 let Some(leader_state) = &mut self.leader_state else { return };
                 if leader_state.tombstones >= MAX_TOMBSTONES {
                     let reason = "too many jobs were cancelled before they arrived";
@@ -128,14 +137,15 @@
                 leader_state.tombstones += 1;
                 let job = tombstone.job;
                 // A copy of the job that is committed first stays, and is cancelled.
-                let commands = vec![BatchCommand::Submit(tombstone), BatchCommand::Cancel { job }];
-                self.propose(commands, Waiter::Cancel(sender, job));
+                let commands = vec![tombstone.into_command(owner.clone()), BatchCommand::Cancel { job }];
+                self.propose(commands, Waiter::Cancel(JobRequest { job, owner, sender }));
             }
         }
     }
 
     /// Proposes a job, unless admission control refuses it or may have refused a copy of it.
-    fn submit(&mut self, now: MonotonicTime, window: CallWindow, submission: Box<JobSubmission>, sender: ReplySender) {
+    fn submit(&mut self, now: MonotonicTime, window: CallWindow, job: OwnedSubmission, sender: ReplySender) {
+        let OwnedSubmission { submission, owner } = job;
         let Some(leader_state) = &mut self.leader_state else { return };
         let job = submission.job;
         let history = &mut leader_state.submission_history;
@@ -164,9 +174,11 @@
             return sender.send(LeaderReply::Refused { retry_after, reason: reason.to_owned() });
         }
         if prior != PriorDecision::Accepted {
-            info!("event=job_accepted job={job} queue={queue} steps={steps}");
+            let workspace = owner.as_ref().map(|workspace| format!(" workspace={workspace}")).unwrap_or_default();
+            info!("event=job_accepted job={job} queue={queue} steps={steps}{workspace}");
             self.metrics.job_accepted();
         }
-        self.propose(vec![BatchCommand::Submit(submission)], Waiter::Reply(sender));
+        let request = JobRequest { job, owner: owner.clone(), sender };
+        self.propose(vec![submission.into_command(owner)], Waiter::Submit(request));
     }
 }
--- a/crates/parsleywalk-fleet/src/leader_state.rs
+++ b/crates/parsleywalk-fleet/src/leader_state.rs
@@ -10,6 +10,7 @@
 use parsleywalk_units::{MonotonicTime, VmNumber, WorkerId};
 
 use crate::message::RelayedResponse;
+use crate::pending_jobs::PendingJobs;
 use crate::plan_pacer::PlanPacer;
 use crate::report_relay::MAX_EXCHANGE_BYTES;
 use crate::submission_history::SubmissionHistory;
@@ -42,6 +43,7 @@
     outboxes: SortedMap<VmNumber, RelayOutbox>,
     pub(crate) zone_orders: ZoneOrders,
     pub(crate) submission_history: SubmissionHistory,
+    pub(crate) pending_jobs: PendingJobs,
     /// The number of tombstones, including those that are being committed.
     pub(crate) tombstones: usize,
 }
@@ -60,6 +62,7 @@
             outboxes: SortedMap::default(),
             zone_orders: ZoneOrders::new(now),
             submission_history: SubmissionHistory::new(now),
+            pending_jobs: PendingJobs::default(),
             tombstones: 0,
         }
     }
--- a/crates/parsleywalk-fleet/src/waiter.rs
+++ b/crates/parsleywalk-fleet/src/waiter.rs
@@ -5,7 +5,7 @@
 
 use parsleywalk_batch::{BatchCommand, JobId};
 use parsleywalk_consensus::{LogIndex, LogTerm};
-use parsleywalk_units::{MonotonicTime, WorkerId};
+use parsleywalk_units::{MonotonicTime, WorkerId, WorkspaceName};
 use tokio::sync::oneshot;
 
 use crate::LeaderReply;
@@ -39,13 +39,24 @@
     }
 }
 
+/// A caller's request whose commands change a job.
+#[derive(Debug)]
+pub(crate) struct JobRequest {
+    pub(crate) job: JobId,
+    /// The workspace for which the commands store the job, if any.
+    pub(crate) owner: Option<WorkspaceName>,
+    pub(crate) sender: ReplySender,
+}
+
 /// A request, report or internal action that waits for its proposal to be committed.
 #[derive(Debug)]
 pub(crate) enum Waiter {
     /// A caller's or operator's request.
     Reply(ReplySender),
+    /// A caller's submission of a job.
+    Submit(JobRequest),
     /// A caller's cancel of a job.
-    Cancel(ReplySender, JobId),
+    Cancel(JobRequest),
     /// A worker's report.
     Report(WaitingReport),
     /// A scheduling cycle.
@@ -54,6 +65,16 @@
     Maintenance,
 }
 
+impl Waiter {
+    /// Returns the caller's request if it changes a job.
+    pub(crate) const fn job_request(&self) -> Option<&JobRequest> {
+        match self {
+            Self::Submit(request) | Self::Cancel(request) => Some(request),
+            Self::Reply(_) | Self::Report(_) | Self::Plan | Self::Maintenance => None,
+        }
+    }
+}
+
 /// A report that is answered once its commands are committed, and then once there are orders or `hold_until` has
 /// passed.
 #[derive(Debug)]
