Propose workspaces only once every replica supports them

A replica of release 1 exits when it decodes a log entry with workspaces, and a leader of release 1 cannot decode a request with a key. Replies now carry the header parsleywalk-release, which CallClient remembers for as long as the connection is open, since another release may run there after a restart. The leader asks the other replicas, learners included, with Locate until it knows their releases, and answers a configuration with workspaces with NotReady while one is unknown or 1, unless the state shows that a command of release 2 was applied. A daemon sends no request of release 2 to a leader of release 1.

A configuration and its workspaces are committed in one entry. While another configuration is being committed, a request only waits for it: a second proposal of the same version could activate workspaces with another configuration's queues.

Debug hides the texts of configurations, the headers and bodies of HTTP requests and the bodies of responses, since all may hold keys. The platform's settings use update syntax for the release, which only tests set.

--- a/crates/parsleywalk-batch/src/queues.rs
+++ b/crates/parsleywalk-batch/src/queues.rs
@@ -1,5 +1,6 @@
 //! Configuration of job queues and worker pools.
 
+use std::fmt::{self, Debug, Formatter};
 use std::time::Duration;
 
 use parsleywalk_units::{ConfigurationVersion, ServiceName};
@@ -49,8 +50,8 @@
     pub standby: bool,
 }
 
-/// One version of the configuration.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+/// One version of the configuration. `Debug` hides the text, which holds the keys of workspaces.
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
 pub struct QueueConfiguration {
     /// The version; the highest one is active.
     pub version: ConfigurationVersion,
@@ -64,6 +65,14 @@
     pub body_limit: usize,
 }
 
+impl Debug for QueueConfiguration {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let mut debug = formatter.debug_struct("QueueConfiguration");
+        debug.field("version", &self.version).field("text_bytes", &self.text.len()).field("queues", &self.queues);
+        debug.field("pools", &self.pools).field("body_limit", &self.body_limit).finish()
+    }
+}
+
 impl QueueConfiguration {
     /// Returns the queue with the matching host and the longest matching path prefix.
     #[must_use]
--- a/crates/parsleywalk-batch/src/state.rs
+++ b/crates/parsleywalk-batch/src/state.rs
@@ -132,6 +132,12 @@
         self.workspaces.as_ref()
     }
 
+    /// Returns true if the state shows that a command of release 2 was applied, so that every replica supports them.
+    #[must_use]
+    pub fn has_workspaces(&self) -> bool {
+        self.workspaces.is_some() || self.jobs.iter().any(|(_, record)| record.workspace.is_some())
+    }
+
     /// Returns the resources allocated to the placed runs of a workspace. Best-effort runs count with their cores.
     #[must_use]
     pub fn workspace_allocation(&self, workspace: &WorkspaceName) -> ResourceSize {
--- a/crates/parsleywalk-fleet/src/access.rs
+++ b/crates/parsleywalk-fleet/src/access.rs
@@ -43,6 +43,7 @@
             vm: settings.vm(),
             incarnation: process_incarnation(),
             clock,
+            release: settings.release,
             zone: settings.zone.clone(),
             listen: settings.peer_address(settings.vm()),
             ..PeerSettings::default()
--- a/crates/parsleywalk-fleet/src/client.rs
+++ b/crates/parsleywalk-fleet/src/client.rs
@@ -6,10 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::info;
+use log::{debug, info};
 use parsleywalk_batch::SortedMap;
 use parsleywalk_consensus::LogTerm;
-use parsleywalk_peer::{CallClient, CallError, CallWindow, PeerError, PeerSettings, SteadyClock};
+use parsleywalk_peer::{CallClient, CallError, CallWindow, DaemonRelease, PeerError, PeerSettings, SteadyClock};
 use parsleywalk_units::{MonotonicTime, VmNumber};
 use tokio::time;
 
@@ -160,14 +160,21 @@
                 continue;
             };
             let call_client = self.call_client(leader);
-            // The window can be sent only after a reply with a reading of the leader's clock.
-            if !call_client.has_reply() {
+            // The window can be sent only after a reply with a reading of the leader's clock, and a request that not every
+            // release can decode only after a reply with the leader's release.
+            let release = call_client.remote_release();
+            let is_plain = request.release() == DaemonRelease::FIRST;
+            if !call_client.has_reply() || (release.is_none() && !is_plain) {
                 let located = call_client.call(&LeaderRequest::Locate, None, remaining.min(LOCATE_TIMEOUT)).await;
                 if let Err(error) = located.map(|_: LeaderReply| ()) {
                     self.handle_failure(leader, now, &error).await;
                 }
                 continue;
             }
+            if release.is_some_and(|release| release < request.release()) {
+                debug!("event=leader_not_ready peer={} request={request}", self.fleet.peer_address(leader));
+                return Ok((leader, LeaderReply::NotReady));
+            }
             match call_client.call(request, Some(window), remaining.min(ATTEMPT_TIMEOUT)).await {
                 Ok(LeaderReply::NotLeader { leader: hint }) => {
                     if self.leader.get() == Some(leader) {
@@ -320,6 +327,37 @@
         }
     }
 
+    /// Returns the release of a replica, or `None` if it is unknown.
+    pub(crate) fn release(&self, vm: VmNumber) -> Option<DaemonRelease> {
+        self.call_clients.borrow().get(&vm)?.remote_release()
+    }
+
+    /// Asks the replicas whose releases are unknown for a reply, which names them.
+    pub(crate) async fn query_releases(&self, replicas: &[VmNumber]) {
+        let (sender, replies) = flume::unbounded();
+        for vm in replicas.iter().copied().filter(|vm| self.release(*vm).is_none()) {
+            let (call_client, sender) = (self.call_client(vm), sender.clone());
+            tokio::task::spawn_local(async move {
+                let reply = call_client.call(&LeaderRequest::Locate, None, LOCATE_TIMEOUT).await;
+                drop(sender.send((vm, call_client, reply.map(|_: LeaderReply| ()))));
+            });
+        }
+        drop(sender);
+        while let Ok((vm, call_client, reply)) = replies.recv_async().await {
+            match reply {
+                Ok(()) => {
+                    let release = call_client.remote_release();
+                    info!("event=replica_release vm={vm} release={}", release.unwrap_or(DaemonRelease::FIRST));
+                }
+                Err(error) => {
+                    debug!("event=replica_release_unknown vm={vm} error={:?}", error.to_string());
+                    // The connection may be dead; the next query opens another one.
+                    self.call_clients.borrow_mut().remove(&vm);
+                }
+            }
+        }
+    }
+
     fn call_client(&self, vm: VmNumber) -> Rc<CallClient> {
         let mut call_clients = self.call_clients.borrow_mut();
         let make = || Rc::new(CallClient::new(Arc::clone(&self.settings), self.fleet.peer_address(vm)));
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -15,6 +15,7 @@
     ConsensusAction, ConsensusEvent, ConsensusMessage, ConsensusNode, EntryPayload, LogEntry, LogTerm, LogWrite,
     ProposalId, ReplicaId, ReplicaRole, WriteTicket,
 };
+use parsleywalk_peer::DaemonRelease;
 use parsleywalk_units::{MonotonicTime, VmNumber, WorkerId, ZoneName};
 
 use crate::held_reports::HeldReports;
@@ -66,6 +67,8 @@
     /// The workers on which runs have been placed since the held reports were last examined.
     placed_workers: Vec<WorkerId>,
     zones: SortedMap<VmNumber, ZoneName>,
+    /// The releases of the other replicas, as known when the last configuration with workspaces was received.
+    releases: SortedMap<VmNumber, DaemonRelease>,
     outputs: Vec<CoreOutput>,
     metrics: FleetMetrics,
 }
@@ -86,6 +89,7 @@
             held: HeldReports::default(),
             placed_workers: Vec::new(),
             zones,
+            releases: SortedMap::default(),
             outputs: Vec::new(),
             metrics,
         }
@@ -139,6 +143,23 @@
         self.metrics.record_state(&self.state, crate::clock::unix_ms());
     }
 
+    /// Returns the replicas whose releases this one has to know: all others while it leads and no workspaces are active.
+    pub(crate) fn replicas_to_query(&self, now: MonotonicTime) -> Vec<VmNumber> {
+        let is_needed = self.is_leader(now) && self.state.workspaces().is_none();
+        if is_needed { self.other_replicas() } else { Vec::new() }
+    }
+
+    /// Returns the VMs of the other replicas that receive the log, while this replica leads.
+    fn other_replicas(&self) -> Vec<VmNumber> {
+        let status = self.node.status();
+        let peers = status.peers.iter().filter(|peer| peer.role != ReplicaRole::Observer).map(|peer| peer.id.vm);
+        let members = status.voters.iter().chain(&status.outgoing).map(|voter| voter.vm);
+        let mut replicas: Vec<VmNumber> = peers.chain(members).filter(|vm| *vm != status.id.vm).collect();
+        replicas.sort_unstable();
+        replicas.dedup();
+        replicas
+    }
+
     fn locate_reply(&self) -> LeaderReply {
         LeaderReply::Located {
             leader: self.leader(),
@@ -154,6 +175,16 @@
         self.node.add_contact_point(vm);
     }
 
+    /// Records the releases of the other replicas.
+    pub(crate) fn record_releases(&mut self, release: impl Fn(VmNumber) -> Option<DaemonRelease>) {
+        self.releases = SortedMap::default();
+        for vm in self.other_replicas() {
+            if let Some(release) = release(vm) {
+                self.releases.insert(vm, release);
+            }
+        }
+    }
+
     pub(crate) fn handle_message(&mut self, now: MonotonicTime, vm: VmNumber, zone: ZoneName, message: LogMessage) {
         self.zones.insert(vm, zone);
         let own = self.node.id();
@@ -258,8 +289,8 @@
     }
 
     fn propose(&mut self, commands: Vec<BatchCommand>, waiter: Waiter) {
-        if let (Some(leader_state), Some(request)) = (&mut self.leader_state, waiter.job_request()) {
-            leader_state.pending_jobs.begin(request.job, request.owner.as_ref());
+        if let Some(leader_state) = &mut self.leader_state {
+            leader_state.begin_request(&waiter);
         }
         self.queued.push(QueuedCommands { commands, waiter });
     }
@@ -371,9 +402,11 @@
 
     /// Releases a waiter whose commands were not committed or may not have been.
     fn abandon(&mut self, waiter: Waiter, reply: LeaderReply) {
-        self.end_job_request(&waiter);
+        if let Some(leader_state) = &mut self.leader_state {
+            leader_state.end_request(&waiter);
+        }
         match waiter {
-            Waiter::Reply(sender) => sender.send(reply),
+            Waiter::Reply(sender) | Waiter::Configure(sender, _) => sender.send(reply),
             Waiter::Submit(request) | Waiter::Cancel(request) => request.sender.send(reply),
             Waiter::Report(report) => report.sender.send(LeaderReply::NotLeader { leader: None }),
             Waiter::Plan => {
@@ -445,16 +478,15 @@
         self.leader_state = Some(LeaderState::new(self.settings.dispatch.clone(), FencingToken::new(term.get()), now));
     }
 
-    /// Records that the commands of a waiter are applied or were not committed.
-    fn end_job_request(&mut self, waiter: &Waiter) {
-        if let (Some(leader_state), Some(request)) = (&mut self.leader_state, waiter.job_request()) {
-            leader_state.pending_jobs.end(request.job);
-        }
-    }
-
     fn complete(&mut self, now: MonotonicTime, waiter: Waiter, reply: BatchReply) {
-        self.end_job_request(&waiter);
+        if let Some(leader_state) = &mut self.leader_state {
+            leader_state.end_request(&waiter);
+        }
         match waiter {
+            Waiter::Configure(sender, version) => {
+                let active = self.state.configuration().map(|configuration| configuration.version);
+                sender.send(if active >= Some(version) { LeaderReply::Done } else { LeaderReply::NotReady });
+            }
             Waiter::Reply(sender) => {
                 let reply = match reply {
                     BatchReply::Done => LeaderReply::Done,
--- a/crates/parsleywalk-fleet/src/core/requests.rs
+++ b/crates/parsleywalk-fleet/src/core/requests.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use log::info;
-use parsleywalk_batch::{BatchCommand, Dispatcher, JobRefusal};
-use parsleywalk_peer::CallWindow;
-use parsleywalk_units::{MonotonicTime, ZoneDirection};
+use parsleywalk_batch::{BatchCommand, Dispatcher, JobRefusal, QueueConfiguration, WorkspaceConfiguration};
+use parsleywalk_peer::{CallWindow, DaemonRelease};
+use parsleywalk_units::{MonotonicTime, VmNumber, ZoneDirection};
 
 use super::ReplicaCore;
 use crate::leader_state::LeaderState;
@@ -61,15 +61,7 @@
                 });
                 sender.send(reply);
             }
-            LeaderRequest::Configure(configuration) => {
-                let active = self.state.configuration().map(|current| current.version);
-                info!("event=configuration_received version={} held={active:?}", configuration.version);
-                if active.is_some_and(|active| active >= configuration.version) {
-                    sender.send(LeaderReply::Done);
-                } else {
-                    self.propose(vec![BatchCommand::Configure(configuration)], Waiter::Reply(sender));
-                }
-            }
+            LeaderRequest::Configure(configuration) => self.configure(configuration, None, sender),
             LeaderRequest::SetZone { ref zone, direction } => {
                 let is_out = self.state.is_out_of_service(zone);
                 let active = if is_out { ZoneDirection::Out } else { ZoneDirection::In };
@@ -81,8 +73,9 @@
                 info!("event=zone_change zone={zone} direction={direction} age_ms={age_ms}");
                 self.propose(vec![BatchCommand::SetZone { zone: zone.clone(), direction }], Waiter::Reply(sender));
             }
-            // Not supported yet: answering without a check of the key would disregard ownership.
-            LeaderRequest::ConfigureWorkspaces { .. } => sender.send(LeaderReply::NotReady),
+            LeaderRequest::ConfigureWorkspaces { configuration, workspaces } => {
+                self.configure(configuration, Some(workspaces), sender);
+            }
             LeaderRequest::Queue { host, path, action } => {
                 self.handle_queue(now, window, QueueRequest { host, path, action, key: None }, sender);
             }
@@ -93,6 +86,53 @@
         self.advance(now);
     }
 
+    /// Proposes a configuration, with its workspaces if it has any, unless a newer one is active.
+    fn configure(
+        &mut self,
+        configuration: Box<QueueConfiguration>,
+        workspaces: Option<Box<WorkspaceConfiguration>>,
+        sender: ReplySender,
+    ) {
+        let version = configuration.version;
+        let active = self.state.configuration().map(|current| current.version);
+        info!("event=configuration_received version={version} held={active:?} workspaces={}", workspaces.is_some());
+        if active.is_some_and(|active| active >= version) {
+            return sender.send(LeaderReply::Done);
+        }
+        let Some(workspaces) = workspaces else {
+            let commands = vec![BatchCommand::Configure(configuration)];
+            return self.propose(commands, Waiter::Configure(sender, version));
+        };
+        if workspaces.version != version {
+            let reason = format!("the workspaces are those of version {}, not {version}", workspaces.version);
+            return sender.send(LeaderReply::Invalid(reason));
+        }
+        if let Some((vm, release)) = self.unready_replica() {
+            let release = release.map_or_else(|| "unknown".to_owned(), |release| release.to_string());
+            info!("event=configuration_not_ready version={version} replica={vm} release={release}");
+            return sender.send(LeaderReply::NotReady);
+        }
+        let Some(leader_state) = &self.leader_state else { return };
+        // Without effect if another configuration of the version is committed first. The workspaces alone would then take
+        // effect with that one's queues.
+        let commands = if leader_state.pending_configurations > 0 {
+            Vec::new()
+        } else {
+            vec![BatchCommand::Configure(configuration), BatchCommand::ConfigureWorkspaces(workspaces)]
+        };
+        self.propose(commands, Waiter::Configure(sender, version));
+    }
+
+    /// Returns a replica that is not known to support the commands about workspaces, with its release. One that has
+    /// applied such a command is known to support them.
+    fn unready_replica(&self) -> Option<(VmNumber, Option<DaemonRelease>)> {
+        if self.state.has_workspaces() {
+            return None;
+        }
+        let mut replicas = self.other_replicas().into_iter().map(|vm| (vm, self.releases.get(&vm).copied()));
+        replicas.find(|(_, release)| release.is_none_or(|release| release < DaemonRelease::WORKSPACES))
+    }
+
     fn handle_queue(&mut self, now: MonotonicTime, window: CallWindow, request: QueueRequest, sender: ReplySender) {
         let Some(leader_state) = &self.leader_state else { return };
         let LeaderState { dispatcher, pending_jobs, .. } = leader_state;
--- a/crates/parsleywalk-fleet/src/http.rs
+++ b/crates/parsleywalk-fleet/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::fmt::{self, Debug, Formatter};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -58,8 +59,7 @@
     }
 }
 
-/// A completely received request.
-#[derive(Debug)]
+/// A completely received request. `Debug` hides the headers and the body, which may hold keys.
 pub struct HttpRequest {
     /// The method, URI and headers.
     pub head: hyper::http::request::Parts,
@@ -67,6 +67,14 @@
     pub body: Bytes,
 }
 
+impl Debug for HttpRequest {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let mut debug = formatter.debug_struct("HttpRequest");
+        debug.field("method", &self.head.method).field("path", &self.path());
+        debug.field("body_bytes", &self.body.len()).finish_non_exhaustive()
+    }
+}
+
 impl HttpRequest {
     /// Returns the value of a header, or `None` if it is missing or not visible ASCII.
     #[must_use]
@@ -81,8 +89,8 @@
     }
 }
 
-/// A response to an HTTP request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// A response to an HTTP request. `Debug` hides the body, which may hold keys.
+#[derive(Clone, PartialEq, Eq)]
 pub struct HttpResponse {
     /// The status code.
     pub status: u16,
@@ -94,6 +102,14 @@
     pub retry_after: Option<Duration>,
 }
 
+impl Debug for HttpResponse {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let mut debug = formatter.debug_struct("HttpResponse");
+        debug.field("status", &self.status).field("body_bytes", &self.body.len());
+        debug.field("media_type", &self.media_type).field("retry_after", &self.retry_after).finish()
+    }
+}
+
 impl HttpResponse {
     /// Creates a response with an empty body.
     #[must_use]
--- a/crates/parsleywalk-fleet/src/leader_state.rs
+++ b/crates/parsleywalk-fleet/src/leader_state.rs
@@ -14,7 +14,7 @@
 use crate::plan_pacer::PlanPacer;
 use crate::report_relay::MAX_EXCHANGE_BYTES;
 use crate::submission_history::SubmissionHistory;
-use crate::waiter::RelayOutbox;
+use crate::waiter::{RelayOutbox, Waiter};
 use crate::zone_orders::ZoneOrders;
 
 /// The maximum number of ended jobs removed by one command.
@@ -44,6 +44,8 @@
     pub(crate) zone_orders: ZoneOrders,
     pub(crate) submission_history: SubmissionHistory,
     pub(crate) pending_jobs: PendingJobs,
+    /// The number of requests with configurations that are being committed.
+    pub(crate) pending_configurations: usize,
     /// The number of tombstones, including those that are being committed.
     pub(crate) tombstones: usize,
 }
@@ -63,10 +65,31 @@
             zone_orders: ZoneOrders::new(now),
             submission_history: SubmissionHistory::new(now),
             pending_jobs: PendingJobs::default(),
+            pending_configurations: 0,
             tombstones: 0,
         }
     }
 
+    /// Records that the commands of a request are being committed.
+    pub(crate) fn begin_request(&mut self, waiter: &Waiter) {
+        match waiter {
+            Waiter::Submit(request) | Waiter::Cancel(request) => {
+                self.pending_jobs.begin(request.job, request.owner.as_ref());
+            }
+            Waiter::Configure(..) => self.pending_configurations += 1,
+            Waiter::Reply(_) | Waiter::Report(_) | Waiter::Plan | Waiter::Maintenance => {}
+        }
+    }
+
+    /// Records that the commands of a request are applied or were not committed.
+    pub(crate) fn end_request(&mut self, waiter: &Waiter) {
+        match waiter {
+            Waiter::Submit(request) | Waiter::Cancel(request) => self.pending_jobs.end(request.job),
+            Waiter::Configure(..) => self.pending_configurations -= 1,
+            Waiter::Reply(_) | Waiter::Report(_) | Waiter::Plan | Waiter::Maintenance => {}
+        }
+    }
+
     /// Returns the outbox of a follower.
     pub(crate) fn outbox(&mut self, follower: VmNumber) -> RelayOutbox {
         Rc::clone(self.outboxes.entry(follower, RelayOutbox::default))
--- a/crates/parsleywalk-fleet/src/message.rs
+++ b/crates/parsleywalk-fleet/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between daemons.
 
-use std::fmt::{self, Display, Formatter};
+use std::fmt::{self, Debug, Display, Formatter};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
     ApiKey, JobSpec, JobStatus, QueueConfiguration, ReportResponse, WorkerReport, WorkspaceConfiguration,
 };
 use parsleywalk_consensus::{ConsensusMessage, LogTerm, ReplicaId};
+use parsleywalk_peer::DaemonRelease;
 use parsleywalk_units::{ConfigurationVersion, Incarnation, VmNumber, WorkerId, ZoneDirection, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -105,6 +106,23 @@
     }
 }
 
+impl LeaderRequest {
+    /// Returns the first release that can decode the request.
+    pub(crate) const fn release(&self) -> DaemonRelease {
+        match self {
+            Self::KeyedQueue { .. } | Self::ConfigureWorkspaces { .. } => DaemonRelease::WORKSPACES,
+            Self::Locate
+            | Self::Queue { .. }
+            | Self::Report(_)
+            | Self::Leave { .. }
+            | Self::Configure(_)
+            | Self::ReadConfiguration
+            | Self::SetZone { .. }
+            | Self::Relay { .. } => DaemonRelease::FIRST,
+        }
+    }
+}
+
 impl Display for LeaderRequest {
     /// Writes what the request is about, for the log.
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
@@ -136,8 +154,8 @@
     pub response: ReportResponse,
 }
 
-/// The reply to a [`LeaderRequest`].
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+/// The reply to a [`LeaderRequest`]. `Debug` hides the text of a configuration, which holds the keys of workspaces.
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
 pub enum LeaderReply {
     /// The replica does not lead, and the request had no effect.
     NotLeader {
@@ -202,3 +220,40 @@
     /// repeated.
     NotReady,
 }
+
+impl Debug for LeaderReply {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotLeader { leader } => formatter.debug_struct("NotLeader").field("leader", leader).finish(),
+            Self::Located { leader, term, members } => {
+                let mut debug = formatter.debug_struct("Located");
+                debug.field("leader", leader).field("term", term).field("members", members).finish()
+            }
+            Self::Uncertain => formatter.write_str("Uncertain"),
+            Self::Done => formatter.write_str("Done"),
+            Self::Status(status) => formatter.debug_tuple("Status").field(status).finish(),
+            Self::Waiting(waiting) => formatter.debug_tuple("Waiting").field(waiting).finish(),
+            Self::NoQueue => formatter.write_str("NoQueue"),
+            Self::NoJob => formatter.write_str("NoJob"),
+            Self::NoConfiguration => formatter.write_str("NoConfiguration"),
+            Self::Invalid(reason) => formatter.debug_tuple("Invalid").field(reason).finish(),
+            Self::Refused { retry_after, reason } => {
+                let mut debug = formatter.debug_struct("Refused");
+                debug.field("retry_after", retry_after).field("reason", reason).finish()
+            }
+            Self::Report(response) => formatter.debug_tuple("Report").field(response).finish(),
+            Self::Configuration { version, text } => {
+                let mut debug = formatter.debug_struct("Configuration");
+                debug.field("version", version).field("text_bytes", &text.len()).finish()
+            }
+            Self::Relayed { responses, is_gathering } => {
+                let mut debug = formatter.debug_struct("Relayed");
+                debug.field("responses", responses).field("is_gathering", is_gathering).finish()
+            }
+            Self::Overtaken => formatter.write_str("Overtaken"),
+            Self::Unauthorized => formatter.write_str("Unauthorized"),
+            Self::Forbidden => formatter.write_str("Forbidden"),
+            Self::NotReady => formatter.write_str("NotReady"),
+        }
+    }
+}
--- a/crates/parsleywalk-fleet/src/queue_decision_tests.rs
+++ b/crates/parsleywalk-fleet/src/queue_decision_tests.rs
@@ -163,14 +163,16 @@
     Unowned,
 }
 
+/// What is known, the key and the path of a request, its action, and the summary of the decision.
+type OwnershipRow = (Known, Option<&'static str>, &'static str, fn() -> QueueAction, &'static str);
+
 /// Guards against requests that reach another workspace's job or go without a key, whatever the queue: a submission that
 /// is being committed and a tombstone have owners too.
 #[test]
 fn keys_decide_who_may_use_a_job() {
     let read = || QueueAction::Read;
     let cancel = || QueueAction::Cancel;
-    type Row = (Known, Option<&'static str>, &'static str, fn() -> QueueAction, &'static str);
-    let rows: &[Row] = &[
+    let rows: &[OwnershipRow] = &[
         (Known::Nothing, None, "/other/00000000000000aa", read, "NoQueue"),
         (Known::Nothing, None, "/checks/", read, "Unauthorized"),
         (Known::Nothing, Some("b1"), "/checks/", read, "Waiting(0)"),
--- a/crates/parsleywalk-fleet/src/replica.rs
+++ b/crates/parsleywalk-fleet/src/replica.rs
@@ -37,6 +37,9 @@
 /// The interval between two searches for members while no leader is known.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The interval between two queries for the releases of other replicas while this one leads.
+const RELEASE_QUERY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// A replica of the batch state. Its tasks run on a `LocalSet`.
 pub(crate) struct Replica {
     core: RefCell<ReplicaCore>,
@@ -149,9 +152,20 @@
         tokio::task::spawn_local(async move { replica.run_timer().await });
         let replica = Rc::clone(&self);
         tokio::task::spawn_local(async move { replica.relay.run().await });
+        let replica = Rc::clone(&self);
+        tokio::task::spawn_local(async move { replica.query_releases().await });
         tokio::task::spawn_local(async move { self.search_members().await });
     }
 
+    /// Learns the releases of the other replicas while they decide what this one, as the leader, may propose.
+    async fn query_releases(&self) {
+        loop {
+            time::sleep(RELEASE_QUERY_INTERVAL).await;
+            let replicas = self.core.borrow().replicas_to_query(self.clock.now());
+            self.client.query_releases(&replicas).await;
+        }
+    }
+
     /// Ticks the core at each of its deadlines.
     async fn run_timer(&self) {
         loop {
@@ -238,7 +252,12 @@
 
     fn handle_request(&self, request: LeaderRequest, window: CallWindow) -> oneshot::Receiver<LeaderReply> {
         let (sender, reply) = oneshot::channel();
-        self.step(|core, now| core.handle_request(now, request, window, ReplySender::Task(sender)));
+        self.step(|core, now| {
+            if matches!(request, LeaderRequest::ConfigureWorkspaces { .. }) {
+                core.record_releases(|vm| self.client.release(vm));
+            }
+            core.handle_request(now, request, window, ReplySender::Task(sender));
+        });
         reply
     }
 
--- a/crates/parsleywalk-fleet/src/settings.rs
+++ b/crates/parsleywalk-fleet/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use parsleywalk_batch::DispatchSettings;
+use parsleywalk_peer::DaemonRelease;
 use parsleywalk_units::{VmNumber, ZoneName};
 
 /// Settings of a daemon and its replica.
@@ -28,6 +29,8 @@
     pub dispatch: DispatchSettings,
     /// How long the status of an ended job is kept.
     pub retention: Duration,
+    /// The release that this daemon names to others. Tests set an earlier one.
+    pub release: DaemonRelease,
 }
 
 impl Default for FleetSettings {
@@ -42,6 +45,7 @@
             voters: 3,
             dispatch: DispatchSettings::default(),
             retention: Duration::from_mins(4),
+            release: DaemonRelease::CURRENT,
         }
     }
 }
--- a/crates/parsleywalk-fleet/src/waiter.rs
+++ b/crates/parsleywalk-fleet/src/waiter.rs
@@ -5,7 +5,7 @@
 
 use parsleywalk_batch::{BatchCommand, JobId};
 use parsleywalk_consensus::{LogIndex, LogTerm};
-use parsleywalk_units::{MonotonicTime, WorkerId, WorkspaceName};
+use parsleywalk_units::{ConfigurationVersion, MonotonicTime, WorkerId, WorkspaceName};
 use tokio::sync::oneshot;
 
 use crate::LeaderReply;
@@ -53,6 +53,8 @@
 pub(crate) enum Waiter {
     /// A caller's or operator's request.
     Reply(ReplySender),
+    /// An operator's configuration, with its version.
+    Configure(ReplySender, ConfigurationVersion),
     /// A caller's submission of a job.
     Submit(JobRequest),
     /// A caller's cancel of a job.
@@ -65,16 +67,6 @@
     Maintenance,
 }
 
-impl Waiter {
-    /// Returns the caller's request if it changes a job.
-    pub(crate) const fn job_request(&self) -> Option<&JobRequest> {
-        match self {
-            Self::Submit(request) | Self::Cancel(request) => Some(request),
-            Self::Reply(_) | Self::Report(_) | Self::Plan | Self::Maintenance => None,
-        }
-    }
-}
-
 /// A report that is answered once its commands are committed, and then once there are orders or `hold_until` has
 /// passed.
 #[derive(Debug)]
--- a/crates/parsleywalk-peer/src/call.rs
+++ b/crates/parsleywalk-peer/src/call.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,7 +20,7 @@
 use crate::call_window::{CallWindow, ClockReading, RemoteClock, WindowHeader};
 use crate::frame::{self, FrameBuffer};
 use crate::hello::{StreamHello, tokens_match};
-use crate::{PeerError, PeerIdentity, PeerSettings, Result, keepalive, outbound};
+use crate::{DaemonRelease, PeerError, PeerIdentity, PeerSettings, Result, keepalive, outbound};
 
 /// The HTTP path of the streams that are used for calls.
 pub(crate) const CALL_PATH: &str = "/call";
@@ -80,10 +81,19 @@
 pub struct CallClient {
     settings: Arc<PeerSettings>,
     peer: SocketAddr,
-    connection: Arc<Mutex<Option<SendRequest<Bytes>>>>,
+    connection: Arc<Mutex<Option<CallConnection>>>,
     remote_clock: Cell<RemoteClock>,
 }
 
+/// An open connection.
+#[derive(Debug, Clone)]
+struct CallConnection {
+    sender: SendRequest<Bytes>,
+    /// The release in the last reply, or 0 before the first. Another release may run at the other end of the next
+    /// connection.
+    release: Arc<AtomicU16>,
+}
+
 impl CallClient {
     /// Creates a client without connecting.
     #[must_use]
@@ -104,6 +114,15 @@
         self.remote_clock.get() != RemoteClock::Unknown
     }
 
+    /// Returns the release of the daemon, or `None` if no reply has arrived on the open connection.
+    #[must_use]
+    pub fn remote_release(&self) -> Option<DaemonRelease> {
+        // Locked only while a connection is being opened.
+        let connection = self.connection.try_lock().ok()?;
+        let number = connection.as_ref()?.release.load(Ordering::Relaxed);
+        (number > 0).then(|| DaemonRelease::new(number))
+    }
+
     /// Sends a request and waits for the reply. The window, on this daemon's clock, is sent along once a reply of the
     /// daemon has arrived; see [`CallClient::has_reply`].
     ///
@@ -120,18 +139,19 @@
         let peer = self.peer;
         let deadline = time::Instant::now() + timeout;
         let opened = time::timeout_at(deadline, self.open_stream(request, window)).await;
-        let (response, stream) =
+        let (response, stream, connection) =
             opened.unwrap_or(Err(PeerError::Timeout { step: "connect", peer })).map_err(CallError::NotSent)?;
         // Held until the reply has arrived, because dropping it would reset the stream.
         let _stream = stream;
         let received = time::timeout_at(deadline, receive_reply(response, self.settings.frame_limit, peer)).await;
-        let (reading, bytes) = match received {
+        let ReceivedReply { reading, release, bytes } = match received {
             Ok(received) => received.map_err(CallError::Unknown)?,
             Err(_) => return Err(CallError::Unknown(PeerError::Timeout { step: "call", peer })),
         };
         let mut remote_clock = self.remote_clock.get();
         remote_clock.record(reading, self.settings.clock.now());
         self.remote_clock.set(remote_clock);
+        connection.release.store(release.get(), Ordering::Relaxed);
         frame::decode(&bytes).map_err(|reason| CallError::Unknown(PeerError::Frame { peer, reason }))
     }
 
@@ -139,34 +159,34 @@
         &self,
         request: &Q,
         window: Option<CallWindow>,
-    ) -> Result<(h2::client::ResponseFuture, SendStream<Bytes>)> {
+    ) -> Result<(h2::client::ResponseFuture, SendStream<Bytes>, CallConnection)> {
         let peer = self.peer;
         let frame_error = |reason| PeerError::Frame { peer, reason };
         let stream_error = |cause| PeerError::Stream { step: "open call", peer, cause };
         let hello = StreamHello { identity: self.settings.identity(), token: self.settings.token.clone() };
         let hello = frame::encode(&hello).map_err(frame_error)?;
         let body = frame::encode(request).map_err(frame_error)?;
-        let sender = self.sender().await?;
+        let connection = self.connection().await?;
         let mut head = Request::post(format!("http://peer{CALL_PATH}")).body(()).expect("a valid request");
         if let Some(header) = window.and_then(|window| self.remote_clock.get().window_header(window)) {
             header.add_to(head.headers_mut());
         }
-        let mut sender = sender.ready().await.map_err(stream_error)?;
+        let mut sender = connection.sender.clone().ready().await.map_err(stream_error)?;
         let (response, mut stream) = sender.send_request(head, false).map_err(stream_error)?;
         // Both frames are queued together; the connection sends them as flow control permits.
         let mut bytes = Vec::with_capacity(hello.len() + body.len());
         bytes.extend_from_slice(&hello);
         bytes.extend_from_slice(&body);
         stream.send_data(Bytes::from(bytes), true).map_err(stream_error)?;
-        Ok((response, stream))
+        Ok((response, stream, connection))
     }
 
-    /// Returns the sender of the open connection, connecting if there is none.
-    async fn sender(&self) -> Result<SendRequest<Bytes>> {
+    /// Returns the open connection, connecting if there is none.
+    async fn connection(&self) -> Result<CallConnection> {
         let peer = self.peer;
         let mut connection = self.connection.lock().await;
-        if let Some(sender) = connection.as_ref() {
-            return Ok(sender.clone());
+        if let Some(open) = connection.as_ref() {
+            return Ok(open.clone());
         }
         let opened = time::timeout(self.settings.connect_timeout, outbound::connect(peer)).await;
         let (sender, mut driver) = opened.map_err(|_| PeerError::Timeout { step: "connect", peer })??;
@@ -187,21 +207,26 @@
                 *shared.lock().await = None;
             }
         });
-        *connection = Some(sender.clone());
-        Ok(sender)
+        let open = CallConnection { sender, release: Arc::default() };
+        *connection = Some(open.clone());
+        Ok(open)
     }
 }
 
-/// Returns the reply and the reading of the daemon's clock that came with it.
-async fn receive_reply(
-    response: h2::client::ResponseFuture,
-    limit: usize,
-    peer: SocketAddr,
-) -> Result<(Option<ClockReading>, Bytes)> {
+/// A reply with what its headers say of the daemon.
+struct ReceivedReply {
+    /// The reading of the daemon's clock, if its release sends one.
+    reading: Option<ClockReading>,
+    release: DaemonRelease,
+    bytes: Bytes,
+}
+
+async fn receive_reply(response: h2::client::ResponseFuture, limit: usize, peer: SocketAddr) -> Result<ReceivedReply> {
     let response = response.await.map_err(|cause| PeerError::Stream { step: "call", peer, cause })?;
     let reading = ClockReading::from_headers(response.headers());
+    let release = DaemonRelease::from_headers(response.headers());
     let bytes = receive_frame(&mut response.into_body(), &mut FrameBuffer::new(limit), peer).await?;
-    Ok((reading, bytes))
+    Ok(ReceivedReply { reading, release, bytes })
 }
 
 async fn receive_frame(body: &mut RecvStream, buffer: &mut FrameBuffer, peer: SocketAddr) -> Result<Bytes> {
@@ -244,6 +269,7 @@
     let send_error = |cause| PeerError::Stream { step: "reply", peer, cause };
     let mut head = Response::new(());
     ClockReading { incarnation: settings.incarnation, time: settings.clock.now() }.add_to(head.headers_mut());
+    settings.release.add_to(head.headers_mut());
     let mut stream = response.send_response(head, false).map_err(send_error)?;
     stream.send_data(bytes, true).map_err(send_error)
 }
--- a/crates/parsleywalk-peer/src/lib.rs
+++ b/crates/parsleywalk-peer/src/lib.rs
@@ -9,7 +9,8 @@
 //! or has a time-out at its sender.
 //!
 //! A [`CallClient`] makes calls with one reply each over a connection of its own. Daemons without a replica use it to
-//! reach the leader. A call carries the time in which it may take effect as a [`CallWindow`].
+//! reach the leader. A call carries the time in which it may take effect as a [`CallWindow`], and its reply the
+//! [`DaemonRelease`] of the daemon that sends it.
 //!
 //! ```no_run
 //! use parsleywalk_peer::{StreamKind, PeerNetwork, PeerSettings};
@@ -32,6 +33,7 @@
 mod keepalive;
 mod network;
 mod outbound;
+mod release;
 mod settings;
 
 pub use call::{CallClient, CallError, ReceivedCall};
@@ -40,4 +42,5 @@
 pub use error::{PeerError, Result};
 pub use hello::{PeerIdentity, tokens_match};
 pub use network::{PeerMessage, PeerNetwork, PeerReceivers, ReceivedMessage, StreamKind};
+pub use release::DaemonRelease;
 pub use settings::{PeerAddress, PeerSettings};
--- a/crates/parsleywalk-peer/src/settings.rs
+++ b/crates/parsleywalk-peer/src/settings.rs
@@ -6,7 +6,7 @@
 use parsleywalk_units::{Incarnation, VmNumber, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::{PeerIdentity, SteadyClock};
+use crate::{DaemonRelease, PeerIdentity, SteadyClock};
 
 /// A peer and the address on which it listens.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,6 +27,8 @@
     pub incarnation: Incarnation,
     /// This daemon's clock, on which the windows of calls count.
     pub clock: SteadyClock,
+    /// The release that this daemon's replies name. Tests set an earlier one.
+    pub release: DaemonRelease,
     /// This daemon's availability zone.
     pub zone: ZoneName,
     /// The address on which to listen for peers.
@@ -64,6 +66,7 @@
             vm: VmNumber::new(1),
             incarnation: Incarnation::new(0),
             clock: SteadyClock::start(),
+            release: DaemonRelease::CURRENT,
             zone: "local".parse().expect("a valid name"),
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             peers: Vec::new(),
