--- a/crates/parsleywalk-batch/tests/workspaces.rs
+++ b/crates/parsleywalk-batch/tests/workspaces.rs
@@ -2,12 +2,15 @@
 
 mod support;
 
+use std::time::Duration;
+
 use parsleywalk_batch::{
     BatchCommand, BatchState, EndNumber, JobId, RunEnd, RunNumber, RunOutcome, RunPlacement, TaskKey,
 };
-use parsleywalk_units::{Incarnation, WorkerId, WorkspaceName};
-use support::TestRng;
+use parsleywalk_units::{Incarnation, MonotonicTime, WorkerId, WorkspaceName};
+use rstest::rstest;
 use support::workspaces::{TASKS_OF_A_STEP, configure, configure_workspaces, submit, workspace};
+use support::{FakeFleet, TestRng};
 
 const JOBS: u64 = 6;
 const WORKERS: u64 = 3;
@@ -135,3 +138,29 @@
     let owner = |job| state.job(JobId::new(job)).expect("the job is stored").workspace.clone();
     assert_eq!((owner(1), owner(2)), (Some(workspace("alpha")), None));
 }
+
+/// Guards against an allocation of runs that were never committed, or that counts runs twice, when the leader is killed
+/// between placing and the commit: the entry is lost, or the next leader commits it.
+#[rstest]
+fn a_leader_killed_before_the_commit_leaves_no_allocation(#[values(false, true)] is_committed: bool) {
+    let mut fleet = FakeFleet::new(4, 1);
+    fleet.run_for(Duration::from_secs(1));
+    fleet.state.apply(&submit(1, Some(workspace("alpha"))));
+    let allocated = |fleet: &FakeFleet| fleet.state.workspace_allocation(&workspace("alpha")).cores.get();
+    let runs = fleet.dispatcher.plan(fleet.now, 0, &fleet.state);
+    assert!(!runs.is_empty(), "tasks are placed");
+    assert_eq!(allocated(&fleet), 0, "nothing is committed");
+    fleet.change_leader();
+    if is_committed {
+        fleet.state.apply(&BatchCommand::Place { runs });
+    }
+    let mut highest = 0;
+    while fleet.state.active_count() > 0 {
+        fleet.step();
+        let runs = fleet.state.workers().flat_map(|(_, worker)| worker.runs.iter());
+        assert_eq!(allocated(&fleet), runs.map(|(_, run)| run.size.cores.get()).sum::<u32>());
+        highest = highest.max(allocated(&fleet));
+        assert!(fleet.now < MonotonicTime::from_millis(60_000), "the job never ends: {}", fleet.describe_unfinished());
+    }
+    assert!(highest > 0 && allocated(&fleet) == 0, "{highest}");
+}
