--- a/crates/parsleywalk-fleet/src/client.rs
+++ b/crates/parsleywalk-fleet/src/client.rs
@@ -347,10 +347,12 @@
             match reply {
                 Ok(()) => {
                     let release = call_client.remote_release();
-                    info!("event=replica_release vm={vm} release={}", release.unwrap_or(DaemonRelease::FIRST));
+                    let release = release.map_or_else(|| "unknown".to_owned(), |release| release.to_string());
+                    info!("event=replica_release peer={} release={release}", self.fleet.peer_address(vm));
                 }
                 Err(error) => {
-                    debug!("event=replica_release_unknown vm={vm} error={:?}", error.to_string());
+                    let peer = self.fleet.peer_address(vm);
+                    debug!("event=replica_release_unknown peer={peer} error={:?}", error.to_string());
                     // The connection may be dead; the next query opens another one.
                     self.call_clients.borrow_mut().remove(&vm);
                 }
--- a/crates/parsleywalk-fleet/src/core/requests.rs
+++ b/crates/parsleywalk-fleet/src/core/requests.rs
@@ -109,7 +109,8 @@
         }
         if let Some((vm, release)) = self.unready_replica() {
             let release = release.map_or_else(|| "unknown".to_owned(), |release| release.to_string());
-            info!("event=configuration_not_ready version={version} replica={vm} release={release}");
+            let peer = self.settings.peer_address(vm);
+            info!("event=configuration_not_ready version={version} peer={peer} release={release}");
             return sender.send(LeaderReply::NotReady);
         }
         let Some(leader_state) = &self.leader_state else { return };
