--- a/crates/parsleywalk-shares/src/ledger.rs
+++ b/crates/parsleywalk-shares/src/ledger.rs
@@ -112,6 +112,40 @@
     pub fn permits(&self, account: AccountIndex, size: &ResourceSize) -> bool {
         self.limit(account).permits(&self.allocated(account), size)
     }
+
+    /// Returns how many tasks of `size` the account's limit permits in addition.
+    #[must_use]
+    pub fn permitted_count(&self, account: AccountIndex, size: &ResourceSize) -> u32 {
+        self.limit(account).permitted_count(&self.allocated(account), size)
+    }
+
+    /// Returns how many tasks of `size` bring the account's share above `share`: at least one, and `u32::MAX` if no
+    /// number does.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "a ratio needs no more precision")]
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "the cast of a float saturates")]
+    pub fn count_above(&self, account: AccountIndex, size: &ResourceSize, share: f64) -> u32 {
+        let weight = self.accounts.get(account.0 as usize).map_or(1.0, |entry| entry.weight);
+        let allocated = self.allocated(account);
+        let count = |allocated: u64, size: u64, total: u64| {
+            if size == 0 || total == 0 {
+                return u32::MAX;
+            }
+            let free = (share * weight).mul_add(total as f64, -(allocated as f64));
+            ((free / size as f64).max(0.0) as u32).saturating_add(1)
+        };
+        let [allocated, size, total] = [&allocated, size, &self.total].map(components);
+        count(allocated[0], size[0], total[0]).min(count(allocated[1], size[1], total[1])).min(count(
+            allocated[2],
+            size[2],
+            total[2],
+        ))
+    }
+}
+
+/// Returns the amounts of a size.
+fn components(size: &ResourceSize) -> [u64; 3] {
+    [u64::from(size.cores.get()), size.memory.get(), u64::from(size.accelerators.get())]
 }
 
 /// Returns the dominant share of `part` in `total`: the largest fraction of any resource.
@@ -119,7 +153,6 @@
 #[expect(clippy::cast_precision_loss, reason = "a ratio needs no more precision")]
 pub fn dominant_share(part: &ResourceSize, total: &ResourceSize) -> f64 {
     let ratio = |part: u64, total: u64| if total == 0 { 0.0 } else { part as f64 / total as f64 };
-    ratio(u64::from(part.cores.get()), u64::from(total.cores.get()))
-        .max(ratio(part.memory.get(), total.memory.get()))
-        .max(ratio(u64::from(part.accelerators.get()), u64::from(total.accelerators.get())))
+    let (part, total) = (components(part), components(total));
+    ratio(part[0], total[0]).max(ratio(part[1], total[1])).max(ratio(part[2], total[2]))
 }
