Scheduler: charge teams to the accounts of parsleywalk-shares

The scheduler had accounts of its own with the same rules as those that workspaces need. FairShare is removed and the policy uses ShareLedger; a quota is a limit of every dimension. The control state checks quotas with ResourceLimit, which is the same comparison. Decisions do not change: the tests of both packages pass unchanged and policy_bench builds.

--- a/crates/parsleywalk-control/src/quota.rs
+++ b/crates/parsleywalk-control/src/quota.rs
@@ -1,5 +1,6 @@
 //! Quotas of teams.
 
+use parsleywalk_shares::ResourceLimit;
 use parsleywalk_units::{ResourceSize, TaskId, TeamName};
 
 use crate::{CommandRefusal, ControlState, TaskOwner, TaskRecord};
@@ -9,11 +10,10 @@
     pub(crate) fn check_quota(&self, record: &TaskRecord, size: ResourceSize) -> Result<(), CommandRefusal> {
         let Some(team) = self.charged_team(record) else { return Ok(()) };
         let allocated = self.team_allocation(team);
-        let after = allocated.checked_add(&size);
         let quota = self.team(team).and_then(|entry| entry.quota);
         // A team without a quota is limited by what the counters can represent.
-        let fits = after.is_some_and(|after| quota.is_none_or(|quota| after.fits_within(&quota)));
-        if fits {
+        let limit = quota.map_or_else(ResourceLimit::default, ResourceLimit::of_size);
+        if limit.permits(&allocated, &size) {
             return Ok(());
         }
         let quota = quota.unwrap_or(allocated);
--- a/crates/parsleywalk-scheduler/src/cluster.rs
+++ b/crates/parsleywalk-scheduler/src/cluster.rs
@@ -1,5 +1,6 @@
 //! Handling of configuration, zone and worker events.
 
+use parsleywalk_shares::{AccountIndex, ResourceLimit};
 use parsleywalk_units::{AcceleratorCount, MemoryBytes, MonotonicTime, RackName, ResourceSize, WorkerId, ZoneName};
 
 use crate::event::{ObjectiveWeights, ServiceSpec, TeamQuota};
@@ -30,10 +31,11 @@
             }
             self.services[index] = ServiceRecord { instances: spec.instances, run_time: spec.run_time };
         }
-        self.fair_share.reset();
+        self.team_shares.reset();
         for team in teams {
             let index = self.names.teams.intern(&team.team);
-            self.fair_share.set_team(index, team.weight, team.quota);
+            let limit = team.quota.map_or_else(ResourceLimit::default, ResourceLimit::of_size);
+            self.team_shares.set_account(AccountIndex(index), team.weight, limit);
         }
     }
 
@@ -72,7 +74,7 @@
                 }
             }
         }
-        self.fair_share.set_total(self.total_capacity);
+        self.team_shares.set_total(self.total_capacity);
     }
 
     pub(crate) fn join_worker(&mut self, worker: &WorkerId, zone: &ZoneName, rack: &RackName, capacity: ResourceSize) {
@@ -91,7 +93,7 @@
         self.zones[self.workers[index as usize].zone as usize].workers += 1;
         self.update_totals(index, true);
         self.refresh_worker(index);
-        self.fair_share.set_total(self.total_capacity);
+        self.team_shares.set_total(self.total_capacity);
     }
 
     /// Sets a worker's zone and rack, and updates the spread and rack reserve for its instances.
@@ -126,7 +128,7 @@
         self.quarantine.release(index);
         self.guards.remove(index);
         self.refresh_worker(index);
-        self.fair_share.set_total(self.total_capacity);
+        self.team_shares.set_total(self.total_capacity);
     }
 
     pub(crate) fn worker_index(&mut self, worker: &WorkerId) -> u32 {
--- a/crates/parsleywalk-scheduler/src/explain.rs
+++ b/crates/parsleywalk-scheduler/src/explain.rs
@@ -1,5 +1,6 @@
 //! Explanations and status summaries for operators.
 
+use parsleywalk_shares::AccountIndex;
 use parsleywalk_units::{ResourceSize, TaskId, TeamName, ZoneName};
 use serde::Serialize;
 
@@ -88,9 +89,9 @@
         });
         let teams = (0..u32::try_from(self.names.teams.len()).unwrap_or(u32::MAX)).map(|index| TeamSummary {
             team: self.names.teams.name(index).clone(),
-            held: self.fair_share.allocated(index),
-            quota: self.fair_share.quota(index),
-            share: self.fair_share.share(index),
+            held: self.team_shares.allocated(AccountIndex(index)),
+            quota: self.team_shares.limit(AccountIndex(index)).as_size(),
+            share: self.team_shares.share(AccountIndex(index)),
         });
         PolicyStatus {
             queued: self.queue.len(),
--- a/crates/parsleywalk-scheduler/src/lib.rs
+++ b/crates/parsleywalk-scheduler/src/lib.rs
@@ -50,7 +50,6 @@
 mod evacuation;
 mod event;
 mod explain;
-mod fair;
 mod guard_decisions;
 mod guard_table;
 mod index;
--- a/crates/parsleywalk-scheduler/src/lifecycle.rs
+++ b/crates/parsleywalk-scheduler/src/lifecycle.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use parsleywalk_shares::AccountIndex;
 use parsleywalk_units::{
     AttemptNumber, MemoryBytes, MilliCores, MonotonicTime, ResourceSize, TaskClass, TaskId, ThrottleLevel, WorkerId,
 };
@@ -189,7 +190,7 @@
         worker_record.used = worker_record.used.checked_add(&expected).unwrap_or(worker_record.used);
         worker_record.add(task, service, !batch, &size);
         if batch {
-            self.fair_share.charge(team, &size);
+            self.team_shares.charge(AccountIndex(team), &size);
         } else {
             self.grow_reserve_slot(&size);
             let location = self.location(worker);
@@ -213,7 +214,7 @@
             worker_record.remove(task, service, &size);
             worker_record.used = worker_record.used.saturating_sub(&ResourceSize::new(cores, memory));
             if batch {
-                self.fair_share.refund(team, &size);
+                self.team_shares.refund(AccountIndex(team), &size);
             } else {
                 let location = self.location(worker);
                 self.spread.remove(service, location);
--- a/crates/parsleywalk-scheduler/src/placement.rs
+++ b/crates/parsleywalk-scheduler/src/placement.rs
@@ -1,10 +1,10 @@
 //! Selection of the worker on which a queued task starts.
 
+use parsleywalk_shares::AccountIndex;
 use parsleywalk_units::{MonotonicTime, ResourceSize, TaskId};
 use rand::RngExt;
 
 use crate::WaitReason;
-use crate::fair::componentwise_min;
 use crate::index::CapacityQuery;
 use crate::policy::SchedulerPolicy;
 use crate::queue::QueuePriority;
@@ -92,12 +92,14 @@
         if !record.is_batch() {
             return Ok(size);
         }
-        if let Some(quota) = self.fair_share.quota(record.team) {
+        let account = AccountIndex(record.team);
+        let limit = self.team_shares.limit(account);
+        if let Some(quota) = limit.as_size() {
             // A task with a learned size above the whole quota could never start.
-            size = declared.componentwise_max(&componentwise_min(&size, &quota));
-            if !self.fair_share.permits(record.team, &size) {
+            size = declared.componentwise_max(&limit.clamp(&size));
+            if !self.team_shares.permits(account, &size) {
                 let team = self.names.teams.name(record.team).clone();
-                return Err(WaitReason::Quota { team, allocated: self.fair_share.allocated(record.team), quota });
+                return Err(WaitReason::Quota { team, allocated: self.team_shares.allocated(account), quota });
             }
         }
         Ok(size)
--- a/crates/parsleywalk-scheduler/src/policy.rs
+++ b/crates/parsleywalk-scheduler/src/policy.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
+use parsleywalk_shares::ShareLedger;
 use parsleywalk_units::{
     AttemptNumber, MonotonicTime, RackName, ResourceSize, ServiceName, TaskId, TeamName, WorkerId, ZoneName,
 };
@@ -9,7 +10,6 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::event::ObjectiveWeights;
-use crate::fair::FairShare;
 use crate::guard_table::GuardTable;
 use crate::index::PlacementIndex;
 use crate::interference::InterferenceModel;
@@ -77,7 +77,7 @@
     pub(crate) tasks: TaskTable,
     pub(crate) queue: TaskQueue,
     pub(crate) index: PlacementIndex,
-    pub(crate) fair_share: FairShare,
+    pub(crate) team_shares: ShareLedger,
     pub(crate) usage: UsageEstimate,
     pub(crate) spread: InstanceSpread,
     pub(crate) rack_reserve: RackReserve,
@@ -120,7 +120,7 @@
             tasks: TaskTable::new(),
             queue: TaskQueue::default(),
             index: PlacementIndex::default(),
-            fair_share: FairShare::default(),
+            team_shares: ShareLedger::default(),
             usage: UsageEstimate::default(),
             spread: InstanceSpread::default(),
             rack_reserve: RackReserve::default(),
@@ -226,7 +226,7 @@
     ) {
         let mut unplaced_groups = 0;
         while decisions.len() < limit && unplaced_groups < MAX_UNPLACED_GROUPS {
-            let fair = self.settings.fairness.then_some(&self.fair_share);
+            let fair = self.settings.fairness.then_some(&self.team_shares);
             let Some((group, task)) = self.queue.next_group(priority, fair) else { return };
             match self.select_worker(now, task, priority) {
                 Ok((worker, size)) => decisions.push(self.propose_start(now, task, worker, size)),
--- a/crates/parsleywalk-scheduler/src/queue.rs
+++ b/crates/parsleywalk-scheduler/src/queue.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
+use parsleywalk_shares::{AccountIndex, ShareLedger};
 use parsleywalk_units::{MonotonicTime, ResourceSize, TaskId};
 
 use crate::WaitReason;
-use crate::fair::FairShare;
 
 /// Priority of queued tasks, independent of their team.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -143,12 +143,12 @@
 
     /// Returns the group to try next and its first task: the first group of the team with the smallest share, or the
     /// group with the oldest task if `fair` is `None`.
-    pub(crate) fn next_group(&self, priority: QueuePriority, fair: Option<&FairShare>) -> Option<(u32, TaskId)> {
+    pub(crate) fn next_group(&self, priority: QueuePriority, fair: Option<&ShareLedger>) -> Option<(u32, TaskId)> {
         let heads = self.ready[priority as usize]
             .iter()
             .enumerate()
             .filter_map(|(team, set)| Some((u32::try_from(team).unwrap_or(u32::MAX), *set.first()?)));
-        let share = |team: u32| fair.map_or(0.0, |fair| fair.share(team));
+        let share = |team: u32| fair.map_or(0.0, |fair| fair.share(AccountIndex(team)));
         heads
             .min_by(|(one, first), (other, second)| share(*one).total_cmp(&share(*other)).then(first.cmp(second)))
             .map(|(_, (task, index))| (index, task))
