Batch: serve workspaces by share within their limits

A workspace that submits much took all workers, because steps were ordered by priority and urgency alone, and limits were not enforced. With workspaces, a scheduling cycle divides the steps of a priority into bands (restarts of long-running tasks, useful, overdue, beyond the rate). Within a band the workspace with the lowest weighted dominant share is next (ShareOrder), and within a workspace the order is by urgency. A step gets as many tasks as the limit permits, a gang all or none.

A step that waits for the limit holds back what needs the same resources: a workspace at its limit costs a cycle one look, and smaller steps do not overtake a larger one for ever. Steps that the long-running tasks of the workspace leave no room for are skipped instead, at most 32 of a class. What waits for a limit is not starved, so it reserves no worker and gets no worker on probation.

The objective of a job counts waves where the limit is narrower than a step.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -14,6 +14,7 @@
 use crate::settlement::GangRuns;
 use crate::work_model::WorkModel;
 use crate::worker_view::WorkerView;
+use crate::workspace_shares::WorkspaceShares;
 use crate::{
     BatchCommand, BatchState, DispatchSettings, FencingToken, JobId, ReportResponse, RunNumber, RunOutcome, SortedMap,
     StartOrder, TaskKey, WorkerOrders, WorkerRecord, WorkerReport,
@@ -73,6 +74,7 @@
     pub(crate) evidence: FailureEvidence,
     pub(crate) restart_delays: RestartDelays,
     pub(crate) failing_jobs: FailingJobs,
+    pub(crate) workspace_shares: WorkspaceShares,
     /// The outcomes listed since [`Dispatcher::take_listed_outcomes`] was last called.
     pub(crate) listed_outcomes: Vec<RunOutcome>,
     /// When the compatibility of images was last looked at, and its version then.
@@ -103,6 +105,7 @@
             evidence: FailureEvidence::default(),
             restart_delays: RestartDelays::default(),
             failing_jobs: FailingJobs::default(),
+            workspace_shares: WorkspaceShares::default(),
             listed_outcomes: Vec::new(),
             compatibility_checked_at: MonotonicTime::ZERO,
             compatibility_version: 0,
@@ -277,6 +280,7 @@
         self.evidence.prune(state);
         self.restart_delays.prune(state);
         self.failing_jobs.prune(state);
+        self.workspace_shares.prune(now, state);
         self.accepted_times.retain(|job, _| state.job(*job).is_some_and(|job| !job.status.is_final()));
         commands
     }
--- a/crates/parsleywalk-batch/src/job.rs
+++ b/crates/parsleywalk-batch/src/job.rs
@@ -62,6 +62,21 @@
         Self { tasks: vec![TaskRecord::default(); count as usize], done: 0, waiting: count }
     }
 
+    /// Returns the number of tasks.
+    pub(crate) fn task_count(&self) -> u32 {
+        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the number of tasks that are not done.
+    pub(crate) fn remaining_count(&self) -> u32 {
+        self.task_count().saturating_sub(self.done)
+    }
+
+    /// Returns the number of tasks that have a live run.
+    pub(crate) fn live_count(&self) -> u32 {
+        self.remaining_count().saturating_sub(self.waiting)
+    }
+
     /// Returns true if every task is done.
     #[must_use]
     pub fn is_done(&self) -> bool {
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -6,6 +6,7 @@
 //! commit before the response to each, responds with orders under a lease, and chooses workers for waiting tasks.
 //! Nothing here does I/O or reads a clock.
 
+mod account_cycle;
 mod admission;
 mod begun_jobs;
 mod candidate;
@@ -29,15 +30,20 @@
 mod restart_delays;
 mod settings;
 mod settlement;
+mod shared_order;
 mod sorted_map;
 mod spec;
 mod state;
+mod step_class;
+mod step_order;
 mod urgency;
 mod waiting;
 mod work_model;
 mod worker_rank;
 mod worker_view;
 mod workspace;
+mod workspace_shares;
+mod workspace_summary;
 mod workspace_usage;
 
 pub use admission::JobRefusal;
@@ -54,3 +60,4 @@
 pub use spec::{JobSchedule, JobSpec, MAX_JOB_STEPS, MAX_JOB_TASKS, MAX_PAYLOAD_BYTES, StepSpec};
 pub use state::{BatchReply, BatchState, PlacedRun, WorkerRecord};
 pub use workspace::{ApiKey, Workspace, WorkspaceConfiguration};
+pub use workspace_summary::WorkspaceUsage;
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -3,6 +3,7 @@
 use std::borrow::Cow;
 use std::time::Duration;
 
+use parsleywalk_shares::AccountIndex;
 use parsleywalk_units::{MilliCores, MonotonicTime, ResourceSize, ServiceName, WorkerId};
 
 use crate::candidate::CandidateWorker;
@@ -10,6 +11,8 @@
 use crate::interference::{ImageIndex, InterferenceModel};
 use crate::placement_request::{HealthLeniency, PlacementRequest};
 use crate::ranking::WorkerRanking;
+use crate::step_class::StepClass;
+use crate::step_order::StepTurn;
 use crate::urgency::{JobUrgency, has_ample_slack};
 use crate::worker_rank::WorkerRank;
 use crate::worker_view::{LongRunningTasks, WorkerView};
@@ -54,6 +57,10 @@
     pub(crate) step: u16,
     /// Whether the job has ample slack.
     pub(crate) has_slack: bool,
+    pub(crate) account: AccountIndex,
+    pub(crate) class: StepClass,
+    /// Whether no earlier step of the job is ready.
+    pub(crate) is_first_of_job: bool,
 }
 
 /// The properties that decide whether a task can be placed. Where one task cannot be placed, an equal or larger one of
@@ -96,10 +103,12 @@
     /// occurrences are due.
     #[must_use]
     pub fn plan(&mut self, now: MonotonicTime, unix_ms: u64, state: &BatchState) -> Vec<RunPlacement> {
+        self.workspace_shares.refresh(now, state);
         let mut ready = self.ready_steps(now, unix_ms, state);
         self.track_waiting(now, state, &ready);
         self.sort_ready_steps(now, &mut ready);
         if ready.is_empty() {
+            self.workspace_shares.end_cycle(now, state, Vec::new());
             return Vec::new();
         }
         for step in &ready {
@@ -112,19 +121,22 @@
         let mut placements = Vec::new();
         let mut unplaceable: Vec<TaskShape> = Vec::new();
         let mut reserved = 0;
-        for step in ready {
+        let mut order = self.step_order(now, state, ready, &candidates);
+        while let Some(turn) = order.next_turn(state) {
+            let step = turn.step;
             if placements.len() >= MAX_PLACEMENTS_PER_CYCLE || candidates.is_empty() {
                 break;
             }
             let Some(job) = state.job(step.job) else { continue };
             let Some(spec) = job.step_spec(step.step) else { continue };
-            let starved = self.is_starved(now, job, spec, &step);
+            let starved = turn.first_index == 0 && self.is_starved(now, job, spec, &step);
             let shape = TaskShape::of(&job.submission, spec, step.has_slack);
             if !starved && unplaceable.iter().any(|known| shape.is_at_least_as_hard_as(known)) {
                 continue;
             }
             let before = placements.len();
-            self.place_step(now, state, step, starved, &mut candidates, &mut placements);
+            self.place_step(now, state, turn, starved, &mut candidates, &mut placements);
+            order.record_placed(&placements[before..]);
             let first = TaskKey { job: step.job, occurrence: step.occurrence, step: step.step, index: 0 };
             if spec.long_running
                 && self.has_waited_long(now, &step)
@@ -132,7 +144,7 @@
             {
                 let placed = placements[before..].len();
                 let waiting = state.job(step.job).and_then(|job| job.step(&first)).map_or(0, |record| record.waiting);
-                if let Some(job) = state.job(step.job).filter(|_| placed < waiting as usize) {
+                if let Some(job) = state.job(step.job).filter(|_| placed < turn.max_tasks.min(waiting as usize)) {
                     Self::reserve_worker(spec, &job.submission, &first, &mut candidates);
                     reserved += 1;
                 }
@@ -141,6 +153,8 @@
                 unplaceable.push(shape);
             }
         }
+        let cycles = order.into_cycles();
+        self.workspace_shares.end_cycle(now, state, cycles);
         self.gang_runs.record_placed(state, &placements);
         self.begun_jobs.record_placed(state, &placements);
         placements
@@ -151,6 +165,8 @@
         let mut ready = Vec::new();
         for (id, job) in state.active_jobs() {
             let since = *self.accepted_times.entry(id, || accepted_at(job, now, unix_ms));
+            let account = self.workspace_shares.account_of(job.workspace.as_ref());
+            let limit = self.workspace_shares.limit(account);
             let mut evaluated = None;
             for (occurrence, record) in (0u32..).zip(&job.occurrences) {
                 let schedule = job.submission.spec.schedule;
@@ -158,14 +174,28 @@
                     break;
                 }
                 for (step, entry) in (0u16..).zip(&record.steps) {
+                    let Some(spec) = job.step_spec(step) else { break };
                     if entry.waiting > 0
                         && job.is_unblocked(occurrence, step)
                         && !self.is_delayed(now, job, id, (occurrence, step), entry)
                     {
-                        let (urgency, has_slack) = *evaluated
-                            .get_or_insert_with(|| (JobUrgency::of(job, since, now), has_ample_slack(job, since, now)));
-                        let (priority, sequence) = (job.submission.priority, job.sequence);
-                        ready.push(ReadyStep { priority, urgency, sequence, job: id, occurrence, step, has_slack });
+                        let is_first_of_job = evaluated.is_none();
+                        let (urgency, has_slack) = *evaluated.get_or_insert_with(|| {
+                            (JobUrgency::of(job, limit, since, now), has_ample_slack(job, limit, since, now))
+                        });
+                        let (priority, sequence, class) = (job.submission.priority, job.sequence, StepClass::of(spec));
+                        ready.push(ReadyStep {
+                            priority,
+                            urgency,
+                            sequence,
+                            job: id,
+                            occurrence,
+                            step,
+                            has_slack,
+                            account,
+                            class,
+                            is_first_of_job,
+                        });
                     }
                 }
             }
@@ -277,16 +307,17 @@
         }
     }
 
-    /// Places the waiting tasks of a step until one finds no worker or the limit of the cycle is reached.
+    /// Places the waiting tasks of a step until one finds no worker or the limit of the turn or the cycle is reached.
     fn place_step(
         &self,
         now: MonotonicTime,
         state: &BatchState,
-        ready: ReadyStep,
+        turn: StepTurn,
         starved: bool,
         candidates: &mut [CandidateWorker<'_>],
         placements: &mut Vec<RunPlacement>,
     ) {
+        let ready = turn.step;
         let Some(job) = state.job(ready.job) else { return };
         let Some(spec) = job.step_spec(ready.step) else { return };
         let first = TaskKey { job: ready.job, occurrence: ready.occurrence, step: ready.step, index: 0 };
@@ -305,7 +336,8 @@
         let request = self.placement_request(&job.submission, spec, first, rack.as_deref(), min_headroom);
         let mut ranking = WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, None, candidate));
         let mut is_first = true;
-        for (index, task) in (0u32..).zip(&record.tasks) {
+        let end = placements.len().saturating_add(turn.max_tasks).min(MAX_PLACEMENTS_PER_CYCLE);
+        for (index, task) in (0u32..).zip(&record.tasks).skip(turn.first_index as usize) {
             let key = TaskKey { index, ..first };
             if task.done || task.live > 0 || self.restart_delays.is_delayed(now, &key) {
                 continue;
@@ -330,7 +362,7 @@
                 candidate.add_image(request.image);
             }
             ranking.update(worker_index, self.rank_worker(&request, None, candidate));
-            if placements.len() >= MAX_PLACEMENTS_PER_CYCLE {
+            if placements.len() >= end {
                 return;
             }
         }
--- a/crates/parsleywalk-batch/src/waiting.rs
+++ b/crates/parsleywalk-batch/src/waiting.rs
@@ -19,11 +19,13 @@
 impl Dispatcher {
     /// Tracks since when jobs with a ready step have had nothing running and since when long-running steps have waited.
     pub(crate) fn track_waiting(&mut self, now: MonotonicTime, state: &BatchState, ready: &[ReadyStep]) {
+        // Only what waits for workers gets more of them after a while; what waits for a limit does not.
+        let is_held = |step: &ReadyStep| self.workspace_shares.is_held(step);
         let mut idle: SortedMap<JobId, MonotonicTime> = SortedMap::default();
         for step in ready {
             let runs = state.job(step.job).is_some_and(JobRecord::has_live_runs);
             if !runs {
-                let since = self.idle_since.get(&step.job).copied().unwrap_or(now);
+                let since = self.idle_since.get(&step.job).copied().filter(|_| !is_held(step)).unwrap_or(now);
                 idle.insert(step.job, since);
             }
         }
@@ -40,7 +42,8 @@
                 state.job(step.job).and_then(|job| job.step_spec(step.step)).is_some_and(|spec| spec.long_running);
             if long_running {
                 let key = (step.job, step.step);
-                waiting.insert(key, self.waiting_since.get(&key).copied().unwrap_or(now));
+                let since = self.waiting_since.get(&key).copied().filter(|_| !is_held(step));
+                waiting.insert(key, since.unwrap_or(now));
             }
         }
         self.waiting_since = waiting;
