--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -31,6 +31,7 @@
 mod settings;
 mod settlement;
 mod shared_order;
+mod snapshot_extension;
 mod sorted_map;
 mod spec;
 mod state;
