--- a/crates/parsleywalk-batch/src/account_cycle.rs
+++ b/crates/parsleywalk-batch/src/account_cycle.rs
@@ -9,7 +9,7 @@
 
 /// How many steps of a class that could not start even beside the account's long-running tasks alone are examined in a
 /// cycle. Such steps do not hold back those after them.
-const MAX_OVERSIZED_LOOKS: u32 = 32;
+const MAX_OVERSIZED_LOOKS: usize = 32;
 
 /// The waiting steps of one account in a scheduling cycle, and what its limit has done to them. The default is that of
 /// an account without waiting steps.
@@ -23,8 +23,8 @@
     waiting: [u32; STEP_CLASSES],
     /// The number of these whose first waiting step has been served.
     served: [u32; STEP_CLASSES],
-    /// The number of steps that could not start even beside the account's long-running tasks alone.
-    oversized: [u32; STEP_CLASSES],
+    /// The jobs of the steps that could not start even beside the account's long-running tasks alone, by class.
+    oversized: [Vec<JobId>; STEP_CLASSES],
     /// The number of steps that the limit has held back.
     limit_looks: u32,
     /// The jobs that the limit has not held back, sorted at the end of the cycle.
@@ -51,7 +51,8 @@
 
     /// Returns true if steps of the class and job waited for the limit in the cycle that has ended.
     pub(crate) fn was_held(&self, class: StepClass, job: JobId) -> bool {
-        self.is_held(class) && self.served_jobs.binary_search(&job).is_err()
+        let is_held = self.is_held(class) || self.oversized[class as usize].contains(&job);
+        is_held && self.served_jobs.binary_search(&job).is_err()
     }
 
     /// Returns true if the limit has held back a step.
@@ -78,7 +79,7 @@
             if self.held[class] {
                 self.waiting[class].saturating_sub(self.served[class])
             } else {
-                self.oversized[class].min(self.waiting[class])
+                u32::try_from(self.oversized[class].len()).unwrap_or(u32::MAX).min(self.waiting[class])
             }
         };
         StepClass::ALL.into_iter().map(of_class).sum::<u32>() as usize
@@ -121,12 +122,10 @@
     }
 
     /// Skips the first row of a class, which could not start even beside the account's long-running tasks alone.
-    pub(crate) fn skip_oversized(&mut self, class: StepClass) {
+    pub(crate) fn skip_oversized(&mut self, class: StepClass, job: JobId) {
         self.limit_looks += 1;
-        self.oversized[class as usize] += 1;
-        if self.oversized[class as usize] >= MAX_OVERSIZED_LOOKS {
-            self.held[class as usize] = true;
-        }
+        self.oversized[class as usize].push(job);
+        self.held[class as usize] |= self.oversized[class as usize].len() >= MAX_OVERSIZED_LOOKS;
         self.advance(class, false);
     }
 
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -26,6 +26,7 @@
 mod placement_request;
 mod queues;
 mod ranking;
+mod ready_step;
 mod report;
 mod restart_delays;
 mod settings;
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -3,7 +3,6 @@
 use std::borrow::Cow;
 use std::time::Duration;
 
-use parsleywalk_shares::AccountIndex;
 use parsleywalk_units::{MilliCores, MonotonicTime, ResourceSize, ServiceName, WorkerId};
 
 use crate::candidate::CandidateWorker;
@@ -11,13 +10,14 @@
 use crate::interference::{ImageIndex, InterferenceModel};
 use crate::placement_request::{HealthLeniency, PlacementRequest};
 use crate::ranking::WorkerRanking;
+use crate::ready_step::ReadyStep;
 use crate::step_class::StepClass;
 use crate::step_order::StepTurn;
 use crate::urgency::{JobUrgency, has_ample_slack};
 use crate::worker_rank::WorkerRank;
 use crate::worker_view::{LongRunningTasks, WorkerView};
 use crate::{
-    BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunPlacement, SortedMap, StepSpec, TaskKey, WorkerRecord,
+    BatchState, Dispatcher, JobRecord, JobSubmission, RunPlacement, SortedMap, StepSpec, TaskKey, WorkerRecord,
 };
 
 /// The maximum number of placements in one scheduling cycle, which keeps a cycle well below the leader's heartbeat
@@ -46,23 +46,6 @@
 /// The number of interference levels per unit of load.
 const INTERFERENCE_LEVELS: f32 = 25.0;
 
-/// A step with waiting tasks whose dependencies are done.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct ReadyStep {
-    pub(crate) priority: u8,
-    pub(crate) urgency: JobUrgency,
-    pub(crate) sequence: u64,
-    pub(crate) job: JobId,
-    pub(crate) occurrence: u32,
-    pub(crate) step: u16,
-    /// Whether the job has ample slack.
-    pub(crate) has_slack: bool,
-    pub(crate) account: AccountIndex,
-    pub(crate) class: StepClass,
-    /// Whether no earlier step of the job is ready.
-    pub(crate) is_first_of_job: bool,
-}
-
 /// The properties that decide whether a task can be placed. Where one task cannot be placed, an equal or larger one of
 /// the same image cannot either.
 #[derive(Debug, Clone, Copy)]
--- a/crates/parsleywalk-batch/src/shared_order.rs
+++ b/crates/parsleywalk-batch/src/shared_order.rs
@@ -5,12 +5,12 @@
 
 use crate::account_cycle::{AccountCycle, total_size};
 use crate::candidate::CandidateWorker;
-use crate::placement::ReadyStep;
+use crate::ready_step::ReadyStep;
 use crate::step_class::StepClass;
 use crate::step_order::{StepOrder, StepTurn};
 use crate::urgency::JobUrgency;
 use crate::workspace_shares::WorkspaceShares;
-use crate::{BatchState, Dispatcher, RunNumber, RunPlacement, StepRecord, StepSpec, TaskKey, TaskRecord};
+use crate::{BatchState, Dispatcher, JobId, RunNumber, RunPlacement, StepRecord, StepSpec, TaskKey, TaskRecord};
 
 /// The steps of a priority that are served before others of it, whatever the shares of their workspaces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -125,7 +125,7 @@
         let needed = if spec.gang { spec.count } else { 1 };
         let permitted = self.ledger.permitted_count(account, &spec.size);
         if permitted < needed {
-            self.hold_back(state, account, spec, needed);
+            self.hold_back(state, account, step.job, (spec, needed));
             return None;
         }
         // The tasks of a rack-local step choose their rack together.
@@ -139,7 +139,8 @@
         Some(StepTurn { step, first_index: cycle.next_index, max_tasks })
     }
 
-    fn hold_back(&mut self, state: &BatchState, account: AccountIndex, spec: &StepSpec, needed: u32) {
+    /// Holds back a job's step, of which so many tasks are needed at a time.
+    fn hold_back(&mut self, state: &BatchState, account: AccountIndex, job: JobId, (spec, needed): (&StepSpec, u32)) {
         let class = StepClass::of(spec);
         let limit = self.ledger.limit(account);
         let need = total_size(&spec.size, needed);
@@ -148,7 +149,7 @@
         let lasting = long_running[account.0 as usize];
         let cycle = &mut self.cycles[account.0 as usize];
         let Some(need) = need.filter(|need| limit.permits(&lasting, need)) else {
-            cycle.skip_oversized(class);
+            cycle.skip_oversized(class, job);
             return;
         };
         let without_accelerators = ResourceLimit { accelerators: None, ..limit };
--- a/crates/parsleywalk-batch/src/step_order.rs
+++ b/crates/parsleywalk-batch/src/step_order.rs
@@ -9,7 +9,7 @@
 //! step for which the workspace's long-running tasks leave no room is skipped, because it may have to wait for long.
 
 use crate::account_cycle::AccountCycle;
-use crate::placement::ReadyStep;
+use crate::ready_step::ReadyStep;
 use crate::shared_order::SharedOrder;
 use crate::{BatchState, RunPlacement};
 
--- a/crates/parsleywalk-batch/src/waiting.rs
+++ b/crates/parsleywalk-batch/src/waiting.rs
@@ -4,7 +4,7 @@
 
 use parsleywalk_units::MonotonicTime;
 
-use crate::placement::ReadyStep;
+use crate::ready_step::ReadyStep;
 use crate::urgency::JobUrgency;
 use crate::{BatchState, Dispatcher, JobId, JobRecord, SortedMap, StepRecord, StepSpec, TaskKey};
 
--- a/crates/parsleywalk-batch/src/workspace_shares.rs
+++ b/crates/parsleywalk-batch/src/workspace_shares.rs
@@ -10,7 +10,7 @@
 use parsleywalk_units::{ConfigurationVersion, MonotonicTime, ResourceSize, WorkspaceName};
 
 use crate::account_cycle::AccountCycle;
-use crate::placement::ReadyStep;
+use crate::ready_step::ReadyStep;
 use crate::{BatchState, Dispatcher, JobId, JobRefusal, JobSubmission, SortedMap, Workspace, WorkspaceUsage};
 
 /// The account of the jobs that no configured workspace owns. It has a weight of 1 and no limit.
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -13,7 +13,9 @@
     BatchCommand, BatchState, DispatchSettings, Dispatcher, FencingToken, JobId, JobSpec, JobStatus, JobSubmission,
     ReportAction, RunEnd, RunNumber, RunOutcome, StepSpec, TaskKey,
 };
-use parsleywalk_units::{MemoryBytes, MilliCores, MonotonicTime, ResourceSize, WorkerId, ZoneDirection, ZoneName};
+use parsleywalk_units::{
+    MemoryBytes, MilliCores, MonotonicTime, ResourceSize, WorkerId, WorkspaceName, ZoneDirection, ZoneName,
+};
 
 pub(crate) use worker::FakeWorker;
 use worker::{Behavior, FakeRun};
@@ -139,6 +141,15 @@
         job
     }
 
+    /// Submits a job of a workspace, which counts against its rate.
+    pub(crate) fn submit_owned(&mut self, mut submission: JobSubmission, workspace: &WorkspaceName) -> JobId {
+        let (job, workspace) = (submission.job, workspace.clone());
+        submission.accepted_unix_ms = self.unix_ms();
+        assert_eq!(self.dispatcher.admit_owned(self.now, &self.state, &submission, &workspace), None);
+        self.apply(&BatchCommand::SubmitOwned { submission: Box::new(submission), workspace });
+        job
+    }
+
     /// Submits a job through admission control, which may refuse it.
     pub(crate) fn try_submit(&mut self, submission: JobSubmission) -> Option<JobId> {
         let refusal = self.dispatcher.admit(self.now, &self.state, &submission);
