Fleet: count owned jobs against the rate of their workspace

Jobs with an owner now go through admit_owned, once per job, since copies of a decided job are not decided again. The tests of parsleywalk-fleet and parsleywalk-batch pass but for the known red a_running_job_on_an_unreachable_worker_stays_running.

--- a/crates/parsleywalk-fleet/src/core/requests.rs
+++ b/crates/parsleywalk-fleet/src/core/requests.rs
@@ -159,7 +159,11 @@
                 return sender.send(LeaderReply::Overtaken);
             }
             PriorDecision::Unknown | PriorDecision::None => {
-                let refusal = leader_state.dispatcher.admit(now, &self.state, &submission);
+                let dispatcher = &mut leader_state.dispatcher;
+                let refusal = match &owner {
+                    Some(workspace) => dispatcher.admit_owned(now, &self.state, &submission, workspace),
+                    None => dispatcher.admit(now, &self.state, &submission),
+                };
                 match refusal.clone() {
                     Some(refusal) => history.record_refused(now, job, refusal),
                     None => history.record_accepted(job),
