Learn the durations of tasks from worker reports

Cause: placement, admission and eviction go by the callers' estimates, which in some deployments are wrong by a factor of two or three.

Change: WorkModel combines the estimate, the durations of the queue's earlier jobs at the same step position, and the runs of the same step of the same job, each by its precision. Reports feed it: a run tells the time between two reports on the worker's clock, times its speed, and the percentage gained in it. Clocks that do not advance, percentages that decrease and tasks away from their data are not measured. DispatchSettings::measured_work switches it off. No decision uses the predictions yet.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -86,6 +86,7 @@
     /// Creates a dispatcher for a leader with the given fencing token.
     #[must_use]
     pub fn new(settings: DispatchSettings, fence: FencingToken, now: MonotonicTime) -> Self {
+        let work_model = WorkModel::new(settings.measured_work);
         Self {
             settings,
             fence,
@@ -97,7 +98,7 @@
             waiting_since: SortedMap::default(),
             accepted_times: SortedMap::default(),
             short_demand: ShortTaskDemand::default(),
-            work_model: WorkModel::default(),
+            work_model,
             begun_jobs: BegunJobs::default(),
             gang_runs: GangRuns::default(),
             evidence: FailureEvidence::default(),
@@ -159,8 +160,13 @@
         if view.loss_pending {
             ends.clear();
         }
+        let interval = view.interval_until(report, now);
         let lives: Vec<Duration> = ends.iter().map(|end| view.life(now, &end.task, end.run)).collect();
-        view.update(report, now);
+        self.measure_ends(state, report, interval);
+        if let Some(view) = self.workers.get_mut(&report.worker) {
+            view.update(report, now);
+        }
+        self.measure_runs(now, state, &report.worker, interval);
         self.read_outcomes(now, state, &report.worker, &ends, &lives);
         commands.extend(self.settle(state, report, ends));
         self.record_begun(now, report);
@@ -277,6 +283,7 @@
         self.evidence.prune(state);
         self.restart_delays.prune(state);
         self.failing_jobs.prune(state);
+        self.work_model.prune(state);
         self.accepted_times.retain(|job, _| state.job(*job).is_some_and(|job| !job.status.is_final()));
         commands
     }
--- a/crates/parsleywalk-batch/src/settings.rs
+++ b/crates/parsleywalk-batch/src/settings.rs
@@ -34,6 +34,8 @@
     pub worker_runs: usize,
     /// How long, on the worker's clock, a start order that the worker does not report may still arrive.
     pub order_expiry: Duration,
+    /// Whether the durations of tasks are predicted from measurements, or taken from the callers' estimates.
+    pub measured_work: bool,
 }
 
 impl Default for DispatchSettings {
@@ -51,6 +53,7 @@
             start_bytes: 512 * 1024,
             worker_runs: 10_000,
             order_expiry: Duration::from_millis(1100),
+            measured_work: true,
         }
     }
 }
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -8,6 +8,7 @@
 use crate::health::WorkerHealth;
 use crate::interference::{CriticalLoad, ImageIndex};
 use crate::pacing::PaceController;
+use crate::run_progress::RunProgress;
 use crate::{BatchState, EndNumber, JobSubmission, RunNumber, RunningTask, SortedMap, StepSpec, TaskKey, WorkerReport};
 
 /// A worker as described by its newest report.
@@ -93,6 +94,8 @@
     /// When the percentage last changed.
     pub(crate) progressed_at: MonotonicTime,
     pub(crate) first_seen: MonotonicTime,
+    /// The work and progress since then.
+    pub(crate) progress: RunProgress,
 }
 
 impl RunView {
@@ -179,6 +182,7 @@
             proven: known.is_some_and(|view| view.proven),
             progressed_at,
             first_seen: known.map_or(now, |view| view.first_seen),
+            progress: known.map_or_else(|| RunProgress::new(task.percent), |view| view.progress),
         }
     }
 
