Decide by predicted instead of estimated durations

Cause: the order of jobs, the demand of short jobs, evictions before a worker exits and the detection of hung runs used the callers' estimates, however wrong they had proved.

Change: JobOutlooks keeps the predicted critical path of each waiting job for 250 ms, so that a cycle needs no predictions for most jobs. Admission, evictions on draining workers and the stall timeout use predictions, the latter two also the run's own pace: a run that is slower than others of its step is not hung. A measurement that contradicts the estimate by far widens the assumed error of the estimate. The time before the first report that lists a run is no longer counted. Reports also tell the speed of a worker against the same steps elsewhere; slow workers are left out of the measurements of steps.

--- a/crates/parsleywalk-batch/src/admission.rs
+++ b/crates/parsleywalk-batch/src/admission.rs
@@ -9,7 +9,8 @@
 
 use parsleywalk_units::{MonotonicTime, ServiceName};
 
-use crate::{BatchState, Dispatcher, JobSubmission, SortedMap};
+use crate::work_model::WorkModel;
+use crate::{BatchState, Dispatcher, JobSubmission, SortedMap, StepSpec};
 
 /// Time constant of the decaying average of short-task demand; covers several bursts of submissions.
 const DEMAND_WINDOW: Duration = Duration::from_secs(10);
@@ -67,10 +68,10 @@
 }
 
 impl ShortTaskDemand {
-    fn add(&mut self, now: MonotonicTime, submission: &JobSubmission) {
+    fn add(&mut self, now: MonotonicTime, submission: &JobSubmission, model: &WorkModel) {
         let rate = self.rates.entry(submission.service.clone(), WorkRate::default);
         rate.decay(now);
-        rate.millicore_seconds += short_millicore_seconds(submission);
+        rate.millicore_seconds += short_millicore_seconds(submission, model);
     }
 
     fn millicores(&self, now: MonotonicTime, service: &ServiceName) -> u64 {
@@ -97,7 +98,7 @@
                 return Some(JobRefusal { retry_after: LONG_RUNNING_RETRY_AFTER, reason });
             }
         }
-        self.short_demand.add(now, submission);
+        self.short_demand.add(now, submission, &self.work_model);
         None
     }
 
@@ -130,10 +131,10 @@
     long_running.map(|step| u64::from(step.count) * u64::from(step.size.cores.get())).sum()
 }
 
-/// Returns the CPU time of the job's short tasks in millicore-seconds.
-fn short_millicore_seconds(submission: &JobSubmission) -> f64 {
-    let short = submission.spec.steps.iter().filter(|step| !step.long_running && !step.best_effort);
-    short
-        .map(|step| f64::from(step.count) * f64::from(step.size.cores.get()) * step.bounded_estimate().as_secs_f64())
-        .sum()
+/// Returns the predicted CPU time of the job's short tasks in millicore-seconds.
+fn short_millicore_seconds(submission: &JobSubmission, model: &WorkModel) -> f64 {
+    let steps = (0u16..).zip(&submission.spec.steps);
+    let short = steps.filter(|(_, spec)| !spec.long_running && !spec.best_effort);
+    let millicores = |spec: &StepSpec| f64::from(spec.count) * f64::from(spec.size.cores.get());
+    short.map(|(step, spec)| millicores(spec) * model.predict(submission, step).as_secs_f64()).sum()
 }
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -10,6 +10,7 @@
 use crate::failure_evidence::FailureEvidence;
 use crate::interference::{BestEffortLoad, ImageIndex, InterferenceModel};
 use crate::job_failures::FailingJobs;
+use crate::job_outlook::JobOutlooks;
 use crate::restart_delays::RestartDelays;
 use crate::settlement::GangRuns;
 use crate::work_model::WorkModel;
@@ -34,12 +35,18 @@
 /// How long a run without checkpoints may stay throttled before it is evicted; longer, because it starts over.
 const RESTART_EVICTION_DELAY: Duration = Duration::from_millis(2500);
 
+/// A run without progress for less than one part in this many of its task's duration does not count as hung.
+const STALLED_SHARE: u32 = 4;
+
 /// The stall timeout of best-effort tasks as a multiple of that of other tasks, because they may wait for CPU time.
 const BEST_EFFORT_STALL_FACTOR: u32 = 2;
 
 /// A run with less work left than this completes before a draining worker exits; draining takes about two seconds.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(1200);
 
+/// The interval at which measurements of jobs that are final are forgotten; they do no harm.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The action that a worker report requires.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ReportAction {
@@ -68,6 +75,9 @@
     pub(crate) accepted_times: SortedMap<JobId, MonotonicTime>,
     pub(crate) short_demand: ShortTaskDemand,
     pub(crate) work_model: WorkModel,
+    pub(crate) outlooks: JobOutlooks,
+    /// When the measurements of jobs that are final were last forgotten.
+    pruned_at: MonotonicTime,
     pub(crate) begun_jobs: BegunJobs,
     pub(crate) gang_runs: GangRuns,
     pub(crate) evidence: FailureEvidence,
@@ -99,6 +109,8 @@
             accepted_times: SortedMap::default(),
             short_demand: ShortTaskDemand::default(),
             work_model,
+            outlooks: JobOutlooks::default(),
+            pruned_at: now,
             begun_jobs: BegunJobs::default(),
             gang_runs: GangRuns::default(),
             evidence: FailureEvidence::default(),
@@ -160,13 +172,8 @@
         if view.loss_pending {
             ends.clear();
         }
-        let interval = view.interval_until(report, now);
         let lives: Vec<Duration> = ends.iter().map(|end| view.life(now, &end.task, end.run)).collect();
-        self.measure_ends(state, report, interval);
-        if let Some(view) = self.workers.get_mut(&report.worker) {
-            view.update(report, now);
-        }
-        self.measure_runs(now, state, &report.worker, interval);
+        view.update_measured(&mut self.work_model, now, state, report, &ends);
         self.read_outcomes(now, state, &report.worker, &ends, &lives);
         commands.extend(self.settle(state, report, ends));
         self.record_begun(now, report);
@@ -283,7 +290,11 @@
         self.evidence.prune(state);
         self.restart_delays.prune(state);
         self.failing_jobs.prune(state);
-        self.work_model.prune(state);
+        if now.since(self.pruned_at) >= PRUNE_INTERVAL {
+            self.pruned_at = now;
+            self.work_model.prune(state);
+            self.outlooks.prune(state);
+        }
         self.accepted_times.retain(|job, _| state.job(*job).is_some_and(|job| !job.status.is_final()));
         commands
     }
@@ -340,7 +351,9 @@
             } else {
                 // A best-effort task may also wait for CPU time.
                 let stall_factor = if step.best_effort { BEST_EFFORT_STALL_FACTOR } else { 1 };
-                run.rate == 100 && idle >= self.settings.stall_timeout.max(step.bounded_estimate() / 4) * stall_factor
+                let stall_timeout = self.settings.stall_timeout * stall_factor;
+                let longest = || run.task_duration(self.work_model.predict(&submission, task.step)) * stall_factor;
+                run.rate == 100 && idle >= stall_timeout && idle >= longest() / STALLED_SHARE
             };
             let life = now.since(run.first_seen);
             if hung && !view.evicting.contains(task) {
@@ -375,8 +388,9 @@
         }
         let draining = view.draining;
         let evictions = view.running.iter().filter(|(task, run)| {
-            let Some(step) = run.step(task) else { return false };
-            if draining && outlasts_drain(step, run.percent) {
+            let (Some(submission), Some(step)) = (&run.submission, run.step(task)) else { return false };
+            let remaining = || run.remaining_duration(self.work_model.predict(submission, task.step));
+            if draining && outlasts_drain(step, remaining) {
                 return true;
             }
             let resumable = step.checkpointable;
@@ -471,9 +485,8 @@
 }
 
 /// Returns true if a run on a draining worker should be evicted now, since it would not end before the worker exits.
-fn outlasts_drain(step: &crate::StepSpec, percent: u8) -> bool {
-    let remaining = step.bounded_estimate() * u32::from(100 - percent.min(100)) / 100;
-    step.long_running || (step.checkpointable && remaining > MIN_DRAIN_TIME)
+fn outlasts_drain(step: &crate::StepSpec, remaining: impl Fn() -> Duration) -> bool {
+    step.long_running || (step.checkpointable && remaining() > MIN_DRAIN_TIME)
 }
 
 /// Divides two small integers.
--- /dev/null
+++ b/crates/parsleywalk-batch/src/job_outlook.rs
@@ -0,0 +1,79 @@
+//! The predicted critical paths of the active jobs.
+//!
+//! The order of placement needs the critical path of each waiting job in every cycle, which is several times as often as
+//! predictions change.
+
+use std::time::Duration;
+
+use parsleywalk_units::MonotonicTime;
+
+use crate::work_model::WorkModel;
+use crate::{BatchState, JobId, JobRecord, SortedMap, StepRecord};
+
+/// The age at which a job's critical path is predicted again.
+const OUTLOOK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The predicted critical path of a job.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct JobOutlook {
+    /// The duration of the critical path.
+    pub(crate) path: Duration,
+    /// The duration without the steps that are done.
+    pub(crate) remaining: Duration,
+    done_steps: usize,
+    predicted_at: MonotonicTime,
+}
+
+impl JobOutlook {
+    fn new(job: &JobRecord, model: &WorkModel, now: MonotonicTime) -> Self {
+        let durations = (0u16..).zip(&job.submission.spec.steps).map(|(step, _)| model.predict(&job.submission, step));
+        let durations: Vec<Duration> = durations.collect();
+        Self {
+            path: critical_path(job, &durations, |_| true),
+            remaining: critical_path(job, &durations, |step| !step.is_done()),
+            done_steps: done_steps(job),
+            predicted_at: now,
+        }
+    }
+}
+
+/// The critical paths that have been predicted.
+#[derive(Debug, Default)]
+pub(crate) struct JobOutlooks {
+    outlooks: SortedMap<JobId, JobOutlook>,
+}
+
+impl JobOutlooks {
+    /// Returns the critical path of a job, as predicted less than [`OUTLOOK_INTERVAL`] ago.
+    pub(crate) fn outlook(&mut self, id: JobId, job: &JobRecord, model: &WorkModel, now: MonotonicTime) -> JobOutlook {
+        let outlook = self.outlooks.entry(id, || JobOutlook::new(job, model, now));
+        if now.since(outlook.predicted_at) >= OUTLOOK_INTERVAL || outlook.done_steps != done_steps(job) {
+            *outlook = JobOutlook::new(job, model, now);
+        }
+        *outlook
+    }
+
+    /// Forgets the jobs that are final.
+    pub(crate) fn prune(&mut self, state: &BatchState) {
+        self.outlooks.retain(|job, _| state.is_active(*job));
+    }
+}
+
+/// Returns the number of steps that are done in the first occurrence.
+fn done_steps(job: &JobRecord) -> usize {
+    let Some(occurrence) = job.occurrences.first() else { return 0 };
+    occurrence.steps.iter().filter(|step| step.is_done()).count()
+}
+
+/// Returns the duration of the critical path given those of the steps, counting only the steps for which `counts` returns
+/// true.
+fn critical_path(job: &JobRecord, durations: &[Duration], counts: impl Fn(&StepRecord) -> bool) -> Duration {
+    let Some(occurrence) = job.occurrences.first() else { return Duration::ZERO };
+    let mut ends: Vec<Duration> = Vec::with_capacity(durations.len());
+    for ((spec, record), duration) in job.submission.spec.steps.iter().zip(&occurrence.steps).zip(durations) {
+        let start = spec.depends_on.iter().filter_map(|earlier| ends.get(usize::from(*earlier))).max();
+        let duration = if counts(record) { *duration } else { Duration::ZERO };
+        ends.push(start.copied().unwrap_or_default() + duration);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -19,6 +19,7 @@
 mod interference;
 mod job;
 mod job_failures;
+mod job_outlook;
 mod log_average;
 mod outcomes;
 mod pacing;
@@ -39,7 +40,10 @@
 mod waiting;
 mod work_feed;
 mod work_model;
+#[cfg(test)]
+mod work_model_tests;
 mod worker_rank;
+mod worker_speed;
 mod worker_view;
 mod workspace;
 
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -162,8 +162,10 @@
                         && job.is_unblocked(occurrence, step)
                         && !self.is_delayed(now, job, id, (occurrence, step), entry)
                     {
-                        let (urgency, has_slack) = *evaluated
-                            .get_or_insert_with(|| (JobUrgency::of(job, since, now), has_ample_slack(job, since, now)));
+                        let (urgency, has_slack) = *evaluated.get_or_insert_with(|| {
+                            let outlook = self.outlooks.outlook(id, job, &self.work_model, now);
+                            (JobUrgency::of(job, &outlook, since, now), has_ample_slack(job, &outlook, since, now))
+                        });
                         let (priority, sequence) = (job.submission.priority, job.sequence);
                         ready.push(ReadyStep { priority, urgency, sequence, job: id, occurrence, step, has_slack });
                     }
--- a/crates/parsleywalk-batch/src/run_progress.rs
+++ b/crates/parsleywalk-batch/src/run_progress.rs
@@ -12,6 +12,8 @@
 const INTERVAL_VARIANCE: f64 = 1.0 / 12.0;
 /// The variance of a duration of which only the upper bound is known, in squared percentage points of it.
 const UNLISTED_VARIANCE: f64 = 60.0 * 60.0;
+/// The shortest and the longest duration that decisions use, in seconds.
+pub(crate) const DURATION_RANGE: (f64, f64) = (0.001, 24.0 * 3600.0);
 
 /// Work and the progress made by it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -36,12 +38,27 @@
         Self { seconds: longest.as_secs_f64() / 2.0, points: FULL_POINTS, variance: UNLISTED_VARIANCE }
     }
 
+    /// Returns the sum without an earlier part of it.
+    pub(crate) fn without(&self, part: &Self) -> Self {
+        Self {
+            seconds: (self.seconds - part.seconds).max(0.0),
+            points: (self.points - part.points).max(0.0),
+            variance: (self.variance - part.variance).max(0.0),
+        }
+    }
+
     /// Returns the duration of the whole task in seconds, once there is progress.
     pub(crate) fn task_seconds(&self) -> Option<f64> {
         let seconds = self.seconds * FULL_POINTS / self.points;
         (seconds.is_finite() && seconds > 0.0).then_some(seconds)
     }
 
+    /// Returns the duration of the whole task within bounds, once there is progress.
+    pub(crate) fn duration(&self) -> Option<Duration> {
+        let seconds = self.task_seconds()?.clamp(DURATION_RANGE.0, DURATION_RANGE.1);
+        Some(Duration::from_secs_f64(seconds))
+    }
+
     /// Returns the variance of the logarithm of the duration.
     pub(crate) fn log_variance(&self) -> f64 {
         self.variance / (self.points * self.points)
@@ -54,6 +71,12 @@
 pub(crate) struct RunProgress {
     /// The sum of what the reports have told.
     pub(crate) total: WorkSample,
+    /// What the newest report has added, until it has been compared.
+    pub(crate) newest: Option<WorkSample>,
+    /// The part of it that the measurement of the step contains.
+    pub(crate) shared: WorkSample,
+    /// How much of the progress to be expected has been compared with that of other workers, in percentage points.
+    pub(crate) compared: f64,
     /// The percentages when the run was first listed and in the previous report.
     first_percent: u8,
     last_percent: u8,
@@ -82,16 +105,21 @@
         };
     }
 
-    /// Adds the time since the previous report, if it is known, and returns what was added.
-    pub(crate) fn advance(&mut self, interval: Option<Duration>, percent: u8) -> Option<WorkSample> {
+    /// Adds the time since the previous report, if it is known.
+    pub(crate) fn advance(&mut self, interval: Option<Duration>, percent: u8) {
+        self.newest = self.newest_sample(interval, percent);
+        if let Some(newest) = &self.newest {
+            self.total.add(newest);
+        }
+    }
+
+    fn newest_sample(&mut self, interval: Option<Duration>, percent: u8) -> Option<WorkSample> {
         let gained = percent.checked_sub(std::mem::replace(&mut self.last_percent, percent));
         self.is_odd |= gained.is_none();
         let (interval, points) = (interval?, f64::from(gained.filter(|_| !self.is_odd)?));
         let is_first = self.total.points <= 0.0 && points > 0.0;
         let variance = if is_first { ROUNDING_VARIANCE } else { 0.0 };
-        let sample = WorkSample { seconds: interval.as_secs_f64() * self.speed, points, variance };
-        self.total.add(&sample);
-        Some(sample)
+        Some(WorkSample { seconds: interval.as_secs_f64() * self.speed, points, variance })
     }
 
     /// Returns what the end of a completed run adds, at most `interval` after the previous report. The end lies anywhere
--- a/crates/parsleywalk-batch/src/step_history.rs
+++ b/crates/parsleywalk-batch/src/step_history.rs
@@ -25,6 +25,12 @@
         let variance = (left + right).recip();
         Self { mean: (self.mean * left + other.mean * right) * variance, variance }
     }
+
+    /// Returns the prediction with at least the variance that its distance from a measurement shows.
+    pub(crate) fn widened(self, measured: Self) -> Self {
+        let shown = (self.mean - measured.mean).powi(2) - measured.variance;
+        Self { variance: self.variance.max(shown), ..self }
+    }
 }
 
 /// The durations of the tasks of one step position of a queue's jobs. Each step counts once, since its tasks are equal.
--- a/crates/parsleywalk-batch/src/urgency.rs
+++ b/crates/parsleywalk-batch/src/urgency.rs
@@ -12,7 +12,8 @@
 
 use parsleywalk_units::MonotonicTime;
 
-use crate::{JobRecord, StepRecord};
+use crate::JobRecord;
+use crate::job_outlook::JobOutlook;
 
 /// A job later than this many times its objective is no longer useful to its caller.
 const USEFUL_LATENESS_FACTOR: u32 = 3;
@@ -43,16 +44,16 @@
 
 impl JobUrgency {
     /// Returns the urgency of a job that was accepted at `since`.
-    pub(crate) fn of(job: &JobRecord, since: MonotonicTime, now: MonotonicTime) -> Self {
+    pub(crate) fn of(job: &JobRecord, outlook: &JobOutlook, since: MonotonicTime, now: MonotonicTime) -> Self {
         if job.submission.spec.schedule.is_some() {
             return Self::OnTime(Duration::ZERO);
         }
         if job.submission.spec.steps.iter().any(|step| step.long_running) {
             return Self::OnTime(LONG_RUNNING_DEADLINE);
         }
-        let objective = objective(job);
+        let objective = objective(job, outlook);
         let age = now.since(since);
-        let remaining = critical_path(job, |step| !step.is_done());
+        let remaining = outlook.remaining;
         if age + remaining <= objective {
             Self::OnTime(objective.saturating_sub(age))
         } else if age + remaining <= objective * USEFUL_LATENESS_FACTOR {
@@ -64,30 +65,15 @@
 }
 
 /// Returns true if most of the job's slack is left, so that its tasks can wait for a worker with more headroom.
-pub(crate) fn has_ample_slack(job: &JobRecord, since: MonotonicTime, now: MonotonicTime) -> bool {
-    let path_length = critical_path(job, |_| true);
-    let total_slack = objective(job).saturating_sub(path_length);
-    let remaining = critical_path(job, |step| !step.is_done());
-    let slack = objective(job).saturating_sub(now.since(since) + remaining);
+pub(crate) fn has_ample_slack(job: &JobRecord, outlook: &JobOutlook, since: MonotonicTime, now: MonotonicTime) -> bool {
+    let objective = objective(job, outlook);
+    let total_slack = objective.saturating_sub(outlook.path);
+    let slack = objective.saturating_sub(now.since(since) + outlook.remaining);
     !total_slack.is_zero() && slack * 100 >= total_slack * AMPLE_SLACK_PERCENT
 }
 
 /// Returns the latency objective of the job, counted from its acceptance.
-fn objective(job: &JobRecord) -> Duration {
-    let path_length = critical_path(job, |_| true);
+fn objective(job: &JobRecord, outlook: &JobOutlook) -> Duration {
     let stretch = job.submission.stretch.clamp(1.0, MAX_STRETCH);
-    path_length.mul_f32(stretch) + job.submission.latency_objective.min(MAX_LATENCY_OBJECTIVE)
-}
-
-/// Returns the estimated duration of the critical path, counting only the steps for which `counts` returns true.
-fn critical_path(job: &JobRecord, counts: impl Fn(&StepRecord) -> bool) -> Duration {
-    let Some(occurrence) = job.occurrences.first() else { return Duration::ZERO };
-    let steps = &job.submission.spec.steps;
-    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
-    for (spec, record) in steps.iter().zip(&occurrence.steps) {
-        let start = spec.depends_on.iter().filter_map(|earlier| ends.get(usize::from(*earlier))).max();
-        let duration = if counts(record) { spec.bounded_estimate() } else { Duration::ZERO };
-        ends.push(start.copied().unwrap_or_default() + duration);
-    }
-    ends.into_iter().max().unwrap_or_default()
+    outlook.path.mul_f32(stretch) + job.submission.latency_objective.min(MAX_LATENCY_OBJECTIVE)
 }
--- a/crates/parsleywalk-batch/src/work_feed.rs
+++ b/crates/parsleywalk-batch/src/work_feed.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use parsleywalk_units::{MonotonicTime, WorkerId};
+use parsleywalk_units::MonotonicTime;
 
 use crate::run_progress::{RunProgress, WorkSample};
+use crate::work_model::WorkModel;
+use crate::worker_speed::MAX_RUN_POINTS;
 use crate::worker_view::{RunView, WorkerView};
-use crate::{BatchState, Dispatcher, RunEnd, RunOutcome, StepSpec, WorkerReport};
+use crate::{BatchState, JobId, RunEnd, RunOutcome, StepSpec, TaskKey, WorkerReport};
 
 /// The longest time between two reports that is measured. Longer ones are those of a worker that could not be reached.
 const MAX_INTERVAL: Duration = Duration::from_secs(5);
@@ -16,10 +18,15 @@
 /// the run started.
 const CORES_WINDOW: Duration = Duration::from_millis(600);
 
+/// A worker's speed is compared with the progress of other workers if that is at least this, in percentage points.
+const MIN_REFERENCE_POINTS: f64 = 20.0;
+/// The progress of a run from which its own pace is known, in percentage points.
+const MIN_OWN_POINTS: f64 = 5.0;
+
 impl WorkerView {
     /// Returns the time between the newest report and the next one, on the worker's clock. It is unknown if the clock does
     /// not advance, or not at the pace of this leader's.
-    pub(crate) fn interval_until(&self, report: &WorkerReport, now: MonotonicTime) -> Option<Duration> {
+    fn interval_until(&self, report: &WorkerReport, now: MonotonicTime) -> Option<Duration> {
         let interval = report.clock.checked_sub(self.clock).filter(|interval| !interval.is_zero())?;
         let arrival = now.since(self.reported_at);
         let is_plausible = interval <= arrival * 2 + MAX_JITTER && arrival <= interval * 2 + MAX_JITTER;
@@ -32,77 +39,144 @@
         (!longest.is_zero() && longest <= MAX_INTERVAL).then(|| WorkSample::within(longest))
     }
 
-    /// Returns true if the duration of the step's tasks here tells that elsewhere. Away from their data, and on several
-    /// racks, tasks take longer by a factor that is not known here.
-    fn is_comparable(&self, step: &StepSpec) -> bool {
-        let on_rack = step.preferred_rack.is_none() || step.preferred_rack == self.rack;
-        on_rack && !step.rack_local && !step.long_running
+    /// Updates the view from a report as [`WorkerView::update`] does, and records what the report tells of runs in progress
+    /// and of those that have ended.
+    pub(crate) fn update_measured(
+        &mut self,
+        model: &mut WorkModel,
+        now: MonotonicTime,
+        state: &BatchState,
+        report: &WorkerReport,
+        ends: &[RunEnd],
+    ) {
+        let interval = self.interval_until(report, now);
+        if model.is_enabled() {
+            self.measure_ends(model, now, state, report, ends, interval);
+        }
+        self.update(report, now);
+        if model.is_enabled() {
+            self.measure_runs(model, now, state, interval);
+        }
     }
-}
 
-impl RunView {
-    /// Updates the progress from the newest row and returns what was added.
-    fn measure(&mut self, now: MonotonicTime, step: &StepSpec, interval: Option<Duration>) -> Option<WorkSample> {
-        // A gang waits for its members before it makes progress.
-        if step.gang && self.percent == 0 {
-            self.progress = RunProgress::new(0);
-            return None;
-        }
-        if step.best_effort {
-            let cores = step.size.cores.get();
-            if self.figure < cores && now.since(self.first_seen) < CORES_WINDOW {
-                self.progress = RunProgress::new(self.percent);
-                return None;
+    /// Records the runs that have completed since the previous report.
+    fn measure_ends(
+        &self,
+        model: &mut WorkModel,
+        now: MonotonicTime,
+        state: &BatchState,
+        report: &WorkerReport,
+        ends: &[RunEnd],
+        interval: Option<Duration>,
+    ) {
+        let is_new = |end: &&RunEnd| end.number > self.read_until && end.outcome == RunOutcome::Done;
+        for end in ends.iter().filter(is_new) {
+            let Some((job, step)) = state.step_of(&end.task) else { continue };
+            if !self.is_comparable(step) {
+                continue;
             }
-            self.progress.set_speed(self.figure, cores, self.rate);
+            let rest = match self.running.get(&end.task).filter(|known| known.run == end.run) {
+                Some(known) => interval.and_then(|interval| known.progress.finish(interval)),
+                None if job.task(&end.task).is_some_and(|task| task.saved.is_empty()) => self.unlisted(end, report),
+                None => None,
+            };
+            if let Some(rest) = rest.filter(|_| !self.speed.is_slow(now)) {
+                model.record_progress(&end.task, &rest);
+            }
+            model.record_end(&job.submission, &end.task);
         }
-        self.progress.advance(interval, self.percent)
     }
-}
 
-impl Dispatcher {
-    /// Records what a report tells of the runs in progress, given the time since the worker's previous report.
-    pub(crate) fn measure_runs(
+    /// Records what the newest report tells of the runs in progress.
+    fn measure_runs(
         &mut self,
+        model: &mut WorkModel,
         now: MonotonicTime,
         state: &BatchState,
-        worker: &WorkerId,
         interval: Option<Duration>,
     ) {
-        let Some(view) = self.workers.get_mut(worker) else { return };
-        let mut running = std::mem::take(&mut view.running);
+        let is_slow = self.speed.is_slow(now);
+        let mut running = std::mem::take(&mut self.running);
+        let mut own_samples = Vec::new();
         for (task, run) in running.iter_mut() {
             run.resolve(task, state);
-            let Some(submission) = run.submission.clone() else { continue };
-            let Some(step) = submission.spec.steps.get(usize::from(task.step)) else { continue };
-            if !view.is_comparable(step) {
-                continue;
-            }
-            if let Some(sample) = run.measure(now, step, interval) {
-                self.work_model.record_progress(task, &sample);
+            let Some(step) = run.step(task).filter(|step| self.is_comparable(step)) else { continue };
+            let (gang, best_effort_cores) = (step.gang, step.best_effort.then_some(step.size.cores.get()));
+            // The time before the first report that lists a run is not known.
+            let interval = interval.filter(|_| run.first_seen < now);
+            run.measure(now, gang, best_effort_cores, interval);
+            if let Some(sample) = run.progress.newest.filter(|_| !is_slow) {
+                model.record_progress(task, &sample);
+                run.progress.shared.add(&sample);
             }
+            add_own_sample(&mut own_samples, task, &run.progress.shared);
         }
-        view.running = running;
+        self.running = running;
+        self.compare_speed(now, model, &own_samples);
     }
 
-    /// Records the runs in a report that have completed since the previous one, which is still that of the worker's view.
-    pub(crate) fn measure_ends(&mut self, state: &BatchState, report: &WorkerReport, interval: Option<Duration>) {
-        let Some(view) = self.workers.get(&report.worker) else { return };
-        let completed =
-            report.ended.iter().filter(|end| end.number > view.read_until && end.outcome == RunOutcome::Done);
-        for end in completed {
-            let Some((job, _)) = state.step_of(&end.task).filter(|(_, step)| view.is_comparable(step)) else {
+    /// Compares the newest progress of the runs with that of the same steps elsewhere. `own_samples` are the parts of the
+    /// steps' measurements that come from the runs listed here.
+    fn compare_speed(&mut self, now: MonotonicTime, model: &WorkModel, own_samples: &[((JobId, u16), WorkSample)]) {
+        let mut own_samples = own_samples.iter().peekable();
+        for (task, run) in self.running.iter_mut() {
+            let key = (task.job, task.step);
+            let Some(newest) = run.progress.newest.take().filter(|_| run.progress.compared < MAX_RUN_POINTS) else {
                 continue;
             };
-            let rest = match view.running.get(&end.task).filter(|known| known.run == end.run) {
-                Some(known) => interval.and_then(|interval| known.progress.finish(interval)),
-                None if job.task(&end.task).is_some_and(|task| task.saved.is_empty()) => view.unlisted(end, report),
-                None => None,
-            };
-            if let Some(rest) = rest {
-                self.work_model.record_progress(&end.task, &rest);
+            while own_samples.next_if(|(known, _)| *known < key).is_some() {}
+            let Some((_, own)) = own_samples.peek().filter(|(known, _)| *known == key) else { continue };
+            let elsewhere = model.measured(task.job, task.step).map(|measured| measured.without(own));
+            let elsewhere = elsewhere.filter(|elsewhere| elsewhere.points >= MIN_REFERENCE_POINTS);
+            let Some(seconds) = elsewhere.and_then(|elsewhere| elsewhere.task_seconds()) else { continue };
+            let expected = newest.seconds / seconds * 100.0;
+            self.speed.add(now, newest.points, expected, &mut run.progress.compared);
+        }
+    }
+
+    /// Returns true if the duration of the step's tasks here tells that elsewhere. Away from their data, and on several
+    /// racks, tasks take longer by a factor that is not known here.
+    fn is_comparable(&self, step: &StepSpec) -> bool {
+        let on_rack = step.preferred_rack.is_none() || step.preferred_rack == self.rack;
+        on_rack && !step.rack_local && !step.long_running
+    }
+}
+
+impl RunView {
+    /// Updates the progress from the newest row of a run, given the cores that it asks for if it is best-effort.
+    fn measure(&mut self, now: MonotonicTime, gang: bool, best_effort_cores: Option<u32>, interval: Option<Duration>) {
+        // A gang waits for its members before it makes progress.
+        if gang && self.percent == 0 {
+            self.progress = RunProgress::new(0);
+            return;
+        }
+        if let Some(cores) = best_effort_cores {
+            if self.figure < cores && now.since(self.first_seen) < CORES_WINDOW {
+                self.progress = RunProgress::new(self.percent);
+                return;
             }
-            self.work_model.record_end(&job.submission, &end.task);
+            self.progress.set_speed(self.figure, cores, self.rate);
         }
+        self.progress.advance(interval, self.percent);
+    }
+
+    /// Returns how long the rest of the task takes on its worker, given the prediction of the whole for sound workers.
+    pub(crate) fn remaining_duration(&self, predicted: Duration) -> Duration {
+        self.task_duration(predicted) * u32::from(100 - self.percent.min(100)) / 100
+    }
+
+    /// Returns how long the task takes on its worker, given the prediction for sound workers.
+    pub(crate) fn task_duration(&self, predicted: Duration) -> Duration {
+        let known = Some(&self.progress.total).filter(|total| total.points >= MIN_OWN_POINTS);
+        known.and_then(WorkSample::duration).map_or(predicted, |own| own.max(predicted))
+    }
+}
+
+/// Adds a run's part of the measurement of its step to the sums by step. Tasks are added in the order of their keys.
+fn add_own_sample(own_samples: &mut Vec<((JobId, u16), WorkSample)>, task: &TaskKey, sample: &WorkSample) {
+    let key = (task.job, task.step);
+    match own_samples.last_mut().filter(|(known, _)| *known == key) {
+        Some((_, sum)) => sum.add(sample),
+        None => own_samples.push((key, *sample)),
     }
 }
--- a/crates/parsleywalk-batch/src/work_model.rs
+++ b/crates/parsleywalk-batch/src/work_model.rs
@@ -6,12 +6,12 @@
 
 use std::time::Duration;
 
-use crate::run_progress::WorkSample;
+use crate::run_progress::{DURATION_RANGE, WorkSample};
 use crate::step_history::{LogPrediction, StepHistory};
 use crate::{BatchState, JobId, JobSubmission, SortedMap, StepSpec, TaskKey};
 
 /// The number of step positions, over all queues, with a history. The one that was not added to for longest is forgotten.
-const MAX_HISTORIES: usize = 256;
+pub(crate) const MAX_HISTORIES: usize = 256;
 /// The number of steps of active jobs that are measured. Further ones go by estimate and history.
 const MAX_MEASURED_STEPS: usize = 4096;
 /// The variance of the logarithm of a task's duration given those of the same step, which are equal up to the worker's
@@ -19,8 +19,6 @@
 const SAME_STEP_VARIANCE: f64 = 0.1 * 0.1;
 /// A step whose measurement is worse than this tells the history nothing.
 const MAX_MEASUREMENT_VARIANCE: f64 = 1.0;
-/// The shortest and the longest duration that decisions use, in seconds.
-const DURATION_RANGE: (f64, f64) = (0.001, 24.0 * 3600.0);
 
 /// What the runs of a step of an active job have told.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -94,12 +92,16 @@
 
 /// Read-only methods.
 impl WorkModel {
+    /// Returns true if predictions go by measurements.
+    pub(crate) fn is_enabled(&self) -> bool {
+        self.is_enabled
+    }
+
     /// Returns the predicted duration of a task of a step.
-    #[allow(dead_code, reason = "not used yet")]
     pub(crate) fn predict(&self, submission: &JobSubmission, step: u16) -> Duration {
         let Some(spec) = submission.spec.steps.get(usize::from(step)) else { return Duration::ZERO };
         let history = self.history(&submission.queue, step);
-        let measured = self.steps.get(&(submission.job, step)).and_then(|step| step.total.prediction());
+        let measured = self.measured(submission.job, step).and_then(WorkSample::prediction);
         if history.is_none() && measured.is_none() || spec.long_running {
             return spec.bounded_estimate();
         }
@@ -107,14 +109,27 @@
         let known = history.unwrap_or(&unknown);
         let estimate = log_estimate(spec).map(|estimate| known.corrected(estimate));
         let typical = history.map(StepHistory::typical);
-        let sources = [estimate, typical, measured].into_iter().flatten();
-        let combined = sources.reduce(LogPrediction::combine).filter(|combined| combined.mean.is_finite());
+        let expected = [estimate, typical].into_iter().flatten().reduce(LogPrediction::combine);
+        let expected = expected.map(|expected| measured.map_or(expected, |measured| expected.widened(measured)));
+        let combined = [expected, measured].into_iter().flatten().reduce(LogPrediction::combine);
+        let combined = combined.filter(|combined| combined.mean.is_finite());
         combined.map_or_else(
             || spec.bounded_estimate(),
             |combined| Duration::from_secs_f64(combined.mean.exp().clamp(DURATION_RANGE.0, DURATION_RANGE.1)),
         )
     }
 
+    /// Returns what the runs of a step have told.
+    pub(crate) fn measured(&self, job: JobId, step: u16) -> Option<&WorkSample> {
+        self.steps.get(&(job, step)).map(|step| &step.total)
+    }
+
+    /// Returns the number of step positions with a history.
+    #[cfg(test)]
+    pub(crate) fn history_count(&self) -> usize {
+        self.histories.len()
+    }
+
     fn history(&self, queue: &str, step: u16) -> Option<&StepHistory> {
         self.histories.find(|(name, position)| name.as_str().cmp(queue).then(position.cmp(&step)))
     }
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -9,6 +9,7 @@
 use crate::interference::{CriticalLoad, ImageIndex};
 use crate::pacing::PaceController;
 use crate::run_progress::RunProgress;
+use crate::worker_speed::WorkerSpeed;
 use crate::{BatchState, EndNumber, JobSubmission, RunNumber, RunningTask, SortedMap, StepSpec, TaskKey, WorkerReport};
 
 /// A worker as described by its newest report.
@@ -44,6 +45,8 @@
     /// Runs whose withdrawal is being committed; they are not ordered again.
     pub(crate) withdrawing: SortedMap<TaskKey, RunNumber>,
     pub(crate) health: WorkerHealth,
+    /// The measured speed of this incarnation.
+    pub(crate) speed: WorkerSpeed,
     /// The highest number of an end of which the outcome has been read.
     pub(crate) read_until: EndNumber,
     pub(crate) pacing: PaceController,
@@ -134,6 +137,7 @@
             loss_pending: false,
             withdrawing: SortedMap::default(),
             health: WorkerHealth::new(now),
+            speed: WorkerSpeed::default(),
             read_until: EndNumber::ZERO,
             pacing: PaceController::default(),
             critical_loads: Vec::new(),
