Place tasks on slow workers after others

Cause: a worker at a third of the usual speed was chosen like any other, or rather first, since its cores look free, and each job with a task there was late.

Change: workers measured at less than half the speed of others rank after those that are not. The measurement is forgotten after a minute without a new one, and with the worker's next incarnation.

--- a/crates/parsleywalk-batch/src/candidate.rs
+++ b/crates/parsleywalk-batch/src/candidate.rs
@@ -30,6 +30,7 @@
     /// while it is quarantined.
     pub(crate) probation_limit: usize,
     pub(crate) is_quarantined: bool,
+    pub(crate) is_slow: bool,
     /// The number of runs that the worker can have besides those that it has.
     pub(crate) run_limit: usize,
     /// Whether the worker is reserved for a task that has waited long.
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -200,6 +200,7 @@
                 compatible_images: 0,
                 probation_limit: usize::MAX,
                 is_quarantined: false,
+                is_slow: view.speed.is_slow(now),
                 run_limit: self.settings.worker_runs.saturating_sub(record.map_or(0, |record| record.runs.len())),
                 reserved: false,
                 record: None,
@@ -439,6 +440,7 @@
         let rack = rack.or(spec.preferred_rack.as_deref());
         let base = WorkerRank {
             over_probation: !candidate.admits_on_probation(),
+            is_slow: candidate.is_slow,
             off_rack: rack.is_some() && candidate.view.rack.as_deref() != rack,
             avoided: avoided == Some(candidate.id),
             failures: candidate.view.health.failures(),
--- a/crates/parsleywalk-batch/src/worker_rank.rs
+++ b/crates/parsleywalk-batch/src/worker_rank.rs
@@ -2,9 +2,12 @@
 
 /// How well a worker suits a task; lower is better. The fields are compared in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[allow(clippy::struct_excessive_bools, reason = "each property is compared by itself")]
 pub(crate) struct WorkerRank {
     /// Whether the worker is quarantined, or on probation and gets one run more than it would otherwise.
     pub(crate) over_probation: bool,
+    /// Whether the worker is known to be slow.
+    pub(crate) is_slow: bool,
     /// Whether the worker is outside the rack that the step prefers.
     pub(crate) off_rack: bool,
     /// Whether the task last failed or stalled on the worker.
