--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -77,6 +77,8 @@
     /// The longest time for which a latency-critical task has missed its objective without interruption.
     pub(crate) longest_violation: Duration,
     violated_since: BTreeMap<TaskKey, MonotonicTime>,
+    /// The durations in milliseconds of the tasks of steps whose estimates are wrong.
+    pub(crate) true_ms: BTreeMap<(JobId, u16), f64>,
 }
 
 pub(crate) fn size(cores: u32, gigabytes: u64) -> ResourceSize {
@@ -128,6 +130,7 @@
             ended_at: BTreeMap::new(),
             longest_violation: Duration::ZERO,
             violated_since: BTreeMap::new(),
+            true_ms: BTreeMap::new(),
         }
     }
 
@@ -281,7 +284,7 @@
             if run.hung {
                 continue;
             }
-            run.done_ms += step_ms * f64::from(run.rate) / 100.0;
+            run.done_ms += step_ms * f64::from(run.rate) / 100.0 * worker.speed;
             if !run.long_running && run.done_ms >= run.total_ms {
                 ended.push((*task, if worker.fails_runs { RunOutcome::Failed } else { RunOutcome::Done }));
             }
@@ -386,6 +389,7 @@
                 assert!(now.since(*since) < Duration::from_secs(2), "{} starts in a zone out of service", order.task);
             }
             assert!(!self.done.contains_key(&order.task), "{} starts after it was done", order.task);
+            let true_ms = self.true_ms.get(&(order.task.job, order.task.step)).copied();
             self.starts += 1;
             self.started.push((order.task, order.run));
             worker.runs.insert(
@@ -397,7 +401,7 @@
                     breaks_gang: spec.gang && !order.payload.starts_with("all-fail"),
                     size: spec.size,
                     done_ms: order.saved.parse().unwrap_or(0.0),
-                    total_ms: spec.estimate.as_secs_f64() * 1000.0,
+                    total_ms: true_ms.unwrap_or(spec.estimate.as_secs_f64() * 1000.0),
                     rate: 100,
                     long_running: spec.long_running,
                     best_effort: spec.best_effort,
--- a/crates/parsleywalk-batch/tests/support/worker.rs
+++ b/crates/parsleywalk-batch/tests/support/worker.rs
@@ -82,6 +82,8 @@
     /// Whether new runs make no progress.
     pub(crate) hung: bool,
     pub(crate) capacity: ResourceSize,
+    /// The work done per second by a run at full speed, in seconds of a sound worker.
+    pub(crate) speed: f64,
     pub(crate) runs: BTreeMap<TaskKey, FakeRun>,
     pub(crate) ended: Vec<RunEnd>,
     pub(super) last_end_number: u64,
@@ -112,6 +114,7 @@
             failed_tasks: Vec::new(),
             hung: false,
             capacity: size(32, 125),
+            speed: 1.0,
             runs: BTreeMap::new(),
             ended: Vec::new(),
             last_end_number: 0,
