--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -164,7 +164,8 @@
                     {
                         let is_first_of_job = evaluated.is_none();
                         let (urgency, has_slack) = *evaluated.get_or_insert_with(|| {
-                            (JobUrgency::of(job, limit, since, now), has_ample_slack(job, limit, since, now))
+                            let outlook = self.outlooks.outlook(id, job, limit, &self.work_model, now);
+                            (JobUrgency::of(job, &outlook, since, now), has_ample_slack(job, &outlook, since, now))
                         });
                         let (priority, sequence, class) = (job.submission.priority, job.sequence, StepClass::of(spec));
                         ready.push(ReadyStep {
@@ -211,6 +212,7 @@
                 compatible_images: 0,
                 probation_limit: usize::MAX,
                 is_quarantined: false,
+                is_slow: view.speed.is_slow(now),
                 run_limit: self.settings.worker_runs.saturating_sub(record.map_or(0, |record| record.runs.len())),
                 reserved: false,
                 record: None,
@@ -452,6 +454,7 @@
         let rack = rack.or(spec.preferred_rack.as_deref());
         let base = WorkerRank {
             over_probation: !candidate.admits_on_probation(),
+            is_slow: candidate.is_slow,
             off_rack: rack.is_some() && candidate.view.rack.as_deref() != rack,
             avoided: avoided == Some(candidate.id),
             failures: candidate.view.health.failures(),
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -8,6 +8,8 @@
 use crate::health::WorkerHealth;
 use crate::interference::{CriticalLoad, ImageIndex};
 use crate::pacing::PaceController;
+use crate::run_progress::RunProgress;
+use crate::worker_speed::WorkerSpeed;
 use crate::{BatchState, EndNumber, JobSubmission, RunNumber, RunningTask, SortedMap, StepSpec, TaskKey, WorkerReport};
 
 /// A worker as described by its newest report.
@@ -43,6 +45,8 @@
     /// Runs whose withdrawal is being committed; they are not ordered again.
     pub(crate) withdrawing: SortedMap<TaskKey, RunNumber>,
     pub(crate) health: WorkerHealth,
+    /// The measured speed of this incarnation.
+    pub(crate) speed: WorkerSpeed,
     /// The highest number of an end of which the outcome has been read.
     pub(crate) read_until: EndNumber,
     pub(crate) pacing: PaceController,
@@ -93,6 +97,8 @@
     /// When the percentage last changed.
     pub(crate) progressed_at: MonotonicTime,
     pub(crate) first_seen: MonotonicTime,
+    /// The work and progress since then.
+    pub(crate) progress: RunProgress,
 }
 
 impl RunView {
@@ -131,6 +137,7 @@
             loss_pending: false,
             withdrawing: SortedMap::default(),
             health: WorkerHealth::new(now),
+            speed: WorkerSpeed::default(),
             read_until: EndNumber::ZERO,
             pacing: PaceController::default(),
             critical_loads: Vec::new(),
@@ -179,6 +186,7 @@
             proven: known.is_some_and(|view| view.proven),
             progressed_at,
             first_seen: known.map_or(now, |view| view.first_seen),
+            progress: known.map_or_else(|| RunProgress::new(task.percent), |view| view.progress),
         }
     }
 
