--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -39,6 +39,8 @@
 mod step_class;
 mod step_order;
 mod urgency;
+#[cfg(test)]
+mod urgency_tests;
 mod waiting;
 mod work_model;
 mod worker_rank;
--- a/crates/parsleywalk-batch/tests/workspace_limits.rs
+++ b/crates/parsleywalk-batch/tests/workspace_limits.rs
@@ -10,7 +10,7 @@
 use parsleywalk_units::{ResourceSize, WorkspaceName};
 use rstest::rstest;
 use support::workspaces::{share, workspace};
-use support::{FakeFleet, RandomSteps, STEP_DURATION, TestRng, size, step, submission};
+use support::{FakeFleet, FakeWorker, RandomSteps, STEP_DURATION, TestRng, size, step, submission};
 
 const NAMES: [&str; 3] = ["alpha", "beta", "gamma"];
 
@@ -255,6 +255,32 @@
     assert_eq!(fleet.started.iter().any(|(task, _)| task.job == JobId::new(2)), starts);
 }
 
+/// Guards against a long-running task that was lost and waits behind a workspace with a lower share, whose small jobs take
+/// every core that becomes free: it must run again within 6 s, as its workspace only gets back what it had.
+#[test]
+fn a_lost_long_running_task_is_placed_before_workspaces_with_lower_shares() {
+    let mut fleet = FakeFleet::new(3, 1);
+    share(&mut fleet, &[("alpha", 1, "-/-/-"), ("beta", 100, "-/-/-")]);
+    for id in 1..=2 {
+        fleet.submit_owned(submission(id, 1, vec![long_running(1, 24)]), &workspace("alpha"));
+    }
+    fleet.run_for(Duration::from_secs(1));
+    for id in 10..200 {
+        fleet.submit_owned(submission(id, 1, vec![step(4, 8, 500)]), &workspace("beta"));
+        if id == 20 {
+            let runs_first = |worker: &FakeWorker| worker.runs.keys().any(|task| task.job == JobId::new(1));
+            let index = fleet.workers.iter().position(runs_first).expect("the long-running task runs");
+            fleet.crash(index);
+        }
+        if id > 20 {
+            fleet.run_for(STEP_DURATION * 2);
+        }
+        if id == 80 {
+            assert_eq!(cores(&fleet, "alpha"), 48, "the lost task does not run again");
+        }
+    }
+}
+
 /// Guards against a lowered limit that stops runs or permits starts, and against a job that waits for accelerators
 /// and holds up others of a lower priority.
 #[test]
@@ -273,12 +299,20 @@
     assert_eq!(cores(&fleet, "alpha"), 8);
 }
 
-/// Guards against a workspace that gets more than its rate by submitting much: jobs beyond it come after those of a
-/// workspace that has more allocated. A new leader takes all jobs for within the rate.
+/// Guards against a workspace that gets more than its rate by submitting much: jobs beyond it, and those that are no longer
+/// useful, come after the useful jobs of a workspace that has more allocated. A new leader takes the jobs that it finds for
+/// within the rate.
 #[rstest]
-#[case::rate(1, true)]
-#[case::large_rate(100, false)]
-fn jobs_beyond_the_rate_come_last(#[case] weight: u32, #[case] is_first: bool) {
+#[case::beyond_rate(1, 0, false, true)]
+#[case::new_leader(1, 0, true, false)]
+#[case::within_rate(100, 0, false, false)]
+#[case::overdue(100, 9, false, true)]
+fn jobs_beyond_the_rate_and_overdue_jobs_come_last(
+    #[case] weight: u32,
+    #[case] delay: u64,
+    #[case] leader_changes: bool,
+    #[case] is_first: bool,
+) {
     let mut fleet = FakeFleet::new(1, 1);
     share(&mut fleet, &[("alpha", weight, "-/-/-"), ("beta", 1, "-/-/-")]);
     fleet.submit_owned(submission(1, 1, vec![long_running(1, 24)]), &workspace("beta"));
@@ -286,8 +320,12 @@
     for id in 10..50 {
         fleet.submit_owned(submission(id, 1, vec![step(1, 8, 1000)]), &workspace("alpha"));
     }
+    fleet.run_for(Duration::from_secs(delay));
+    if leader_changes {
+        fleet.change_leader();
+    }
     let job = fleet.submit_owned(submission(2, 1, vec![step(1, 8, 1000)]), &workspace("beta"));
-    fleet.run_for(Duration::from_secs(9));
+    fleet.run_for(Duration::from_secs(7));
     assert_eq!(fleet.started.iter().any(|(task, _)| task.job == job), is_first);
 }
 
