--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -43,6 +43,8 @@
 mod step_history;
 mod step_order;
 mod urgency;
+#[cfg(test)]
+mod urgency_tests;
 mod waiting;
 mod work_feed;
 mod work_model;
