Show operators what workspaces use and wait for

Nothing showed why the jobs of a workspace wait. The leader now serves /workspaces beside the metrics: what each workspace has allocated, its limit and share, and how many of its jobs wait, and how many of these for the limit. At most 64 are listed, those with the most waiting jobs. The client shows the list with "parsleywalk workspaces".

The metrics parsleywalk_workspace_cores (running, limit) and parsleywalk_workspace_waiting_jobs have series of their own for the first 64 workspaces by name; the others are summed up as "other". SeriesGauge replaces all its series at once, because a plain gauge would show the last value of a removed workspace, or of a replica that no longer leads, for ever.

--- a/crates/parsleywalk-api/src/lib.rs
+++ b/crates/parsleywalk-api/src/lib.rs
@@ -17,7 +17,7 @@
 //! - Endpoints: [`AnnounceRequest`], [`AnnounceReply`].
 //! - Workers: [`WorkerReport`], [`WorkerReply`], [`WorkerOrder`].
 //! - Operators: [`ConfigurationApply`], [`ZoneCommand`], [`ReplicaCommand`], [`OperationReply`], [`ConfigurationView`],
-//!   [`SystemStatus`], [`JobExplanation`], [`FailingJobs`].
+//!   [`SystemStatus`], [`JobExplanation`], [`FailingJobs`], [`WorkspaceList`].
 
 mod endpoint;
 pub mod headers;
@@ -34,6 +34,7 @@
 };
 pub use refusal::{Refusal, RefusalOutcome};
 pub use status::{
-    FailingJob, FailingJobs, JobExplanation, ReplicaView, SystemStatus, TaskCounts, TaskExplanation, ZoneView,
+    FailingJob, FailingJobs, JobExplanation, ReplicaView, SystemStatus, TaskCounts, TaskExplanation, WorkspaceList,
+    WorkspaceView, ZoneView,
 };
 pub use worker::{ReportedPhase, TaskReport, WorkerOrder, WorkerReply, WorkerReport};
--- a/crates/parsleywalk-api/src/status.rs
+++ b/crates/parsleywalk-api/src/status.rs
@@ -1,7 +1,11 @@
 //! Messages that describe the state of the system, its jobs and its tasks.
 
-use parsleywalk_units::{ConfigurationVersion, JobKey, TaskId, TimeSpan, VmNumber, ZoneName};
+use parsleywalk_shares::ResourceLimit;
+use parsleywalk_units::{
+    ConfigurationVersion, JobKey, ResourceSize, TaskId, TimeSpan, VmNumber, WorkspaceName, ZoneName,
+};
 use serde::{Deserialize, Serialize};
+use serde_with::{DisplayFromStr, serde_as};
 
 use crate::JobPhase;
 
@@ -116,3 +120,31 @@
     /// The jobs, at most a hundred.
     pub jobs: Vec<FailingJob>,
 }
+
+/// What a workspace uses and waits for.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WorkspaceView {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+    /// What its runs have allocated; best-effort runs count with their cores.
+    pub allocated: ResourceSize,
+    /// What it may have allocated, such as `64c/-/-`.
+    #[serde_as(as = "DisplayFromStr")]
+    pub limit: ResourceLimit,
+    /// Its largest share of any resource, divided by its weight; the workspace with the lowest one is served next.
+    pub share: f64,
+    /// The number of its jobs with tasks that wait.
+    pub waiting_jobs: usize,
+    /// How many of these wait for the limit; the others wait for their turn or for capacity.
+    pub limited_jobs: usize,
+}
+
+/// The workspaces of the active configuration.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct WorkspaceList {
+    /// The workspaces by name, at most 64: those with the most waiting jobs.
+    pub workspaces: Vec<WorkspaceView>,
+    /// The number of workspaces that are not listed.
+    pub omitted: usize,
+}
--- a/crates/parsleywalk-fleet/src/access.rs
+++ b/crates/parsleywalk-fleet/src/access.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use log::info;
-use parsleywalk_batch::{JobFailures, JobId, ReportResponse, WorkerReport};
+use parsleywalk_batch::{JobFailures, JobId, ReportResponse, WorkerReport, WorkspaceUsage};
 use parsleywalk_peer::{CallWindow, PeerSettings, SteadyClock};
 use tokio::time;
 
@@ -123,6 +123,13 @@
         self.replica.as_ref()?.failing_jobs()
     }
 
+    /// Returns what the workspaces of the active configuration use and wait for, by name, or `None` if this daemon does not
+    /// lead.
+    #[must_use]
+    pub fn workspace_usage(&self) -> Option<Vec<WorkspaceUsage>> {
+        self.replica.as_ref()?.workspace_usage()
+    }
+
     /// Renders the metrics after updating the gauges.
     #[must_use]
     pub fn render_metrics(&self) -> String {
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -8,8 +8,8 @@
 
 use log::{debug, error, info};
 use parsleywalk_batch::{
-    BatchCommand, BatchReply, BatchState, FencingToken, JobFailures, JobId, JobRecord, SortedMap, decode_commands,
-    encode_commands,
+    BatchCommand, BatchReply, BatchState, FencingToken, JobFailures, JobId, JobRecord, SortedMap, WorkspaceUsage,
+    decode_commands, encode_commands,
 };
 use parsleywalk_consensus::{
     ConsensusAction, ConsensusEvent, ConsensusMessage, ConsensusNode, EntryPayload, LogEntry, LogTerm, LogWrite,
@@ -134,9 +134,16 @@
         Some(jobs.map(|(job, failures)| (job, failures.clone(), now.since(failures.last_at))).collect())
     }
 
+    /// Returns what the workspaces use and wait for, or `None` if this replica does not lead.
+    pub(crate) fn workspace_usage(&self, now: MonotonicTime) -> Option<Vec<WorkspaceUsage>> {
+        let leader_state = self.leader_state.as_ref().filter(|_| self.is_leader(now))?;
+        Some(leader_state.dispatcher.workspace_usage(&self.state))
+    }
+
     /// Updates the metrics that describe the state.
-    pub(crate) fn record_state_metrics(&self) {
+    pub(crate) fn record_state_metrics(&self, now: MonotonicTime) {
         self.metrics.record_state(&self.state, crate::clock::unix_ms());
+        self.metrics.record_workspaces(self.workspace_usage(now));
     }
 
     fn locate_reply(&self) -> LeaderReply {
--- a/crates/parsleywalk-fleet/src/metrics.rs
+++ b/crates/parsleywalk-fleet/src/metrics.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use parsleywalk_batch::{BatchState, JobStatus, ReportResponse, RunOutcome};
-use parsleywalk_metrics::{Counter, Gauge, Histogram, KeyValue, MetricRegistry};
+use parsleywalk_batch::{BatchState, JobStatus, ReportResponse, RunOutcome, WorkspaceUsage};
+use parsleywalk_metrics::{Counter, Gauge, Histogram, KeyValue, MetricRegistry, SeriesGauge};
+use parsleywalk_units::MilliCores;
 
 /// The instruments of a daemon. Clones share them.
 #[derive(Debug, Clone)]
@@ -27,6 +28,8 @@
     oldest_waiting: Gauge<u64>,
     workers: Gauge<u64>,
     configuration: Gauge<u64>,
+    workspace_cores: SeriesGauge,
+    workspace_waiting_jobs: SeriesGauge,
 }
 
 impl Default for FleetMetrics {
@@ -63,6 +66,12 @@
             ),
             workers: registry.gauge("parsleywalk_workers", "Workers with runs"),
             configuration: registry.gauge("parsleywalk_configuration_version", "Version of the configuration held"),
+            workspace_cores: registry.series_gauge(
+                "parsleywalk_workspace_cores",
+                "Cores allocated to the runs of a workspace, and its limit, by kind",
+            ),
+            workspace_waiting_jobs: registry
+                .series_gauge("parsleywalk_workspace_waiting_jobs", "Jobs of a workspace with tasks that wait"),
             registry,
         }
     }
@@ -160,6 +169,35 @@
         let version = state.configuration().map_or(0, |configuration| configuration.version.get());
         self.configuration.record(version, &[]);
     }
+
+    /// Records what the workspaces use and wait for, as the leader knows it. `None` ends the series of a replica that no
+    /// longer leads. Of many workspaces, the first by name have series of their own.
+    pub(crate) fn record_workspaces(&self, usage: Option<Vec<WorkspaceUsage>>) {
+        let mut usage = usage.unwrap_or_default();
+        let is_other = |usage: &WorkspaceUsage| usage.workspace.as_str() == OTHER_WORKSPACES;
+        usage.sort_by(|one, other| (is_other(one), &one.workspace).cmp(&(is_other(other), &other.workspace)));
+        let named = usage.iter().take(MAX_NAMED_WORKSPACES).filter(|usage| !is_other(usage)).count();
+        let (named, others) = usage.split_at(named);
+        let (mut cores, mut waiting) = (Vec::new(), Vec::new());
+        let label = |name: &str| KeyValue::new("workspace", name.to_owned());
+        for usage in named {
+            let label = label(usage.workspace.as_str());
+            let running = vec![label.clone(), KeyValue::new("kind", "running")];
+            cores.push((running, cores_number(usage.allocated.cores)));
+            if let Some(limit) = usage.limit.cores {
+                cores.push((vec![label.clone(), KeyValue::new("kind", "limit")], cores_number(limit)));
+            }
+            waiting.push((vec![label], count_number(usage.waiting_jobs)));
+        }
+        if !others.is_empty() {
+            let running = vec![label(OTHER_WORKSPACES), KeyValue::new("kind", "running")];
+            cores.push((running, others.iter().map(|usage| cores_number(usage.allocated.cores)).sum()));
+            let jobs = others.iter().map(|usage| usage.waiting_jobs).sum();
+            waiting.push((vec![label(OTHER_WORKSPACES)], count_number(jobs)));
+        }
+        self.workspace_cores.replace(cores);
+        self.workspace_waiting_jobs.replace(waiting);
+    }
 }
 
 /// Read-only methods.
@@ -171,9 +209,22 @@
     }
 }
 
+/// The most workspaces with series of their own, which bounds the work of collectors.
+const MAX_NAMED_WORKSPACES: usize = 64;
+/// The label of the other workspaces.
+const OTHER_WORKSPACES: &str = "other";
+
 /// The lowest priority with metrics of its own; jobs with a higher number are not counted.
 const LOWEST_PRIORITY: u8 = 3;
 
+fn cores_number(cores: MilliCores) -> f64 {
+    f64::from(cores.get()) / 1000.0
+}
+
+fn count_number(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
 fn milliseconds(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
@@ -199,3 +250,7 @@
         RunOutcome::Refused => "refused",
     }
 }
+
+#[cfg(test)]
+#[path = "metrics_tests.rs"]
+mod tests;
--- a/crates/parsleywalk-fleet/src/replica.rs
+++ b/crates/parsleywalk-fleet/src/replica.rs
@@ -9,7 +9,7 @@
 
 use flume::{Receiver, Sender};
 use log::{error, info, warn};
-use parsleywalk_batch::{JobFailures, JobId, ReportResponse, WorkerReport};
+use parsleywalk_batch::{JobFailures, JobId, ReportResponse, WorkerReport, WorkspaceUsage};
 use parsleywalk_consensus::{ConsensusNode, ConsensusSettings, LogWrite, RecoveredLog, WriteTicket};
 use parsleywalk_peer::{
     CallWindow, PeerAddress, PeerNetwork, PeerReceivers, PeerSettings, ReceivedCall, SteadyClock, StreamKind,
@@ -218,9 +218,14 @@
         self.core.borrow().failing_jobs(self.clock.now())
     }
 
+    /// Returns what the workspaces use and wait for, if this replica leads.
+    pub(crate) fn workspace_usage(&self) -> Option<Vec<WorkspaceUsage>> {
+        self.core.borrow().workspace_usage(self.clock.now())
+    }
+
     /// Updates the metrics that describe the state.
     pub(crate) fn record_state_metrics(&self) {
-        self.core.borrow().record_state_metrics();
+        self.core.borrow().record_state_metrics(self.clock.now());
     }
 
     /// Returns the window of a call. A call from a daemon of a release without windows counts as received now.
--- a/crates/parsleywalk-metrics/src/lib.rs
+++ b/crates/parsleywalk-metrics/src/lib.rs
@@ -12,7 +12,9 @@
 //! ```
 
 mod registry;
+mod series_gauge;
 
 pub use opentelemetry::KeyValue;
 pub use opentelemetry::metrics::{Counter, Gauge, Histogram};
 pub use registry::MetricRegistry;
+pub use series_gauge::SeriesGauge;
--- a/crates/parsleywalk-metrics/src/registry.rs
+++ b/crates/parsleywalk-metrics/src/registry.rs
@@ -6,6 +6,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::SeriesGauge;
+
 /// The histogram bucket bounds of durations, in seconds.
 const DURATION_BOUNDS: [f64; 14] = [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
 
@@ -54,6 +56,12 @@
         self.meter.u64_gauge(name).with_description(description).build()
     }
 
+    /// Creates a gauge whose series are replaced all at once.
+    #[must_use]
+    pub fn series_gauge(&self, name: &'static str, description: &'static str) -> SeriesGauge {
+        SeriesGauge::new(&self.meter, name, description)
+    }
+
     /// Creates a histogram of durations in seconds, with buckets from 0.5 ms to 10 s.
     #[must_use]
     pub fn duration_histogram(&self, name: &'static str, description: &'static str) -> Histogram<f64> {
--- a/crates/parsleywalk/src/arguments.rs
+++ b/crates/parsleywalk/src/arguments.rs
@@ -86,6 +86,8 @@
     Explain(ExplainArguments),
     /// List the jobs of which runs have failed, that of the newest failure first
     Failing,
+    /// List what the workspaces use and wait for
+    Workspaces,
     /// Submit a job; submitting the same key again has no further effect
     Submit(SubmitArguments),
     /// Show the state of a job and, once it has ended, its results
--- a/crates/parsleywalk/src/commands/mod.rs
+++ b/crates/parsleywalk/src/commands/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod result;
 mod status;
 pub(crate) mod submit;
+mod workspaces;
 pub(crate) mod zone;
 
 use crate::arguments::{Arguments, Command};
@@ -31,6 +32,7 @@
         Command::Status => status::run(connection),
         Command::Explain(command) => explain::run(&command, connection),
         Command::Failing => failing::run(connection),
+        Command::Workspaces => workspaces::run(connection),
         Command::Submit(command) => submit::run(command, connection),
         Command::Result(command) => result::run(&command, connection),
         Command::Cancel(command) => cancel::run(&command, connection),
--- a/crates/parsleywalk/tests/output.rs
+++ b/crates/parsleywalk/tests/output.rs
@@ -42,6 +42,12 @@
   { "job": "000000000000001f", "failed_runs": 1, "last_failure_age": "2m", "last_task": "000000000000001f.0.1.0",
     "last_worker": "i-02", "restart_delay": "0s" }
 ] }"#;
+const WORKSPACES: &str = r#"{ "workspaces": [
+  { "workspace": "survey", "allocated": { "cores": "62.5", "memory": "128GB", "accelerators": 0 }, "limit": "64c/-/-",
+    "share": 0.0279, "waiting_jobs": 14, "limited_jobs": 12 },
+  { "workspace": "terrain", "allocated": { "cores": "0", "memory": "0B", "accelerators": 0 }, "limit": "-/-/2a",
+    "share": 0.0, "waiting_jobs": 0, "limited_jobs": 0 }
+], "omitted": 3 }"#;
 const ACCEPTED: &str = r#"{ "outcome": "accepted", "message": "zone zone-b is out of service", "version": 7, "in_force": [1, 2, 3], "not_heard": [7] }"#;
 
 fn answer(line: &str) -> (u16, String) {
@@ -53,6 +59,7 @@
         "GET /v1/jobs/planning/ended/result" => RESULT,
         "GET /v1/configuration" => CONFIGURATION,
         "GET /failing-jobs" => FAILING,
+        "GET /workspaces" => WORKSPACES,
         "GET /v1/dump" => r#"{ "revision": 4711 }"#,
         "POST /v1/zones/zone-b" | "POST /v1/replicas" => ACCEPTED,
         _ => return (404, r#"{ "outcome": "not_run", "reason": "no such job" }"#.to_owned()),
@@ -69,6 +76,7 @@
 #[case::config("config")]
 #[case::dump("dump")]
 #[case::failing("failing")]
+#[case::workspaces("workspaces")]
 #[case::submit("submit planning/night-4 slope-resurvey --count 140")]
 #[case::result_running("result planning/night-4")]
 #[case::result_failed("result planning/ended")]
