--- a/crates/parsleywalk/tests/pages.rs
+++ b/crates/parsleywalk/tests/pages.rs
@@ -5,7 +5,7 @@
 
 use parsleywalk_api::{
     AnnounceReply, AnnounceRequest, ConfigurationApply, ConfigurationView, JobExplanation, JobResult, JobStatus,
-    JobSubmission, OperationReply, Refusal, ReplicaCommand, SystemStatus, WorkerReply, WorkerReport, ZoneCommand,
+    JobSubmission, OperationReply, Refusal, ReplicaCommand, SystemStatus, WorkerReply, WorkerReport, WorkspaceList, ZoneCommand,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -44,8 +44,9 @@
             "OperationReply" => check::<OperationReply>(name, text),
             "SystemStatus" => check::<SystemStatus>(name, text),
             "JobExplanation" => check::<JobExplanation>(name, text),
+            "WorkspaceList" => check::<WorkspaceList>(name, text),
             other => panic!("no type for the message {other}"),
         }
     }
-    assert_eq!(count, 17, "messages on the page");
+    assert_eq!(count, 18, "messages on the page");
 }
