--- a/crates/parsleywalk-batch/src/account_cycle.rs
+++ b/crates/parsleywalk-batch/src/account_cycle.rs
@@ -33,8 +33,6 @@
     pub(crate) next_index: u32,
     /// The number of tasks of the first row that have been placed.
     pub(crate) placed: u32,
-    /// The weighted dominant share at the end of the cycle.
-    share: f64,
 }
 
 /// Read-only methods.
@@ -60,10 +58,6 @@
         self.limit_looks > 0
     }
 
-    pub(crate) const fn share(&self) -> f64 {
-        self.share
-    }
-
     pub(crate) fn limit_looks(&self) -> u64 {
         u64::from(self.limit_looks)
     }
@@ -129,10 +123,9 @@
         self.advance(class, false);
     }
 
-    /// Ends the cycle with the share that the account has reached.
-    pub(crate) fn end(&mut self, share: f64) {
+    /// Ends the cycle.
+    pub(crate) fn end(&mut self) {
         self.served_jobs.sort_unstable();
-        self.share = share;
     }
 }
 
--- a/crates/parsleywalk-batch/src/shared_order.rs
+++ b/crates/parsleywalk-batch/src/shared_order.rs
@@ -182,8 +182,8 @@
     /// Ends the cycle and returns the results by account.
     pub(crate) fn into_cycles(mut self) -> Vec<AccountCycle> {
         self.end_turn();
-        for (index, cycle) in (0u32..).zip(&mut self.cycles) {
-            cycle.end(self.ledger.share(AccountIndex(index)));
+        for cycle in &mut self.cycles {
+            cycle.end();
         }
         self.cycles
     }
--- a/crates/parsleywalk-batch/src/workspace_shares.rs
+++ b/crates/parsleywalk-batch/src/workspace_shares.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use parsleywalk_shares::{AccountIndex, JobRate, RateAllowance, ResourceLimit};
+use parsleywalk_shares::{AccountIndex, JobRate, RateAllowance, ResourceLimit, dominant_share};
 use parsleywalk_units::{ConfigurationVersion, MonotonicTime, ResourceSize, WorkspaceName};
 
 use crate::account_cycle::AccountCycle;
@@ -185,17 +185,25 @@
         refusal
     }
 
-    /// Returns what the configured workspaces use and wait for, as of the last scheduling cycle. The cost is that of the
-    /// number of workspaces.
+    /// Returns what the configured workspaces use, and what they wait for as of the last scheduling cycle. The cost is that
+    /// of the number of workspaces and workers.
     #[must_use]
     pub fn workspace_usage(&self, state: &BatchState) -> Vec<WorkspaceUsage> {
-        let usage = self.workspace_shares.accounts.iter().map(|account| WorkspaceUsage {
-            workspace: account.name.clone(),
-            allocated: state.workspace_allocation(&account.name),
-            limit: account.limit,
-            share: account.cycle.share(),
-            waiting_jobs: account.cycle.waiting_jobs(),
-            limited_jobs: account.cycle.limited_jobs(),
+        let in_service = self.workers.iter().map(|(_, view)| view).filter(|view| {
+            !(view.loss_pending || view.draining || view.departed || state.is_out_of_service(&view.zone))
+        });
+        let total =
+            in_service.fold(ResourceSize::default(), |sum, view| sum.checked_add(&view.capacity).unwrap_or(sum));
+        let usage = self.workspace_shares.accounts.iter().map(|account| {
+            let allocated = state.workspace_allocation(&account.name);
+            WorkspaceUsage {
+                workspace: account.name.clone(),
+                allocated,
+                limit: account.limit,
+                share: dominant_share(&allocated, &total) / f64::from(account.weight.max(1)),
+                waiting_jobs: account.cycle.waiting_jobs(),
+                limited_jobs: account.cycle.limited_jobs(),
+            }
         });
         usage.collect()
     }
--- a/crates/parsleywalk-batch/tests/workspace_limits.rs
+++ b/crates/parsleywalk-batch/tests/workspace_limits.rs
@@ -362,3 +362,17 @@
         ["limited workspace=logged cores=4 limit=4c/8GB/-", "unlimited workspace=logged cores=0 limit=4c/8GB/-"];
     assert_eq!(lines, expected.map(|line| format!("event=workspace_{line}")).iter().collect::<Vec<_>>());
 }
+
+/// Guards against a workspace that is shown without a share while none of its jobs waits.
+#[test]
+fn a_share_is_shown_when_nothing_waits() {
+    let mut fleet = FakeFleet::new(3, 1);
+    share(&mut fleet, &[("alpha", 2, "-/-/-")]);
+    fleet.run_for(STEP_DURATION);
+    fleet.submit_owned(submission(1, 1, vec![step(24, 1, 60_000)]), &workspace("alpha"));
+    fleet.run_for(STEP_DURATION * 4);
+    let usage = fleet.dispatcher.workspace_usage(&fleet.state);
+    let [alpha] = usage.as_slice() else { panic!("one workspace: {usage:?}") };
+    assert_eq!((alpha.allocated.cores, alpha.waiting_jobs), (size(24, 0).cores, 0));
+    assert!((alpha.share - 24.0 / 96.0 / 2.0).abs() < 1e-9, "{alpha:?}");
+}
