Send requests with keys to a leader of the previous release without them

A caller that sends a key was answered 503 while the leader was of release 1, also in a deployment without workspaces, which ignores keys: during an upgrade such callers were refused. A leader of release 1 has applied no command about workspaces, so the daemon now sends it the request without the key.

--- a/crates/parsleywalk-fleet/src/client.rs
+++ b/crates/parsleywalk-fleet/src/client.rs
@@ -171,11 +171,14 @@
                 }
                 continue;
             }
-            if release.is_some_and(|release| release < request.release()) {
+            let is_undecodable = release.is_some_and(|release| release < request.release());
+            let plain_request = if is_undecodable { request.without_key() } else { None };
+            if is_undecodable && plain_request.is_none() {
                 debug!("event=leader_not_ready peer={} request={request}", self.fleet.peer_address(leader));
                 return Ok((leader, LeaderReply::NotReady));
             }
-            match call_client.call(request, Some(window), remaining.min(ATTEMPT_TIMEOUT)).await {
+            let sent_request = plain_request.as_ref().unwrap_or(request);
+            match call_client.call(sent_request, Some(window), remaining.min(ATTEMPT_TIMEOUT)).await {
                 Ok(LeaderReply::NotLeader { leader: hint }) => {
                     if self.leader.get() == Some(leader) {
                         self.forget_leader();
--- a/crates/parsleywalk-fleet/src/message.rs
+++ b/crates/parsleywalk-fleet/src/message.rs
@@ -121,6 +121,13 @@
             | Self::Relay { .. } => DaemonRelease::FIRST,
         }
     }
+
+    /// Returns the request without its key, or `None` if it has none. A leader of release 1 can decode it, and answers it
+    /// as a leader of this release would: its deployment has no workspaces, so that keys are ignored.
+    pub(crate) fn without_key(&self) -> Option<Self> {
+        let Self::KeyedQueue { host, path, action, .. } = self else { return None };
+        Some(Self::Queue { host: host.clone(), path: path.clone(), action: action.clone() })
+    }
 }
 
 impl Display for LeaderRequest {
