--- a/crates/parsleywalkd/examples/process_soak.rs
+++ b/crates/parsleywalkd/examples/process_soak.rs
@@ -52,6 +52,8 @@
             program: arguments.program.clone(),
             earlier_program: arguments.earlier_program.clone(),
             zones: arguments.zones,
+            // An earlier release supports no workspaces.
+            workspaces: seed % 2 == 0 && arguments.earlier_program.is_none(),
             faults: Duration::from_secs(arguments.seconds),
             folder: arguments.folder.as_ref().map(|folder| folder.join(seed.to_string())),
             ..SoakSettings::default()
--- a/crates/parsleywalkd/tests/process_soak.rs
+++ b/crates/parsleywalkd/tests/process_soak.rs
@@ -12,10 +12,16 @@
 /// Seeds that have failed are kept, each with the cause:
 /// - 12: while a paused entry delayed the response to a submission, the oracle took the job for refused and its start for a
 ///   violation.
+/// Seed 4 has workspaces.
 #[rstest]
-fn promises_hold_under_faults(#[values(1, 2, 12)] seed: u64) {
+#[case(1, false)]
+#[case(2, false)]
+#[case(12, false)]
+#[case(4, true)]
+fn promises_hold_under_faults(#[case] seed: u64, #[case] workspaces: bool) {
     let settings = SoakSettings {
         seed,
+        workspaces,
         program: PathBuf::from(env!("CARGO_BIN_EXE_parsleywalkd")),
         faults: Duration::from_secs(12),
         ..SoakSettings::default()
