Record the ends in a report handled after the announcement of an exit

Callers may see a task run twice: its run has ended, its worker has left, and 7 s later the task starts again on another worker.

Cause: a worker's last report and its announcement are two calls, which may arrive in either order. Once the worker had announced its exit, the leader took every report of it for stale. The end in the last report was not recorded, the worker did not repeat it, and its run was declared lost with its lease.

Change: a newer report of the same incarnation is handled while the worker's runs are on record, but only for the ends in it (module late_report). It does not renew the lease or the time of the last report, so that the loss of the remaining runs and the end of the view come when they did. Its response carries no orders and acknowledges nothing; neither does that of a report that is held when the announcement arrives. The command of the departure follows the ends in the same entry and takes effect if no run is left. Reports of an earlier incarnation stay stale, also if the worker's next life has the same id.

Result: the four cases of an_end_reported_after_the_announcement_of_an_exit_counts fail with the stale answer ("the report is new") and pass with the change; a_late_report_does_not_renew_the_lease_of_a_departed_worker still passes.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -140,18 +140,16 @@
                 );
             }
             self.workers.insert(report.worker.clone(), view);
-        } else if known.is_some_and(|view| view.departed || view.sequence >= report.sequence) {
+        } else if known.is_some_and(|view| view.sequence >= report.sequence) {
             return ReportAction::Stale;
+        } else if known.is_some_and(|view| view.departed) {
+            return self.receive_after_departure(now, state, report);
         }
         let mut commands = Vec::new();
         if let Some(record) = record.filter(|record| record.incarnation < report.incarnation) {
             commands.push(self.loss_command(&report.worker, record));
         }
-        let settled = record
-            .filter(|record| record.incarnation == report.incarnation)
-            .map_or(crate::EndNumber::ZERO, |record| record.settled);
-        let mut ends: Vec<_> = report.ended.iter().filter(|end| end.number > settled).cloned().collect();
-        ends.sort_by_key(|end| end.number);
+        let mut ends = report.unrecorded_ends(record.filter(|record| record.incarnation == report.incarnation));
         let Some(view) = self.workers.get_mut(&report.worker) else { return ReportAction::Stale };
         // Ends are recorded once the loss is committed, which ends the placed runs: applied after it, their commands would
         // acknowledge the ends and have no effect.
@@ -194,7 +192,7 @@
         let Some(view) = self.workers.get_mut(worker).filter(|view| view.sequence == sequence) else { return empty };
         let record = state.worker(worker).filter(|record| record.incarnation == view.incarnation);
         view.loss_pending &= record.is_some_and(|record| !record.runs.is_empty());
-        if view.loss_pending {
+        if view.loss_pending || view.departed {
             return empty;
         }
         view.lease_until = view.lease_until.max(view.reported_at + max_lease);
@@ -457,7 +455,7 @@
 /// Returns the command after which every replica, and so the next leader, takes reports of the worker's incarnation for
 /// late ones: the worker's record moves on to the next incarnation. The worker must have no placed runs. Incarnations
 /// without a number cannot be told apart.
-fn departure_command(worker: &WorkerId, view: &WorkerView) -> Option<BatchCommand> {
+pub(crate) fn departure_command(worker: &WorkerId, view: &WorkerView) -> Option<BatchCommand> {
     let incarnation = view.incarnation.next();
     let is_numbered = view.incarnation != Incarnation::ZERO;
     is_numbered.then(|| BatchCommand::Settle { worker: worker.clone(), incarnation, ends: Vec::new() })
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -19,6 +19,7 @@
 mod interference;
 mod job;
 mod job_failures;
+mod late_report;
 mod outcomes;
 mod pacing;
 mod placement;
--- a/crates/parsleywalk-batch/src/report.rs
+++ b/crates/parsleywalk-batch/src/report.rs
@@ -5,7 +5,7 @@
 use parsleywalk_units::{Incarnation, ResourceSize, ServiceName, WorkerId, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::{EndNumber, FencingToken, RunEnd, RunNumber, TaskKey};
+use crate::{EndNumber, FencingToken, RunEnd, RunNumber, TaskKey, WorkerRecord};
 
 /// A worker's report about itself and its runs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -46,6 +46,14 @@
         ROW_BYTES * 4 + running.chain(ended).sum::<usize>()
     }
 
+    /// Returns the ends that the record of the worker's incarnation does not cover, in the order of their numbers.
+    pub(crate) fn unrecorded_ends(&self, record: Option<&WorkerRecord>) -> Vec<RunEnd> {
+        let settled = record.map_or(EndNumber::ZERO, |record| record.settled);
+        let mut ends: Vec<RunEnd> = self.ended.iter().filter(|end| end.number > settled).cloned().collect();
+        ends.sort_by_key(|end| end.number);
+        ends
+    }
+
     /// Returns the label that names the rack: the second one, because the first names the kind of worker.
     #[must_use]
     pub fn rack(&self) -> Option<&str> {
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -20,7 +20,8 @@
     pub(crate) rack: Option<String>,
     pub(crate) capacity: ResourceSize,
     pub(crate) draining: bool,
-    /// Whether the worker has announced its exit; reports that arrive later were sent before.
+    /// Whether the worker has announced its exit. Reports that arrive later count only for the ends in them; see
+    /// `late_report`.
     pub(crate) departed: bool,
     /// The sequence number of the newest report, and the worker's clock in it.
     pub(crate) sequence: u64,
--- a/crates/parsleywalk-batch/tests/settlement.rs
+++ b/crates/parsleywalk-batch/tests/settlement.rs
@@ -191,6 +191,62 @@
     assert_eq!(fleet.state.worker(&fleet.workers[0].id).map(|record| record.runs.len()), Some(0));
 }
 
+/// Guards against an end that is lost, so that its task runs twice, since the report that lists it is handled after the
+/// worker has announced its exit. The report gives no lease and acknowledges nothing, and the worker's next life works.
+#[rstest]
+fn an_end_reported_after_the_announcement_of_an_exit_counts(
+    #[values(false, true)] is_numbered: bool,
+    #[values(1, 2)] runs: u32,
+) {
+    let mut fleet = FakeFleet::new(1, 1);
+    let job = fleet.submit(submission(1, 0, vec![step(runs, 1, 60_000)]));
+    fleet.run_for(START_TIME);
+    fleet.workers[0].draining = true;
+    fleet.run_for(Duration::from_millis(300));
+    let early = fleet.workers[0].current_report(fleet.now);
+    fleet.workers[0].end(member(job, 0), RunOutcome::Done);
+    let late = fleet.workers[0].current_report(fleet.now);
+    let incarnation = is_numbered.then_some(late.incarnation);
+    assert_eq!(fleet.dispatcher.mark_departed(&fleet.state, &late.worker, incarnation), None, "it has a run");
+    for command in receive(&mut fleet, &late) {
+        fleet.state.apply(&command);
+    }
+    let is_done = fleet.state.job(job).and_then(|record| record.task(&member(job, 0))).map(|task| task.done);
+    assert_eq!(is_done, Some(true));
+    assert_eq!(fleet.dispatcher.build_response(&fleet.state, &late.worker, late.sequence).orders, None);
+    for old in [&early, &late] {
+        assert_eq!(fleet.dispatcher.receive(fleet.now, &fleet.state, old), ReportAction::Stale);
+    }
+    // The other run is lost when the lease that was given before the announcement ends.
+    fleet.workers[0].up = false;
+    fleet.run_for(fleet.settings.max_lease() + Duration::from_millis(100));
+    let record = fleet.state.worker(&late.worker).expect("a record");
+    assert!(record.runs.is_empty() && record.incarnation == late.incarnation.next(), "{record:?}");
+    fleet.workers[0].restart();
+    fleet.workers[0].up = true;
+    fleet.run_for(START_TIME);
+    assert_eq!(fleet.workers[0].runs.len(), runs as usize - 1);
+}
+
+/// Guards against an end of a worker's earlier life that is taken for one of its next life, or acknowledged.
+#[test]
+fn a_report_of_an_earlier_life_is_stale() {
+    let mut fleet = FakeFleet::new(1, 1);
+    let job = fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
+    fleet.run_for(START_TIME);
+    fleet.workers[0].draining = true;
+    fleet.run_for(Duration::from_millis(300));
+    fleet.workers[0].end(member(job, 0), RunOutcome::Done);
+    let late = fleet.workers[0].current_report(fleet.now);
+    fleet.dispatcher.mark_departed(&fleet.state, &late.worker, None);
+    fleet.workers[0].restart();
+    fleet.run_for(Duration::from_millis(100));
+    assert_eq!(fleet.dispatcher.receive(fleet.now, &fleet.state, &late), ReportAction::Stale);
+    // The announcement does not count for the next life.
+    fleet.run_for(START_TIME);
+    assert_eq!(fleet.workers[0].runs.len(), 1);
+}
+
 /// Guards against a worker that stays without orders after the log has refused the command that declares it lost.
 #[test]
 fn a_refused_loss_is_withdrawn() {
