Handle a report whose worker has closed the connection right behind it

A worker that exits right after its last report may have its task run twice: the end in the report is lost, and the task starts again when the lease ends. In the same way, tasks are placed on a worker whose announcement of its exit was lost.

Cause: hyper drops the future that handles a request at the end of its connection, and the server even looks for that end before it handles a request (END_CHECKS), so that calls of callers who have given up are not carried out. That is right for callers' and operators' calls, but a worker's report is about what has happened, whoever waits for the response.

Change: HttpHandler::outlives_connection names the paths whose requests are handled in any case. They are read and handled in a task of their own, because the end may be read before the future has taken the body. A request that is not complete is not handled.

--- a/crates/parsleywalk-fleet/src/http.rs
+++ b/crates/parsleywalk-fleet/src/http.rs
@@ -26,7 +26,8 @@
 /// The delay after a failed accept, for example one caused by a lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
-/// How often the connection is read before a request is handled. The first reads may still complete the body.
+/// How often the connection is read before a request is handled that must not outlive it. The first reads may still
+/// complete the body.
 const END_CHECKS: usize = 3;
 
 /// The media type of JSON bodies.
@@ -137,6 +138,12 @@
 pub trait HttpHandler: 'static {
     /// Returns the response to a request.
     fn handle(&self, request: HttpRequest) -> impl Future<Output = HttpResponse>;
+
+    /// Returns true if a request with this path is handled even if its connection has ended, so that nobody gets the
+    /// response. Any other request is then dropped, because its caller has given up on it.
+    fn outlives_connection(&self, _path: &str) -> bool {
+        false
+    }
 }
 
 /// An HTTP server whose tasks run on the caller's `LocalSet`.
@@ -242,7 +249,7 @@
     let shared = Rc::clone(&context);
     let service = service_fn(move |request: Request<Incoming>| {
         let context = Rc::clone(&shared);
-        async move { Ok::<_, Infallible>(respond(request, &context).await) }
+        async move { Ok::<_, Infallible>(respond(request, context).await) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(context.limits.head_timeout);
@@ -260,7 +267,29 @@
     }
 }
 
-async fn respond<H: HttpHandler>(request: Request<Incoming>, context: &ConnectionContext<H>) -> Response<Full<Bytes>> {
+async fn respond<H: HttpHandler>(
+    request: Request<Incoming>,
+    context: Rc<ConnectionContext<H>>,
+) -> Response<Full<Bytes>> {
+    // Hyper drops this future at the end of the connection, but not the task.
+    let handled = if context.handler.outlives_connection(request.uri().path()) {
+        let task = tokio::task::spawn_local(async move { receive_and_handle(request, &context, 0).await });
+        task.await
+    } else {
+        Ok(receive_and_handle(request, &context, END_CHECKS).await)
+    };
+    handled.unwrap_or_else(|error| {
+        warn!("event=request_failed error={:?}", error.to_string());
+        HttpResponse::status(500).into_response()
+    })
+}
+
+/// Reads the body of a request, reads the connection `end_checks` times more and handles the request.
+async fn receive_and_handle<H: HttpHandler>(
+    request: Request<Incoming>,
+    context: &ConnectionContext<H>,
+    end_checks: usize,
+) -> Response<Full<Bytes>> {
     let (head, body) = request.into_parts();
     let limits = &context.limits;
     let collected = time::timeout(limits.body_timeout, Limited::new(body, limits.body_bytes).collect()).await;
@@ -274,7 +303,7 @@
     };
     // The bytes of a caller that has given up can arrive late, with the end of its connection right behind them. Hyper
     // reads the connection each time before it polls this future, and drops the future at the end of the connection.
-    for _ in 0..END_CHECKS {
+    for _ in 0..end_checks {
         tokio::task::yield_now().await;
     }
     let requests = &context.requests;
