Handle reports after the time for which their workers wait

A worker's end can be lost, so that its task runs twice, if the leader was paused for a second while the worker's last report lay in its socket.

Cause: a request has no effect once its caller has given up, after 950 ms for a report. That protects calls of which a later copy may have been acknowledged. A report has a sequence number for this, and its worker may be gone.

Change: the leader handles reports, and announcements that name the incarnation, however late it reads them. An announcement without an incarnation keeps its window, since it could be taken for one of the worker's next life.

Result: case_2 of the_last_report_of_a_worker_that_has_gone_is_handled and of the_announcement_of_a_worker_that_has_gone_is_handled (a pause of 1.5 s) fail without the change and pass with it, as do the tests of late calls.

--- a/crates/parsleywalk-fleet/src/core/requests.rs
+++ b/crates/parsleywalk-fleet/src/core/requests.rs
@@ -20,8 +20,8 @@
 
 /// Methods that change the state.
 impl ReplicaCore {
-    /// Handles a request; the reply is sent now or once the command is committed. The request has no effect outside
-    /// its window.
+    /// Handles a request; the reply is sent now or once the command is committed. Only reports and numbered announcements
+    /// have an effect outside their window.
     pub(crate) fn handle_request(
         &mut self,
         now: MonotonicTime,
@@ -37,7 +37,7 @@
             sender.send(LeaderReply::NotLeader { leader: self.other_leader() });
             return;
         }
-        if window.is_expired(now) {
+        if window.is_expired(now) && !request.outlives_window() {
             self.drop_overtaken(now, &request, window, sender);
             return;
         }
--- a/crates/parsleywalk-fleet/src/message.rs
+++ b/crates/parsleywalk-fleet/src/message.rs
@@ -74,6 +74,14 @@
     },
 }
 
+impl LeaderRequest {
+    /// Returns true if the request has its effect however late it is handled. Reports have sequence numbers, and an
+    /// announcement with an incarnation cannot be taken for one of the worker's next life.
+    pub(crate) const fn outlives_window(&self) -> bool {
+        matches!(self, Self::Report(_) | Self::Leave { incarnation: Some(_), .. })
+    }
+}
+
 impl Display for LeaderRequest {
     /// Writes what the request is about, for the log.
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
