Do not order a run whose withdrawal is being committed

A task may run on two workers at the same time, and the end of one of the runs has no effect. Found by reading; not seen in a run.

Cause: a placement whose start order has expired is withdrawn while its zone is out of service. The runs to withdraw were determined anew with each report. If the zone came back into service while the withdrawal was being committed, the next report made the run one to be ordered, and the withdrawal then removed it from the state while the worker started it.

Change: a withdrawal that has been decided is carried through. Its runs are not ordered again, and the command is repeated with each report until the state has no such run, since the first one may have been refused. A run that the worker lists after all is no longer withdrawn, as before.

Result: a_run_is_not_ordered_while_its_withdrawal_is_being_committed fails without the change (no second withdrawal) and passes with it.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -393,21 +393,25 @@
         let record = state.worker(worker).filter(|record| record.incarnation == view.incarnation)?;
         let may_start = !view.draining && !state.is_out_of_service(&view.zone);
         let mut runs = Vec::new();
+        // The command of an earlier withdrawal may still be on its way to the state, and the reason for it may be gone. The
+        // run would be withdrawn although it has been ordered.
+        let known = std::mem::take(&mut view.withdrawing);
         for (task, entry) in record.runs.iter() {
-            if view.lists(task, entry.run) || (may_start && state.is_unfinished(task)) {
+            let is_withdrawn = known.get(task) == Some(&entry.run);
+            if view.lists(task, entry.run) || (may_start && state.is_unfinished(task) && !is_withdrawn) {
                 continue;
             }
             let clock = view.clock;
             // If no order is recorded, an earlier leader may have sent one; it is taken to have been sent with the
             // response to the current report.
             let sent = *view.ordered_at.entry(*task, || clock);
-            if clock >= sent + expiry {
+            let has_expired = clock >= sent + expiry;
+            if has_expired {
                 runs.push((*task, entry.run));
             }
-        }
-        view.withdrawing = SortedMap::default();
-        for (task, run) in &runs {
-            view.withdrawing.insert(*task, *run);
+            if is_withdrawn || has_expired {
+                view.withdrawing.insert(*task, entry.run);
+            }
         }
         let incarnation = view.incarnation;
         (!runs.is_empty()).then(|| BatchCommand::Withdraw { worker: worker.clone(), incarnation, runs })
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -41,7 +41,8 @@
     /// Whether the worker's lease has expired and the loss of its runs is being committed. Until then it gets no
     /// orders, because they would renew the lease.
     pub(crate) loss_pending: bool,
-    /// Runs whose withdrawal is being committed; they are not ordered again.
+    /// Runs that are to be withdrawn once their start orders have expired, and those whose withdrawal is being committed.
+    /// They are not ordered again.
     pub(crate) withdrawing: SortedMap<TaskKey, RunNumber>,
     pub(crate) health: WorkerHealth,
     /// The highest number of an end of which the outcome has been read.
--- a/crates/parsleywalk-batch/tests/settlement.rs
+++ b/crates/parsleywalk-batch/tests/settlement.rs
@@ -8,6 +8,7 @@
     BatchCommand, BatchState, JobId, JobStatus, JobSubmission, ReportAction, RunOutcome, StepSpec, TaskKey,
     WorkerReport,
 };
+use parsleywalk_units::ZoneDirection;
 use rstest::rstest;
 use support::{FakeFleet, step, submission};
 
@@ -247,6 +248,35 @@
     assert_eq!(fleet.workers[0].runs.len(), 1);
 }
 
+/// Guards against a run that is ordered while its withdrawal is being committed, since its zone is back in service before:
+/// the task starts on two workers, and the end of one of the runs has no effect.
+#[test]
+fn a_run_is_not_ordered_while_its_withdrawal_is_being_committed() {
+    let mut fleet = FakeFleet::new(1, 1);
+    fleet.run_for(START_TIME);
+    let zone = fleet.workers[0].zone.clone();
+    let job = fleet.submit(submission(1, 0, vec![step(1, 1, 500)]));
+    let runs = fleet.dispatcher.plan(fleet.now, 0, &fleet.state);
+    assert_eq!(runs.len(), 1);
+    fleet.state.apply(&BatchCommand::Place { runs });
+    fleet.state.apply(&BatchCommand::SetZone { zone: zone.clone(), direction: ZoneDirection::Out });
+    // The first report after the change starts the time in which an order may still arrive.
+    let reports = [Duration::ZERO, fleet.settings.order_expiry, Duration::from_millis(100)].map(|wait| {
+        fleet.now = fleet.now + wait;
+        fleet.workers[0].current_report(fleet.now)
+    });
+    assert_eq!(receive(&mut fleet, &reports[0]), Vec::new());
+    let withdrawal = receive(&mut fleet, &reports[1]);
+    assert!(matches!(withdrawal[..], [BatchCommand::Withdraw { .. }]), "{withdrawal:?}");
+    fleet.state.apply(&BatchCommand::SetZone { zone, direction: ZoneDirection::In });
+    assert_eq!(receive(&mut fleet, &reports[2]), withdrawal, "the first one may have been refused");
+    let response = fleet.dispatcher.build_response(&fleet.state, &reports[2].worker, reports[2].sequence);
+    assert_eq!(response.orders.map(|orders| orders.starts), Some(Vec::new()));
+    fleet.state.apply(&withdrawal[0]);
+    fleet.run_for(Duration::from_secs(2));
+    assert_eq!(fleet.status(job), Some(JobStatus::Completed));
+}
+
 /// Guards against a worker that stays without orders after the log has refused the command that declares it lost.
 #[test]
 fn a_refused_loss_is_withdrawn() {
