Keep a loss that is being committed for workers without a view

A task may run twice, and at the same time as its first run, after a change of leader: the end of its run is acknowledged without effect, or its worker gets a lease of 7 s for a run that is being declared lost.

Cause: while the loss of a worker is being committed, the worker gets no orders and its ends are not recorded. The leader kept this in its view of the worker. A new leader that declares a worker lost from which it has not heard has no view yet; a report that arrived before the commit created one without the mark.

Change: the dispatcher keeps the losses that are being committed, with the incarnation, and a new view is marked from them.

Result: both cases of an_end_that_meets_the_loss_of_its_worker_counts with a change of leader fail without the change (a lease is given; without that check, the end has no effect: left (false, 0), right (true, 0)) and pass with it.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -57,6 +57,9 @@
     /// When this replica became leader. Leases granted by earlier leaders are assumed to run from then.
     pub(crate) leader_since: MonotonicTime,
     pub(crate) workers: SortedMap<WorkerId, WorkerView>,
+    /// The workers whose loss is being committed, with the lost incarnation. A new leader may declare a worker lost of which
+    /// it has no view yet.
+    pending_losses: SortedMap<WorkerId, Incarnation>,
     /// The worker on which each task last failed or stalled; the task is placed elsewhere if capacity permits.
     pub(crate) avoided: SortedMap<TaskKey, WorkerId>,
     pub(crate) interference: InterferenceModel,
@@ -91,6 +94,7 @@
             fence,
             leader_since: now,
             workers: SortedMap::default(),
+            pending_losses: SortedMap::default(),
             avoided: SortedMap::default(),
             interference: InterferenceModel::default(),
             idle_since: SortedMap::default(),
@@ -128,6 +132,7 @@
         if known.is_none_or(|view| view.incarnation < report.incarnation) {
             let mut view = WorkerView::new(report, now);
             view.lease_until = inherited_until.max(now);
+            view.loss_pending = self.pending_losses.get(&report.worker) == Some(&report.incarnation);
             // Without a notice, the worker's last life ended with a crash.
             if let Some(known) = known.filter(|known| !known.departed && !known.draining) {
                 view.health = known.health.after_crash(now, self.settings.quarantine);
@@ -249,12 +254,14 @@
             departure_command(worker, view)
         });
         let departed: Vec<BatchCommand> = departed.collect();
+        self.pending_losses = SortedMap::default();
         for command in &commands {
             if let BatchCommand::Lose { worker, incarnation, .. } = command {
                 let (silent_ms, sequence) = self
                     .workers
                     .get(worker)
                     .map_or((0, 0), |view| (now.since(view.reported_at).as_millis(), view.sequence));
+                self.pending_losses.insert(worker.clone(), *incarnation);
                 if let Some(view) = self.workers.get_mut(worker) {
                     view.loss_pending = true;
                 }
@@ -281,6 +288,7 @@
 
     /// Forgets the losses that were being committed, after their commands were refused.
     pub fn withdraw_losses(&mut self) {
+        self.pending_losses = SortedMap::default();
         for (_, view) in self.workers.iter_mut() {
             view.loss_pending = false;
         }
--- a/crates/parsleywalk-batch/tests/settlement.rs
+++ b/crates/parsleywalk-batch/tests/settlement.rs
@@ -165,21 +165,26 @@
 }
 
 /// Guards against an end that is acknowledged and has no effect, since the loss of its worker is committed just before
-/// it: the task ran twice.
+/// it: the task ran twice. The leader has heard from the worker before, or is a new one.
 #[rstest]
 fn an_end_that_meets_the_loss_of_its_worker_counts(
     #[values(RunOutcome::Done, RunOutcome::Failed)] outcome: RunOutcome,
+    #[values(false, true)] leader_changes: bool,
 ) {
     let mut fleet = FakeFleet::new(1, 1);
     let job = fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
     fleet.run_for(START_TIME);
     fleet.workers[0].end(member(job, 0), outcome);
+    if leader_changes {
+        fleet.change_leader();
+    }
     fleet.now = fleet.now + fleet.settings.max_lease();
     let losses = fleet.dispatcher.expire_leases(fleet.now, &fleet.state);
     assert_eq!(losses.len(), 1, "the lease has expired");
     // The report arrives before the loss is committed.
     let report = fleet.workers[0].current_report(fleet.now);
     let commands = receive(&mut fleet, &report);
+    assert_eq!(fleet.dispatcher.build_response(&fleet.state, &report.worker, report.sequence).orders, None, "no lease");
     for command in losses.iter().chain(&commands) {
         fleet.state.apply(command);
     }
