Count an end that meets another placement of its task

Callers saw, once, a task that was started again 7 s after its completion was acknowledged. Whether this is the cause there is not proved.

Cause: whether an end counts whose run has been declared lost was decided on the state, which lacks a placement of the same task that is being committed. The entry of the end then placed a run number that the other placement had taken. Both of its commands had no effect, but the end was acknowledged, and the task ran again. A placement that was applied but not ordered made such an end void, too.

Change: the dispatcher knows the placements for which it has given no start order (UnorderedRuns). An end of the newest run that can have been ordered counts; its entry first withdraws the unordered runs, places the task under a number above theirs and ends that run (module late_end). The commands have the same effect whether the other placement is applied before them, later or never, so the end needs not be left unrecorded. The unordered run is barred from being ordered at once. As the number of the new run can differ between two reports that list the same end, the entry ends with a withdrawal of the new run. The effect of every command stays as it is.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -12,6 +12,7 @@
 use crate::job_failures::FailingJobs;
 use crate::restart_delays::RestartDelays;
 use crate::settlement::GangRuns;
+use crate::unordered_runs::UnorderedRuns;
 use crate::work_model::WorkModel;
 use crate::worker_view::WorkerView;
 use crate::{
@@ -73,6 +74,7 @@
     pub(crate) work_model: WorkModel,
     pub(crate) begun_jobs: BegunJobs,
     pub(crate) gang_runs: GangRuns,
+    pub(crate) unordered_runs: UnorderedRuns,
     pub(crate) evidence: FailureEvidence,
     pub(crate) restart_delays: RestartDelays,
     pub(crate) failing_jobs: FailingJobs,
@@ -104,6 +106,7 @@
             work_model: WorkModel::default(),
             begun_jobs: BegunJobs::default(),
             gang_runs: GangRuns::default(),
+            unordered_runs: UnorderedRuns::default(),
             evidence: FailureEvidence::default(),
             restart_delays: RestartDelays::default(),
             failing_jobs: FailingJobs::default(),
@@ -214,6 +217,7 @@
         let clock = view.clock;
         for order in &orders.starts {
             view.ordered_at.insert(order.task, clock);
+            self.unordered_runs.record_ordered(&order.task);
         }
         for (task, run) in view.running.iter() {
             let committed = record.and_then(|record| record.runs.get(task)).is_some_and(|entry| entry.run == run.run);
@@ -276,6 +280,7 @@
         self.avoided.retain(|task, _| state.is_unfinished(task));
         self.begun_jobs.prune(state);
         self.gang_runs.prune(state);
+        self.unordered_runs.prune(state);
         for (_, view) in self.workers.iter_mut() {
             view.health.prune(state, &self.evidence);
         }
@@ -403,9 +408,9 @@
         let mut runs = Vec::new();
         // The command of an earlier withdrawal may still be on its way to the state, and the reason for it may be gone. The
         // run would be withdrawn although it has been ordered.
-        let known = std::mem::take(&mut view.withdrawing);
+        let mut known = std::mem::take(&mut view.withdrawing);
         for (task, entry) in record.runs.iter() {
-            let is_withdrawn = known.get(task) == Some(&entry.run);
+            let is_withdrawn = known.remove(task) == Some(entry.run);
             if view.lists(task, entry.run) || (may_start && state.is_unfinished(task) && !is_withdrawn) {
                 continue;
             }
@@ -421,6 +426,13 @@
                 view.withdrawing.insert(*task, entry.run);
             }
         }
+        // The placement of a run that is not on record may still be on its way to the state.
+        known.retain(|task, run| {
+            self.unordered_runs.get(state, task).is_some_and(|known| known.run == *run && known.worker == *worker)
+        });
+        for (task, run) in known.iter() {
+            view.withdrawing.insert(*task, *run);
+        }
         let incarnation = view.incarnation;
         (!runs.is_empty()).then(|| BatchCommand::Withdraw { worker: worker.clone(), incarnation, runs })
     }
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -143,6 +143,7 @@
         }
         self.gang_runs.record_placed(state, &placements);
         self.begun_jobs.record_placed(state, &placements);
+        self.unordered_runs.record_placed(&placements);
         placements
     }
 
--- a/crates/parsleywalk-batch/src/settlement.rs
+++ b/crates/parsleywalk-batch/src/settlement.rs
@@ -6,6 +6,7 @@
 
 use parsleywalk_units::WorkerId;
 
+use crate::late_end::{EndDecision, withdrawal_of};
 use crate::{
     BatchCommand, BatchState, Dispatcher, EndNumber, JobId, RunEnd, RunNumber, RunOutcome, RunPlacement, SortedMap,
     StepRecord, StepSpec, TaskKey, WorkerReport,
@@ -95,24 +96,31 @@
 impl Dispatcher {
     /// Returns the commands of one entry that record the ends in a report, which are sorted by their numbers.
     pub(crate) fn settle(&mut self, state: &BatchState, report: &WorkerReport, ends: Vec<RunEnd>) -> Vec<BatchCommand> {
-        if ends.is_empty() {
-            return Vec::new();
-        }
         let (worker, incarnation) = (report.worker.clone(), report.incarnation);
-        let mut runs = Vec::new();
-        let ends = ends.into_iter().map(|mut end| {
-            let recorded = self.recorded_outcome(state, &worker, &end);
-            log_run_end(state, report, &end, recorded);
-            end.outcome = recorded;
-            if is_end_of_lost_run(state, &worker, &end) {
-                end.run = end.run.next();
-                runs.push(RunPlacement { task: end.task, run: end.run, worker: worker.clone(), incarnation });
+        let mut commands = Vec::new();
+        let (mut runs, mut recorded) = (Vec::new(), Vec::new());
+        for mut end in ends {
+            let listed = end.outcome;
+            end.outcome = self.recorded_outcome(state, &worker, &end);
+            let decision = self.decide_end(state, &worker, &end);
+            log_run_end(state, report, &end, listed);
+            match decision {
+                EndDecision::Listed => {}
+                EndDecision::NewRun { run, withdrawn } => {
+                    self.bar_runs(&withdrawn);
+                    commands.extend(withdrawn.iter().map(withdrawal_of));
+                    end.run = run;
+                    runs.push(RunPlacement { task: end.task, run, worker: worker.clone(), incarnation });
+                }
             }
-            end
-        });
-        let settle = BatchCommand::Settle { worker: worker.clone(), incarnation, ends: ends.collect() };
-        let place = (!runs.is_empty()).then_some(BatchCommand::Place { runs });
-        place.into_iter().chain([settle]).collect()
+            recorded.push(end);
+        }
+        // The ends may be recorded already by an entry on its way to the state. Then the new runs are left over.
+        let left_over: Vec<BatchCommand> = runs.iter().map(withdrawal_of).collect();
+        commands.extend((!runs.is_empty()).then_some(BatchCommand::Place { runs }));
+        commands.extend((!recorded.is_empty()).then_some(BatchCommand::Settle { worker, incarnation, ends: recorded }));
+        commands.extend(left_over);
+        commands
     }
 
     /// Returns the outcome by which an end is recorded.
@@ -136,11 +144,11 @@
     }
 }
 
-fn log_run_end(state: &BatchState, report: &WorkerReport, end: &RunEnd, recorded: RunOutcome) {
+fn log_run_end(state: &BatchState, report: &WorkerReport, end: &RunEnd, listed: RunOutcome) {
     let record = state.worker(&report.worker).filter(|record| record.incarnation == report.incarnation);
     let committed = record.and_then(|record| record.runs.get(&end.task)).is_some_and(|entry| entry.run == end.run);
     log::info!(
-        "event=run_ended job={} task={} run={} worker={} number={} outcome={:?} recorded={recorded:?} \
+        "event=run_ended job={} task={} run={} worker={} number={} outcome={listed:?} recorded={:?} \
          committed={committed} sequence={}",
         end.task.job,
         end.task,
@@ -151,23 +159,3 @@
         report.sequence
     );
 }
-
-/// Returns true if the end is that of a task's newest run, which is no longer placed because its worker was declared
-/// lost, and the task has not been placed again. Such an end counts: it is recorded as that of another run, which is
-/// placed on the worker by the same entry and therefore never ordered.
-fn is_end_of_lost_run(state: &BatchState, worker: &WorkerId, end: &RunEnd) -> bool {
-    let is_placed = state.worker(worker).is_some_and(|record| record.runs.contains(&end.task));
-    if is_placed || !matches!(end.outcome, RunOutcome::Done | RunOutcome::Failed) || !state.is_unfinished(&end.task) {
-        return false;
-    }
-    let Some((job, spec)) = state.step_of(&end.task) else { return false };
-    let Some(step) = job.step(&end.task) else { return false };
-    let is_newest = |task: &TaskKey| {
-        let record = step.tasks.get(task.index as usize);
-        record.is_some_and(|record| record.live == 0 && record.last_run == end.run)
-    };
-    // A gang is placed as a whole.
-    let members = if spec.gang { 0..spec.count } else { end.task.index..end.task.index.saturating_add(1) };
-    let mut members = members.map(|index| TaskKey { index, ..end.task });
-    !spec.long_running && members.all(|task| is_newest(&task))
-}
--- a/crates/parsleywalk-batch/tests/settlement.rs
+++ b/crates/parsleywalk-batch/tests/settlement.rs
@@ -253,6 +253,59 @@
     assert_eq!(fleet.workers[0].runs.len(), 1);
 }
 
+/// Passes the time until the unreachable worker of a task is declared lost, and returns the placement of the task on the
+/// other worker, which is not applied.
+fn plan_again(fleet: &mut FakeFleet, task: TaskKey, unreachable: usize) -> BatchCommand {
+    while fleet.state.step_of(&task).is_some_and(|(job, _)| job.has_live_runs()) {
+        fleet.now = fleet.now + Duration::from_millis(100);
+        let report = fleet.workers[1 - unreachable].current_report(fleet.now);
+        receive(fleet, &report);
+        for command in fleet.dispatcher.expire_leases(fleet.now, &fleet.state) {
+            fleet.state.apply(&command);
+        }
+    }
+    let runs = fleet.dispatcher.plan(fleet.now, 0, &fleet.state);
+    assert!(matches!(&runs[..], [run] if run.worker == fleet.workers[1 - unreachable].id), "{runs:?}");
+    BatchCommand::Place { runs }
+}
+
+/// Guards against an end that is acknowledged and has no effect, since another placement of its task is being committed:
+/// the task ran twice. The placement is applied before the end is decided, or afterwards, or refused by the log. It is
+/// never ordered.
+#[rstest]
+fn an_end_that_meets_another_placement_of_its_task_counts(
+    #[values(RunOutcome::Done, RunOutcome::Failed)] outcome: RunOutcome,
+    #[values("before", "after", "never")] applied: &str,
+) {
+    let mut fleet = FakeFleet::new(2, 1);
+    let job = fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
+    fleet.run_for(START_TIME);
+    let task = member(job, 0);
+    let first = fleet.workers.iter().position(|worker| worker.runs.contains_key(&task)).expect("a worker");
+    fleet.workers[first].end(task, outcome);
+    let placement = plan_again(&mut fleet, task, first);
+    if applied == "before" {
+        fleet.state.apply(&placement);
+    }
+    let reports = [0, 1].map(|_| fleet.workers[first].current_report(fleet.now));
+    // The worker lists the end again before its commands are applied.
+    let commands = reports.each_ref().map(|report| receive(&mut fleet, report));
+    if applied == "after" {
+        fleet.state.apply(&placement);
+        let orders = fleet.workers[1 - first].current_report(fleet.now);
+        receive(&mut fleet, &orders);
+        let response = fleet.dispatcher.build_response(&fleet.state, &orders.worker, orders.sequence);
+        assert_eq!(response.orders.map(|orders| orders.starts), Some(Vec::new()), "it is to be withdrawn");
+    }
+    for command in commands.iter().flatten() {
+        fleet.state.apply(command);
+    }
+    let record = fleet.state.job(job).and_then(|record| record.task(&task)).expect("a task");
+    assert_eq!((record.done, record.failures), (outcome == RunOutcome::Done, u16::from(outcome == RunOutcome::Failed)));
+    assert_eq!(record.live, 0);
+    assert!(fleet.state.workers().all(|(_, record)| record.runs.is_empty()), "no run is left over");
+}
+
 /// Guards against a run that is ordered while its withdrawal is being committed, since its zone is back in service before:
 /// the task starts on two workers, and the end of one of the runs has no effect.
 #[test]
