Acknowledge a completion only once it has its effect

Callers may see a task run again after its completion was acknowledged, as was seen once, 7 s later on another worker. Whether this is the cause there is not proved; the time fits a second worker that left before its run ended.

Cause: an end as done of a run that had been declared lost was acknowledged without effect if the task had been placed again meanwhile (the open point of the incident "end-after-loss"), or placed again and lost again. If the newer run then failed, or its worker left, the task was started once more.

Change: such an end is recorded in any case, or not acknowledged. If no newer run is on record, it counts as before, whatever its number. A newer run that its worker lists as ended is withdrawn by the same entry. Any other newer run is ended first, since its worker's capacity is not free before that: it is stopped, or withdrawn once its start order has expired. The end and those after it in the list stay unrecorded until then, about a second, or until the lease of the other worker ends if that one is silent. The task is not placed again while the end is listed. As the effect of commands stays, a completion cannot be recorded beside a run that is on record. A departed worker lists no end again and gets no acknowledgement, so its other ends are recorded at once.

The fake fleet now checks of every acknowledged completion that its task is done or its job final. Its commands and reports can be delayed (support/transit.rs).

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -168,7 +168,7 @@
         let lives: Vec<Duration> = ends.iter().map(|end| view.life(now, &end.task, end.run)).collect();
         view.update(report, now);
         self.read_outcomes(now, state, &report.worker, &ends, &lives);
-        commands.extend(self.settle(state, report, ends));
+        commands.extend(self.settle(now, state, report, ends));
         self.record_begun(now, report);
         self.check_runs(now, state, &report.worker);
         if let Some(withdrawal) = self.withdrawal(state, &report.worker) {
--- a/crates/parsleywalk-batch/src/late_end.rs
+++ b/crates/parsleywalk-batch/src/late_end.rs
@@ -1,13 +1,23 @@
 //! Ends of runs that are no longer placed.
 //!
-//! A run that has been declared lost may have ended nevertheless, and its worker lists the end. It counts if it is that of
-//! the newest run of its task that can have been ordered. One entry places the task on the worker under a new run number,
-//! and ends that run. It is never ordered, as nothing happens between the commands of an entry. A newer run that has not
-//! been ordered is withdrawn by the same entry. Its own placement may still be on its way to the state; the commands have
-//! the same effect if it never arrives. A last command withdraws the new run in case that the end has been recorded
-//! meanwhile.
+//! A run that has been declared lost or withdrawn may have ended nevertheless, and its worker lists the end. The guarantee
+//! is that a task never runs again after its completion was acknowledged, so an end as done is recorded in any case, or not
+//! acknowledged:
+//!
+//! - If no newer run of the task is placed, one entry places the task on the worker under a new run number, and ends that
+//!   run. It is never ordered, as nothing happens between the commands of an entry. A last command withdraws it in case
+//!   that the end has been recorded meanwhile.
+//! - A newer run that has not been ordered, or that its worker lists as ended, is withdrawn by the same entry. Its own
+//!   placement may still be on its way to the state; the commands have the same effect if it never arrives.
+//! - Any other newer run may be in progress, and its worker's capacity is not free until it is over. It is stopped, or
+//!   withdrawn once its start order has expired. Until then the end is left unrecorded with those after it, which takes
+//!   about a second if the other worker reports, and otherwise until that worker's lease ends. The task is not placed again
+//!   while its worker lists the end.
+//!
+//! An end as failed counts if it is that of the newest run that can have been ordered. Otherwise it costs the task no
+//! attempt.
 
-use parsleywalk_units::WorkerId;
+use parsleywalk_units::{MonotonicTime, WorkerId};
 
 use crate::{
     BatchCommand, BatchState, Dispatcher, RunEnd, RunNumber, RunOutcome, RunPlacement, StepRecord, StepSpec, TaskKey,
@@ -20,6 +30,8 @@
     Listed,
     /// As that of a new run, after the withdrawal of newer runs.
     NewRun { run: RunNumber, withdrawn: Vec<RunPlacement> },
+    /// Not before these newer runs are over.
+    Later(Vec<RunPlacement>),
 }
 
 /// Read-only methods.
@@ -35,16 +47,29 @@
             return EndDecision::Listed;
         };
         let Some(step) = job.step(&end.task).filter(|_| !spec.long_running) else { return EndDecision::Listed };
-        if !members(spec, &end.task).all(|task| self.is_newest_ordered(state, step, &task, end.run)) {
+        let last_run = step.tasks.get(end.task.index as usize).map_or(RunNumber::ZERO, |record| record.last_run);
+        if end.run > last_run {
+            // No such run has been placed.
             return EndDecision::Listed;
         }
-        let unordered = members(spec, &end.task).filter_map(|task| self.unordered_runs.get(state, &task).cloned());
-        let withdrawn: Vec<RunPlacement> = unordered.collect();
-        if placed_runs(state, step, spec, &end.task).iter().any(|placement| !withdrawn.contains(placement)) {
+        let is_done = end.outcome == RunOutcome::Done;
+        if !is_done && !members(spec, &end.task).all(|task| self.is_newest_ordered(state, step, &task, end.run)) {
             return EndDecision::Listed;
         }
+        let unordered = members(spec, &end.task).filter_map(|task| self.unordered_runs.get(state, &task).cloned());
+        let mut withdrawn: Vec<RunPlacement> = unordered.collect();
+        let mut later = Vec::new();
+        for placement in placed_runs(state, step, spec, &end.task) {
+            if withdrawn.contains(&placement) {
+                continue;
+            }
+            if self.has_listed_end(&placement) { withdrawn.push(placement) } else { later.push(placement) }
+        }
+        if !later.is_empty() {
+            return if is_done { EndDecision::Later(later) } else { EndDecision::Listed };
+        }
         let newer = withdrawn.iter().filter(|placement| placement.task == end.task).map(|placement| placement.run);
-        EndDecision::NewRun { run: newer.fold(end.run, RunNumber::max).next(), withdrawn }
+        EndDecision::NewRun { run: newer.fold(last_run, RunNumber::max).next(), withdrawn }
     }
 
     /// Returns true if no run of the task after `run` can have been ordered.
@@ -54,6 +79,12 @@
         let is_unordered = unordered == Some(record.last_run);
         record.last_run == run || (is_unordered && record.last_run == run.next())
     }
+
+    /// Returns true if the newest report of the run's worker lists its end.
+    fn has_listed_end(&self, placement: &RunPlacement) -> bool {
+        let view = self.workers.get(&placement.worker).filter(|view| view.incarnation == placement.incarnation);
+        view.is_some_and(|view| view.ended.contains(&(placement.task, placement.run)))
+    }
 }
 
 /// Methods that change the state.
@@ -67,6 +98,34 @@
             }
         }
     }
+
+    /// Ends newer runs of a task whose end as done is not recorded before, and keeps the task from being placed again
+    /// while its worker repeats the end.
+    pub(crate) fn end_newer_runs(
+        &mut self,
+        now: MonotonicTime,
+        state: &BatchState,
+        end: &RunEnd,
+        runs: &[RunPlacement],
+    ) {
+        for RunPlacement { task, run, worker, incarnation } in runs {
+            log::info!(
+                "event=newer_run_ended job={} task={task} run={run} worker={worker} done_run={}",
+                task.job,
+                end.run
+            );
+            let view = self.workers.get_mut(worker).filter(|view| view.incarnation == *incarnation);
+            let Some(view) = view else { continue };
+            if view.lists(task, *run) {
+                view.evicting.insert(*task, *run);
+            } else {
+                view.withdrawing.insert(*task, *run);
+            }
+        }
+        if let Some((_, spec)) = state.step_of(&end.task) {
+            self.restart_delays.extend(now + self.settings.worker_timeout, &end.task, spec);
+        }
+    }
 }
 
 /// Returns the command that withdraws a run.
--- a/crates/parsleywalk-batch/src/late_report.rs
+++ b/crates/parsleywalk-batch/src/late_report.rs
@@ -39,7 +39,7 @@
             return ReportAction::Stale;
         }
         self.read_outcomes(now, state, &report.worker, &ends, &lives);
-        let mut commands = self.settle(state, report, ends);
+        let mut commands = self.settle(now, state, report, ends);
         self.record_begun(now, report);
         // Takes effect if the worker has no more runs then.
         commands.extend(departure);
--- a/crates/parsleywalk-batch/src/restart_delays.rs
+++ b/crates/parsleywalk-batch/src/restart_delays.rs
@@ -96,6 +96,13 @@
         Some((delay, known.failures))
     }
 
+    /// Makes the task wait until a time at least.
+    pub(crate) fn extend(&mut self, until: MonotonicTime, task: &TaskKey, spec: &StepSpec) {
+        let first = RestartDelay { run: RunNumber::ZERO, failures: 0, until };
+        let known = self.tasks.entry(delay_key(task, spec), || first);
+        known.until = known.until.max(until);
+    }
+
     /// Forgets the tasks of jobs that are final.
     pub(crate) fn prune(&mut self, state: &BatchState) {
         self.tasks.retain(|task, _| state.is_active(task.job));
--- a/crates/parsleywalk-batch/src/settlement.rs
+++ b/crates/parsleywalk-batch/src/settlement.rs
@@ -4,7 +4,7 @@
 //! is therefore decided here, where the command is made: some ends are recorded with another outcome than the worker
 //! listed, and some together with a placement.
 
-use parsleywalk_units::WorkerId;
+use parsleywalk_units::{MonotonicTime, WorkerId};
 
 use crate::late_end::{EndDecision, withdrawal_of};
 use crate::{
@@ -94,16 +94,25 @@
 }
 
 impl Dispatcher {
-    /// Returns the commands of one entry that record the ends in a report, which are sorted by their numbers.
-    pub(crate) fn settle(&mut self, state: &BatchState, report: &WorkerReport, ends: Vec<RunEnd>) -> Vec<BatchCommand> {
+    /// Returns the commands of one entry that record the ends in a report, which are sorted by their numbers. The ends
+    /// from one on that cannot be recorded yet are left out; the worker lists them again.
+    pub(crate) fn settle(
+        &mut self,
+        now: MonotonicTime,
+        state: &BatchState,
+        report: &WorkerReport,
+        ends: Vec<RunEnd>,
+    ) -> Vec<BatchCommand> {
         let (worker, incarnation) = (report.worker.clone(), report.incarnation);
+        // A worker that has announced its exit does not list the ends again, and they are not acknowledged.
+        let departed = self.workers.get(&worker).is_some_and(|view| view.departed);
         let mut commands = Vec::new();
         let (mut runs, mut recorded) = (Vec::new(), Vec::new());
         for mut end in ends {
             let listed = end.outcome;
             end.outcome = self.recorded_outcome(state, &worker, &end);
             let decision = self.decide_end(state, &worker, &end);
-            log_run_end(state, report, &end, listed);
+            log_run_end(state, report, &end, listed, &decision);
             match decision {
                 EndDecision::Listed => {}
                 EndDecision::NewRun { run, withdrawn } => {
@@ -112,6 +121,11 @@
                     end.run = run;
                     runs.push(RunPlacement { task: end.task, run, worker: worker.clone(), incarnation });
                 }
+                EndDecision::Later(_) if departed => continue,
+                EndDecision::Later(newer) => {
+                    self.end_newer_runs(now, state, &end, &newer);
+                    break;
+                }
             }
             recorded.push(end);
         }
@@ -144,12 +158,13 @@
     }
 }
 
-fn log_run_end(state: &BatchState, report: &WorkerReport, end: &RunEnd, listed: RunOutcome) {
+fn log_run_end(state: &BatchState, report: &WorkerReport, end: &RunEnd, listed: RunOutcome, decision: &EndDecision) {
     let record = state.worker(&report.worker).filter(|record| record.incarnation == report.incarnation);
     let committed = record.and_then(|record| record.runs.get(&end.task)).is_some_and(|entry| entry.run == end.run);
+    let is_held = matches!(decision, EndDecision::Later(_));
     log::info!(
         "event=run_ended job={} task={} run={} worker={} number={} outcome={listed:?} recorded={:?} \
-         committed={committed} sequence={}",
+         committed={committed} held={is_held} sequence={}",
         end.task.job,
         end.task,
         end.run,
--- a/crates/parsleywalk-batch/tests/settlement.rs
+++ b/crates/parsleywalk-batch/tests/settlement.rs
@@ -306,6 +306,33 @@
     assert!(fleet.state.workers().all(|(_, record)| record.runs.is_empty()), "no run is left over");
 }
 
+/// Guards against an end as done that is acknowledged and has no effect, since its task runs again: if that run failed or
+/// its worker left, the task would run a third time after its completion was acknowledged.
+#[rstest]
+fn a_completed_task_that_runs_again_is_done(#[values(1, 3)] members: u32, #[values(false, true)] leader_changes: bool) {
+    let mut fleet = FakeFleet::new(2, 1);
+    let spec = StepSpec { gang: members > 1, ..step(members, 1, 60_000) };
+    let job = fleet.submit(submission(1, 0, vec![spec]));
+    fleet.run_for(START_TIME);
+    let task = member(job, 0);
+    let first = fleet.workers.iter().position(|worker| worker.runs.contains_key(&task)).expect("a worker");
+    fleet.end_run(first, task, RunOutcome::Done);
+    // No other member of a gang lists its end.
+    fleet.workers[1 - first].restart();
+    fleet.workers[first].partitioned = true;
+    fleet.run_for(Duration::from_secs(10));
+    let starts = fleet.starts;
+    assert!(fleet.workers[1 - first].runs.contains_key(&task), "it runs again");
+    fleet.workers[first].partitioned = false;
+    if leader_changes {
+        fleet.change_leader();
+    }
+    fleet.run_for(START_TIME);
+    assert_eq!(fleet.status(job), Some(JobStatus::Completed));
+    assert_eq!(fleet.starts, starts, "no run starts");
+    assert!(fleet.workers.iter().all(|worker| worker.runs.is_empty() && worker.ended.is_empty()));
+}
+
 /// Guards against a run that is ordered while its withdrawal is being committed, since its zone is back in service before:
 /// the task starts on two workers, and the end of one of the runs has no effect.
 #[test]
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test uses a part")]
 #![allow(clippy::struct_excessive_bools, reason = "each fault is switched by itself")]
 
+mod transit;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,10 +11,11 @@
 
 use parsleywalk_batch::{
     BatchCommand, BatchState, DispatchSettings, Dispatcher, FencingToken, JobId, JobSpec, JobStatus, JobSubmission,
-    ReportAction, RunEnd, RunNumber, RunOutcome, StepSpec, TaskKey,
+    RunEnd, RunNumber, RunOutcome, StepSpec, TaskKey,
 };
 use parsleywalk_units::{MemoryBytes, MilliCores, MonotonicTime, ResourceSize, WorkerId, ZoneDirection, ZoneName};
 
+use transit::{EntryWaiter, SentReport, Transit};
 pub(crate) use worker::FakeWorker;
 use worker::{Behavior, FakeRun};
 
@@ -53,6 +55,7 @@
     pub(crate) rng: TestRng,
     pub(crate) settings: DispatchSettings,
     term: u64,
+    pub(crate) transit: Transit,
     /// The share of reports that the leader handles in time, in percent. Workers give up on the others after
     /// [`REPORT_TIMEOUT`].
     pub(crate) handled_percent: u64,
@@ -115,6 +118,7 @@
             rng: TestRng::new(seed),
             settings,
             term: 1,
+            transit: Transit::default(),
             handled_percent: 100,
             response_loss_percent: 0,
             tail_latency_ms: |_| 40,
@@ -134,6 +138,7 @@
     pub(crate) fn submit(&mut self, mut submission: JobSubmission) -> JobId {
         let job = submission.job;
         submission.accepted_unix_ms = self.unix_ms();
+        self.commit_entries(MonotonicTime::NEVER);
         self.apply(&BatchCommand::Submit(Box::new(submission)));
         job
     }
@@ -145,7 +150,7 @@
     }
 
     pub(crate) fn cancel(&mut self, job: JobId) {
-        self.apply(&BatchCommand::Cancel { job });
+        self.propose(vec![BatchCommand::Cancel { job }], EntryWaiter::Caller);
     }
 
     pub(crate) fn set_zone(&mut self, zone: &str, direction: ZoneDirection) {
@@ -154,11 +159,16 @@
             ZoneDirection::Out => self.out_since.insert(zone.clone(), self.now),
             ZoneDirection::In => self.out_since.remove(&zone),
         };
-        self.apply(&BatchCommand::SetZone { zone, direction });
+        self.propose(vec![BatchCommand::SetZone { zone, direction }], EntryWaiter::Caller);
     }
 
     /// Replaces the leader by one that knows only the replicated state.
     pub(crate) fn change_leader(&mut self) {
+        for commands in self.transit.lose_entries(&mut self.rng) {
+            for command in &commands {
+                self.apply(command);
+            }
+        }
         self.term += 1;
         self.dispatcher = Dispatcher::new(self.settings.clone(), FencingToken::new(self.term), self.now);
     }
@@ -218,13 +228,20 @@
         for index in 0..self.workers.len() {
             self.advance_worker(index);
         }
-        for command in self.dispatcher.expire_leases(self.now, &self.state) {
-            self.apply(&command);
+        self.commit_entries(self.now);
+        self.receive_reports();
+        if !self.transit.is_pending(EntryWaiter::Maintenance) {
+            let commands = self.dispatcher.expire_leases(self.now, &self.state);
+            if !commands.is_empty() {
+                self.propose(commands, EntryWaiter::Maintenance);
+            }
         }
-        let unix_ms = self.unix_ms();
-        let runs = self.dispatcher.plan(self.now, unix_ms, &self.state);
-        if !runs.is_empty() {
-            self.apply(&BatchCommand::Place { runs });
+        if !self.transit.is_pending(EntryWaiter::Plan) {
+            let unix_ms = self.unix_ms();
+            let runs = self.dispatcher.plan(self.now, unix_ms, &self.state);
+            if !runs.is_empty() {
+                self.propose(vec![BatchCommand::Place { runs }], EntryWaiter::Plan);
+            }
         }
         for index in 0..self.workers.len() {
             if !self.workers[index].up || self.workers[index].next_report > self.now {
@@ -331,32 +348,30 @@
         }
     }
 
-    fn report(&mut self, index: usize) {
-        let tail_latency_ms = self.tail_latency_ms;
-        let report = self.workers[index].build_report(self.now, tail_latency_ms);
-        self.workers[index].next_report = self.now + Duration::from_millis(100);
-        if self.workers[index].partitioned {
-            return;
-        }
-        let ReportAction::Commit(commands) = self.dispatcher.receive(self.now, &self.state, &report) else { return };
-        for command in &commands {
-            self.apply(command);
-        }
-        let response = self.dispatcher.build_response(&self.state, &report.worker, report.sequence);
-        if self.rng.chance(self.response_loss_percent) {
+    /// Answers a report if it is the newest one of its worker, which carries out the orders if it still waits.
+    fn respond(&mut self, sent: SentReport) {
+        let (now, index) = (self.now, sent.worker);
+        let id = self.workers[index].id.clone();
+        let response = self.dispatcher.build_response(&self.state, &id, sent.sequence);
+        let worker = &mut self.workers[index];
+        let waits = worker.up && worker.incarnation == sent.incarnation && now < sent.sent_at + REPORT_TIMEOUT;
+        if !waits || worker.partitioned || self.rng.chance(self.response_loss_percent) {
             return;
         }
+        worker.next_report = worker.next_report.min(now + Duration::from_millis(100));
         let Some(orders) = response.orders else { return };
-        let now = self.now;
-        let worker = &mut self.workers[index];
         if orders.fence < worker.fence {
             return;
         }
         worker.fence = orders.fence;
-        worker.lease_until = worker.lease_until.max(now + orders.lease);
-        let acknowledged = worker.ended.iter().filter(|end| end.number <= orders.settled);
-        worker.acknowledged.extend(acknowledged.map(|end| (worker.incarnation, end.number)));
-        worker.ended.retain(|end| end.number > orders.settled);
+        worker.lease_until = worker.lease_until.max(sent.sent_at + orders.lease);
+        for end in worker.ended.extract_if(.., |end| end.number <= orders.settled) {
+            worker.acknowledged.insert((worker.incarnation, end.number));
+            // The effect of a completion must not be lost: the task would run again.
+            let is_recorded = end.outcome != RunOutcome::Done || !self.state.is_unfinished(&end.task);
+            let long_running = self.state.step_of(&end.task).is_some_and(|(_, step)| step.long_running);
+            assert!(is_recorded || long_running, "the end of {} was acknowledged without effect", end.task);
+        }
         for (task, run) in orders.stops {
             if worker.runs.get(&task).is_some_and(|known| known.run == run) {
                 worker.end(task, RunOutcome::Stopped);
