--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -13,6 +13,7 @@
 use crate::job_outlook::JobOutlooks;
 use crate::restart_delays::RestartDelays;
 use crate::settlement::GangRuns;
+use crate::unordered_runs::UnorderedRuns;
 use crate::work_model::WorkModel;
 use crate::worker_view::WorkerView;
 use crate::workspace_shares::WorkspaceShares;
@@ -65,6 +66,9 @@
     /// When this replica became leader. Leases granted by earlier leaders are assumed to run from then.
     pub(crate) leader_since: MonotonicTime,
     pub(crate) workers: SortedMap<WorkerId, WorkerView>,
+    /// The workers whose loss is being committed, with the lost incarnation. A new leader may declare a worker lost of which
+    /// it has no view yet.
+    pending_losses: SortedMap<WorkerId, Incarnation>,
     /// The worker on which each task last failed or stalled; the task is placed elsewhere if capacity permits.
     pub(crate) avoided: SortedMap<TaskKey, WorkerId>,
     pub(crate) interference: InterferenceModel,
@@ -81,6 +85,7 @@
     pruned_at: MonotonicTime,
     pub(crate) begun_jobs: BegunJobs,
     pub(crate) gang_runs: GangRuns,
+    pub(crate) unordered_runs: UnorderedRuns,
     pub(crate) evidence: FailureEvidence,
     pub(crate) restart_delays: RestartDelays,
     pub(crate) failing_jobs: FailingJobs,
@@ -104,6 +109,7 @@
             fence,
             leader_since: now,
             workers: SortedMap::default(),
+            pending_losses: SortedMap::default(),
             avoided: SortedMap::default(),
             interference: InterferenceModel::default(),
             idle_since: SortedMap::default(),
@@ -115,6 +121,7 @@
             pruned_at: now,
             begun_jobs: BegunJobs::default(),
             gang_runs: GangRuns::default(),
+            unordered_runs: UnorderedRuns::default(),
             evidence: FailureEvidence::default(),
             restart_delays: RestartDelays::default(),
             failing_jobs: FailingJobs::default(),
@@ -144,6 +151,7 @@
         if known.is_none_or(|view| view.incarnation < report.incarnation) {
             let mut view = WorkerView::new(report, now);
             view.lease_until = inherited_until.max(now);
+            view.loss_pending = self.pending_losses.get(&report.worker) == Some(&report.incarnation);
             // Without a notice, the worker's last life ended with a crash.
             if let Some(known) = known.filter(|known| !known.departed && !known.draining) {
                 view.health = known.health.after_crash(now, self.settings.quarantine);
@@ -156,18 +164,16 @@
                 );
             }
             self.workers.insert(report.worker.clone(), view);
-        } else if known.is_some_and(|view| view.departed || view.sequence >= report.sequence) {
+        } else if known.is_some_and(|view| view.sequence >= report.sequence) {
             return ReportAction::Stale;
+        } else if known.is_some_and(|view| view.departed) {
+            return self.receive_after_departure(now, state, report);
         }
         let mut commands = Vec::new();
         if let Some(record) = record.filter(|record| record.incarnation < report.incarnation) {
             commands.push(self.loss_command(&report.worker, record));
         }
-        let settled = record
-            .filter(|record| record.incarnation == report.incarnation)
-            .map_or(crate::EndNumber::ZERO, |record| record.settled);
-        let mut ends: Vec<_> = report.ended.iter().filter(|end| end.number > settled).cloned().collect();
-        ends.sort_by_key(|end| end.number);
+        let mut ends = report.unrecorded_ends(record.filter(|record| record.incarnation == report.incarnation));
         let Some(view) = self.workers.get_mut(&report.worker) else { return ReportAction::Stale };
         // Ends are recorded once the loss is committed, which ends the placed runs: applied after it, their commands would
         // acknowledge the ends and have no effect.
@@ -178,7 +184,7 @@
         let lives: Vec<Duration> = ends.iter().map(|end| view.life(now, &end.task, end.run)).collect();
         view.update_measured(&mut self.work_model, now, state, report, &ends);
         self.read_outcomes(now, state, &report.worker, &ends, &lives);
-        commands.extend(self.settle(state, report, ends));
+        commands.extend(self.settle(now, state, report, ends));
         self.record_begun(now, report);
         self.check_runs(now, state, &report.worker);
         if let Some(withdrawal) = self.withdrawal(state, &report.worker) {
@@ -210,7 +216,7 @@
         let Some(view) = self.workers.get_mut(worker).filter(|view| view.sequence == sequence) else { return empty };
         let record = state.worker(worker).filter(|record| record.incarnation == view.incarnation);
         view.loss_pending &= record.is_some_and(|record| !record.runs.is_empty());
-        if view.loss_pending {
+        if view.loss_pending || view.departed {
             return empty;
         }
         view.lease_until = view.lease_until.max(view.reported_at + max_lease);
@@ -227,6 +233,7 @@
         let clock = view.clock;
         for order in &orders.starts {
             view.ordered_at.insert(order.task, clock);
+            self.unordered_runs.record_ordered(&order.task);
         }
         for (task, run) in view.running.iter() {
             let committed = record.and_then(|record| record.runs.get(task)).is_some_and(|entry| entry.run == run.run);
@@ -267,12 +274,14 @@
             departure_command(worker, view)
         });
         let departed: Vec<BatchCommand> = departed.collect();
+        self.pending_losses = SortedMap::default();
         for command in &commands {
             if let BatchCommand::Lose { worker, incarnation, .. } = command {
                 let (silent_ms, sequence) = self
                     .workers
                     .get(worker)
                     .map_or((0, 0), |view| (now.since(view.reported_at).as_millis(), view.sequence));
+                self.pending_losses.insert(worker.clone(), *incarnation);
                 if let Some(view) = self.workers.get_mut(worker) {
                     view.loss_pending = true;
                 }
@@ -287,6 +296,7 @@
         self.avoided.retain(|task, _| state.is_unfinished(task));
         self.begun_jobs.prune(state);
         self.gang_runs.prune(state);
+        self.unordered_runs.prune(state);
         for (_, view) in self.workers.iter_mut() {
             view.health.prune(state, &self.evidence);
         }
@@ -305,6 +315,7 @@
 
     /// Forgets the losses that were being committed, after their commands were refused.
     pub fn withdraw_losses(&mut self) {
+        self.pending_losses = SortedMap::default();
         for (_, view) in self.workers.iter_mut() {
             view.loss_pending = false;
         }
@@ -420,20 +431,31 @@
         let record = state.worker(worker).filter(|record| record.incarnation == view.incarnation)?;
         let may_start = !view.draining && !state.is_out_of_service(&view.zone);
         let mut runs = Vec::new();
+        // The command of an earlier withdrawal may still be on its way to the state, and the reason for it may be gone. The
+        // run would be withdrawn although it has been ordered.
+        let mut known = std::mem::take(&mut view.withdrawing);
         for (task, entry) in record.runs.iter() {
-            if view.lists(task, entry.run) || (may_start && state.is_unfinished(task)) {
+            let is_withdrawn = known.remove(task) == Some(entry.run);
+            if view.lists(task, entry.run) || (may_start && state.is_unfinished(task) && !is_withdrawn) {
                 continue;
             }
             let clock = view.clock;
             // If no order is recorded, an earlier leader may have sent one; it is taken to have been sent with the
             // response to the current report.
             let sent = *view.ordered_at.entry(*task, || clock);
-            if clock >= sent + expiry {
+            let has_expired = clock >= sent + expiry;
+            if has_expired {
                 runs.push((*task, entry.run));
             }
+            if is_withdrawn || has_expired {
+                view.withdrawing.insert(*task, entry.run);
+            }
         }
-        view.withdrawing = SortedMap::default();
-        for (task, run) in &runs {
+        // The placement of a run that is not on record may still be on its way to the state.
+        known.retain(|task, run| {
+            self.unordered_runs.get(state, task).is_some_and(|known| known.run == *run && known.worker == *worker)
+        });
+        for (task, run) in known.iter() {
             view.withdrawing.insert(*task, *run);
         }
         let incarnation = view.incarnation;
@@ -482,7 +504,7 @@
 /// Returns the command after which every replica, and so the next leader, takes reports of the worker's incarnation for
 /// late ones: the worker's record moves on to the next incarnation. The worker must have no placed runs. Incarnations
 /// without a number cannot be told apart.
-fn departure_command(worker: &WorkerId, view: &WorkerView) -> Option<BatchCommand> {
+pub(crate) fn departure_command(worker: &WorkerId, view: &WorkerView) -> Option<BatchCommand> {
     let incarnation = view.incarnation.next();
     let is_numbered = view.incarnation != Incarnation::ZERO;
     is_numbered.then(|| BatchCommand::Settle { worker: worker.clone(), incarnation, ends: Vec::new() })
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -21,6 +21,8 @@
 mod job;
 mod job_failures;
 mod job_outlook;
+mod late_end;
+mod late_report;
 mod log_average;
 mod outcomes;
 mod pacing;
@@ -42,6 +44,7 @@
 mod step_class;
 mod step_history;
 mod step_order;
+mod unordered_runs;
 mod urgency;
 #[cfg(test)]
 mod urgency_tests;
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -140,6 +140,7 @@
         self.workspace_shares.end_cycle(now, state, cycles);
         self.gang_runs.record_placed(state, &placements);
         self.begun_jobs.record_placed(state, &placements);
+        self.unordered_runs.record_placed(&placements);
         placements
     }
 
--- a/crates/parsleywalk-batch/src/urgency_tests.rs
+++ b/crates/parsleywalk-batch/src/urgency_tests.rs
@@ -7,7 +7,9 @@
 use parsleywalk_units::MonotonicTime;
 use rstest::rstest;
 
+use crate::job_outlook::JobOutlooks;
 use crate::urgency::JobUrgency;
+use crate::work_model::WorkModel;
 use crate::{JobId, JobRecord, JobSpec, JobSubmission, StepSpec};
 
 /// Guards against objectives that a workspace's limit makes impossible: 16 tasks of 1 s, of which the limit permits 4 at a
@@ -40,5 +42,7 @@
     let job = JobRecord::new(Arc::new(submission), 1);
     let limit: ResourceLimit = limit.parse().expect("a limit");
     let since = MonotonicTime::from_millis(1);
-    assert_eq!(JobUrgency::of(&job, Some(&limit), since, since + Duration::from_secs(age)), expected);
+    let now = since + Duration::from_secs(age);
+    let outlook = JobOutlooks::default().outlook(JobId::new(1), &job, Some(&limit), &WorkModel::default(), now);
+    assert_eq!(JobUrgency::of(&job, &outlook, since, now), expected);
 }
--- a/crates/parsleywalk-batch/src/worker_view.rs
+++ b/crates/parsleywalk-batch/src/worker_view.rs
@@ -22,7 +22,8 @@
     pub(crate) rack: Option<String>,
     pub(crate) capacity: ResourceSize,
     pub(crate) draining: bool,
-    /// Whether the worker has announced its exit; reports that arrive later were sent before.
+    /// Whether the worker has announced its exit. Reports that arrive later count only for the ends in them; see
+    /// `late_report`.
     pub(crate) departed: bool,
     /// The sequence number of the newest report, and the worker's clock in it.
     pub(crate) sequence: u64,
@@ -42,7 +43,8 @@
     /// Whether the worker's lease has expired and the loss of its runs is being committed. Until then it gets no
     /// orders, because they would renew the lease.
     pub(crate) loss_pending: bool,
-    /// Runs whose withdrawal is being committed; they are not ordered again.
+    /// Runs that are to be withdrawn once their start orders have expired, and those whose withdrawal is being committed.
+    /// They are not ordered again.
     pub(crate) withdrawing: SortedMap<TaskKey, RunNumber>,
     pub(crate) health: WorkerHealth,
     /// The measured speed of this incarnation.
--- a/crates/parsleywalk-batch/tests/settlement.rs
+++ b/crates/parsleywalk-batch/tests/settlement.rs
@@ -8,6 +8,7 @@
     BatchCommand, BatchState, JobId, JobStatus, JobSubmission, ReportAction, RunOutcome, StepSpec, TaskKey,
     WorkerReport,
 };
+use parsleywalk_units::ZoneDirection;
 use rstest::rstest;
 use support::{FakeFleet, step, submission};
 
@@ -164,21 +165,26 @@
 }
 
 /// Guards against an end that is acknowledged and has no effect, since the loss of its worker is committed just before
-/// it: the task ran twice.
+/// it: the task ran twice. The leader has heard from the worker before, or is a new one.
 #[rstest]
 fn an_end_that_meets_the_loss_of_its_worker_counts(
     #[values(RunOutcome::Done, RunOutcome::Failed)] outcome: RunOutcome,
+    #[values(false, true)] leader_changes: bool,
 ) {
     let mut fleet = FakeFleet::new(1, 1);
     let job = fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
     fleet.run_for(START_TIME);
     fleet.workers[0].end(member(job, 0), outcome);
+    if leader_changes {
+        fleet.change_leader();
+    }
     fleet.now = fleet.now + fleet.settings.max_lease();
     let losses = fleet.dispatcher.expire_leases(fleet.now, &fleet.state);
     assert_eq!(losses.len(), 1, "the lease has expired");
     // The report arrives before the loss is committed.
     let report = fleet.workers[0].current_report(fleet.now);
     let commands = receive(&mut fleet, &report);
+    assert_eq!(fleet.dispatcher.build_response(&fleet.state, &report.worker, report.sequence).orders, None, "no lease");
     for command in losses.iter().chain(&commands) {
         fleet.state.apply(command);
     }
@@ -191,6 +197,171 @@
     assert_eq!(fleet.state.worker(&fleet.workers[0].id).map(|record| record.runs.len()), Some(0));
 }
 
+/// Guards against an end that is lost, so that its task runs twice, since the report that lists it is handled after the
+/// worker has announced its exit. The report gives no lease and acknowledges nothing, and the worker's next life works.
+#[rstest]
+fn an_end_reported_after_the_announcement_of_an_exit_counts(
+    #[values(false, true)] is_numbered: bool,
+    #[values(1, 2)] runs: u32,
+) {
+    let mut fleet = FakeFleet::new(1, 1);
+    let job = fleet.submit(submission(1, 0, vec![step(runs, 1, 60_000)]));
+    fleet.run_for(START_TIME);
+    fleet.workers[0].draining = true;
+    fleet.run_for(Duration::from_millis(300));
+    let early = fleet.workers[0].current_report(fleet.now);
+    fleet.workers[0].end(member(job, 0), RunOutcome::Done);
+    let late = fleet.workers[0].current_report(fleet.now);
+    let incarnation = is_numbered.then_some(late.incarnation);
+    assert_eq!(fleet.dispatcher.mark_departed(&fleet.state, &late.worker, incarnation), None, "it has a run");
+    for command in receive(&mut fleet, &late) {
+        fleet.state.apply(&command);
+    }
+    let is_done = fleet.state.job(job).and_then(|record| record.task(&member(job, 0))).map(|task| task.done);
+    assert_eq!(is_done, Some(true));
+    assert_eq!(fleet.dispatcher.build_response(&fleet.state, &late.worker, late.sequence).orders, None);
+    for old in [&early, &late] {
+        assert_eq!(fleet.dispatcher.receive(fleet.now, &fleet.state, old), ReportAction::Stale);
+    }
+    // The other run is lost when the lease that was given before the announcement ends.
+    fleet.workers[0].up = false;
+    fleet.run_for(fleet.settings.max_lease() + Duration::from_millis(100));
+    let record = fleet.state.worker(&late.worker).expect("a record");
+    assert!(record.runs.is_empty() && record.incarnation == late.incarnation.next(), "{record:?}");
+    fleet.workers[0].restart();
+    fleet.workers[0].up = true;
+    fleet.run_for(START_TIME);
+    assert_eq!(fleet.workers[0].runs.len(), runs as usize - 1);
+}
+
+/// Guards against an end of a worker's earlier life that is taken for one of its next life, or acknowledged.
+#[test]
+fn a_report_of_an_earlier_life_is_stale() {
+    let mut fleet = FakeFleet::new(1, 1);
+    let job = fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
+    fleet.run_for(START_TIME);
+    fleet.workers[0].draining = true;
+    fleet.run_for(Duration::from_millis(300));
+    fleet.workers[0].end(member(job, 0), RunOutcome::Done);
+    let late = fleet.workers[0].current_report(fleet.now);
+    fleet.dispatcher.mark_departed(&fleet.state, &late.worker, None);
+    fleet.workers[0].restart();
+    fleet.run_for(Duration::from_millis(100));
+    assert_eq!(fleet.dispatcher.receive(fleet.now, &fleet.state, &late), ReportAction::Stale);
+    // The announcement does not count for the next life.
+    fleet.run_for(START_TIME);
+    assert_eq!(fleet.workers[0].runs.len(), 1);
+}
+
+/// Passes the time until the unreachable worker of a task is declared lost, and returns the placement of the task on the
+/// other worker, which is not applied.
+fn plan_again(fleet: &mut FakeFleet, task: TaskKey, unreachable: usize) -> BatchCommand {
+    while fleet.state.step_of(&task).is_some_and(|(job, _)| job.has_live_runs()) {
+        fleet.now = fleet.now + Duration::from_millis(100);
+        let report = fleet.workers[1 - unreachable].current_report(fleet.now);
+        receive(fleet, &report);
+        for command in fleet.dispatcher.expire_leases(fleet.now, &fleet.state) {
+            fleet.state.apply(&command);
+        }
+    }
+    let runs = fleet.dispatcher.plan(fleet.now, 0, &fleet.state);
+    assert!(matches!(&runs[..], [run] if run.worker == fleet.workers[1 - unreachable].id), "{runs:?}");
+    BatchCommand::Place { runs }
+}
+
+/// Guards against an end that is acknowledged and has no effect, since another placement of its task is being committed:
+/// the task ran twice. The placement is applied before the end is decided, or afterwards, or refused by the log. It is
+/// never ordered.
+#[rstest]
+fn an_end_that_meets_another_placement_of_its_task_counts(
+    #[values(RunOutcome::Done, RunOutcome::Failed)] outcome: RunOutcome,
+    #[values("before", "after", "never")] applied: &str,
+) {
+    let mut fleet = FakeFleet::new(2, 1);
+    let job = fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
+    fleet.run_for(START_TIME);
+    let task = member(job, 0);
+    let first = fleet.workers.iter().position(|worker| worker.runs.contains_key(&task)).expect("a worker");
+    fleet.workers[first].end(task, outcome);
+    let placement = plan_again(&mut fleet, task, first);
+    if applied == "before" {
+        fleet.state.apply(&placement);
+    }
+    let reports = [0, 1].map(|_| fleet.workers[first].current_report(fleet.now));
+    // The worker lists the end again before its commands are applied.
+    let commands = reports.each_ref().map(|report| receive(&mut fleet, report));
+    if applied == "after" {
+        fleet.state.apply(&placement);
+        let orders = fleet.workers[1 - first].current_report(fleet.now);
+        receive(&mut fleet, &orders);
+        let response = fleet.dispatcher.build_response(&fleet.state, &orders.worker, orders.sequence);
+        assert_eq!(response.orders.map(|orders| orders.starts), Some(Vec::new()), "it is to be withdrawn");
+    }
+    for command in commands.iter().flatten() {
+        fleet.state.apply(command);
+    }
+    let record = fleet.state.job(job).and_then(|record| record.task(&task)).expect("a task");
+    assert_eq!((record.done, record.failures), (outcome == RunOutcome::Done, u16::from(outcome == RunOutcome::Failed)));
+    assert_eq!(record.live, 0);
+    assert!(fleet.state.workers().all(|(_, record)| record.runs.is_empty()), "no run is left over");
+}
+
+/// Guards against an end as done that is acknowledged and has no effect, since its task runs again: if that run failed or
+/// its worker left, the task would run a third time after its completion was acknowledged.
+#[rstest]
+fn a_completed_task_that_runs_again_is_done(#[values(1, 3)] members: u32, #[values(false, true)] leader_changes: bool) {
+    let mut fleet = FakeFleet::new(2, 1);
+    let spec = StepSpec { gang: members > 1, ..step(members, 1, 60_000) };
+    let job = fleet.submit(submission(1, 0, vec![spec]));
+    fleet.run_for(START_TIME);
+    let task = member(job, 0);
+    let first = fleet.workers.iter().position(|worker| worker.runs.contains_key(&task)).expect("a worker");
+    fleet.end_run(first, task, RunOutcome::Done);
+    // No other member of a gang lists its end.
+    fleet.workers[1 - first].restart();
+    fleet.workers[first].partitioned = true;
+    fleet.run_for(Duration::from_secs(10));
+    let starts = fleet.starts;
+    assert!(fleet.workers[1 - first].runs.contains_key(&task), "it runs again");
+    fleet.workers[first].partitioned = false;
+    if leader_changes {
+        fleet.change_leader();
+    }
+    fleet.run_for(START_TIME);
+    assert_eq!(fleet.status(job), Some(JobStatus::Completed));
+    assert_eq!(fleet.starts, starts, "no run starts");
+    assert!(fleet.workers.iter().all(|worker| worker.runs.is_empty() && worker.ended.is_empty()));
+}
+
+/// Guards against a run that is ordered while its withdrawal is being committed, since its zone is back in service before:
+/// the task starts on two workers, and the end of one of the runs has no effect.
+#[test]
+fn a_run_is_not_ordered_while_its_withdrawal_is_being_committed() {
+    let mut fleet = FakeFleet::new(1, 1);
+    fleet.run_for(START_TIME);
+    let zone = fleet.workers[0].zone.clone();
+    let job = fleet.submit(submission(1, 0, vec![step(1, 1, 500)]));
+    let runs = fleet.dispatcher.plan(fleet.now, 0, &fleet.state);
+    assert_eq!(runs.len(), 1);
+    fleet.state.apply(&BatchCommand::Place { runs });
+    fleet.state.apply(&BatchCommand::SetZone { zone: zone.clone(), direction: ZoneDirection::Out });
+    // The first report after the change starts the time in which an order may still arrive.
+    let reports = [Duration::ZERO, fleet.settings.order_expiry, Duration::from_millis(100)].map(|wait| {
+        fleet.now = fleet.now + wait;
+        fleet.workers[0].current_report(fleet.now)
+    });
+    assert_eq!(receive(&mut fleet, &reports[0]), Vec::new());
+    let withdrawal = receive(&mut fleet, &reports[1]);
+    assert!(matches!(withdrawal[..], [BatchCommand::Withdraw { .. }]), "{withdrawal:?}");
+    fleet.state.apply(&BatchCommand::SetZone { zone, direction: ZoneDirection::In });
+    assert_eq!(receive(&mut fleet, &reports[2]), withdrawal, "the first one may have been refused");
+    let response = fleet.dispatcher.build_response(&fleet.state, &reports[2].worker, reports[2].sequence);
+    assert_eq!(response.orders.map(|orders| orders.starts), Some(Vec::new()));
+    fleet.state.apply(&withdrawal[0]);
+    fleet.run_for(Duration::from_secs(2));
+    assert_eq!(fleet.status(job), Some(JobStatus::Completed));
+}
+
 /// Guards against a worker that stays without orders after the log has refused the command that declares it lost.
 #[test]
 fn a_refused_loss_is_withdrawn() {
