--- a/crates/parsleywalk/tests/pages.rs
+++ b/crates/parsleywalk/tests/pages.rs
@@ -5,7 +5,8 @@
 
 use parsleywalk_api::{
     AnnounceReply, AnnounceRequest, ConfigurationApply, ConfigurationView, JobExplanation, JobResult, JobStatus,
-    JobSubmission, OperationReply, Refusal, ReplicaCommand, SystemStatus, WorkerReply, WorkerReport, WorkspaceList, ZoneCommand,
+    JobSubmission, OperationReply, Refusal, ReplicaCommand, SystemStatus, WorkerReply, WorkerReport, WorkspaceList,
+    ZoneCommand,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
