Keep tasks from being placed whose completion waits behind another end

While an end is left unrecorded, the ends behind it wait, too. The tasks of those that are completions of lost runs were placed again meanwhile, although their worker lists the completion.

Change: such tasks are not placed again, and their newer runs are ended, while the worker lists the ends. An end that waits is logged as newer_run_ended for each run that it waits for and not as run_ended, which stands for recorded ends.

Result: with the ends behind left alone, a_task_is_not_placed_while_its_completion_waits fails. The new tests ends_that_wait_for_each_other_are_recorded, the_ends_of_a_departed_worker_do_not_wait and the case DecidedBetween of an_end_that_meets_another_placement_of_its_task_counts fail without, in this order: the withdrawal of newer runs that are listed as ended, the exception for departed workers, and the withdrawal of left-over runs.

--- a/crates/parsleywalk-batch/src/late_end.rs
+++ b/crates/parsleywalk-batch/src/late_end.rs
@@ -99,32 +99,26 @@
         }
     }
 
-    /// Ends newer runs of a task whose end as done is not recorded before, and keeps the task from being placed again
-    /// while its worker repeats the end.
-    pub(crate) fn end_newer_runs(
-        &mut self,
-        now: MonotonicTime,
-        state: &BatchState,
-        end: &RunEnd,
-        runs: &[RunPlacement],
-    ) {
-        for RunPlacement { task, run, worker, incarnation } in runs {
+    /// Leaves an end unrecorded. If it is one as done, newer runs of its task are ended, and the task is not placed again
+    /// while the worker lists the end.
+    pub(crate) fn hold_end(&mut self, now: MonotonicTime, state: &BatchState, end: &RunEnd, decision: EndDecision) {
+        let (EndDecision::Later(newer) | EndDecision::NewRun { withdrawn: newer, .. }) = decision else { return };
+        let Some((_, spec)) = state.step_of(&end.task).filter(|_| end.outcome == RunOutcome::Done) else { return };
+        self.restart_delays.extend(now + self.settings.worker_timeout, &end.task, spec);
+        for RunPlacement { task, run, worker, incarnation } in newer {
             log::info!(
                 "event=newer_run_ended job={} task={task} run={run} worker={worker} done_run={}",
                 task.job,
                 end.run
             );
-            let view = self.workers.get_mut(worker).filter(|view| view.incarnation == *incarnation);
+            let view = self.workers.get_mut(&worker).filter(|view| view.incarnation == incarnation);
             let Some(view) = view else { continue };
-            if view.lists(task, *run) {
-                view.evicting.insert(*task, *run);
+            if view.lists(&task, run) {
+                view.evicting.insert(task, run);
             } else {
-                view.withdrawing.insert(*task, *run);
+                view.withdrawing.insert(task, run);
             }
         }
-        if let Some((_, spec)) = state.step_of(&end.task) {
-            self.restart_delays.extend(now + self.settings.worker_timeout, &end.task, spec);
-        }
     }
 }
 
--- a/crates/parsleywalk-batch/src/settlement.rs
+++ b/crates/parsleywalk-batch/src/settlement.rs
@@ -108,11 +108,17 @@
         let departed = self.workers.get(&worker).is_some_and(|view| view.departed);
         let mut commands = Vec::new();
         let (mut runs, mut recorded) = (Vec::new(), Vec::new());
+        let mut is_held = false;
         for mut end in ends {
             let listed = end.outcome;
             end.outcome = self.recorded_outcome(state, &worker, &end);
             let decision = self.decide_end(state, &worker, &end);
-            log_run_end(state, report, &end, listed, &decision);
+            is_held |= matches!(decision, EndDecision::Later(_)) && !departed;
+            if is_held {
+                self.hold_end(now, state, &end, decision);
+                continue;
+            }
+            log_run_end(state, report, &end, listed);
             match decision {
                 EndDecision::Listed => {}
                 EndDecision::NewRun { run, withdrawn } => {
@@ -121,11 +127,7 @@
                     end.run = run;
                     runs.push(RunPlacement { task: end.task, run, worker: worker.clone(), incarnation });
                 }
-                EndDecision::Later(_) if departed => continue,
-                EndDecision::Later(newer) => {
-                    self.end_newer_runs(now, state, &end, &newer);
-                    break;
-                }
+                EndDecision::Later(_) => continue,
             }
             recorded.push(end);
         }
@@ -158,13 +160,12 @@
     }
 }
 
-fn log_run_end(state: &BatchState, report: &WorkerReport, end: &RunEnd, listed: RunOutcome, decision: &EndDecision) {
+fn log_run_end(state: &BatchState, report: &WorkerReport, end: &RunEnd, listed: RunOutcome) {
     let record = state.worker(&report.worker).filter(|record| record.incarnation == report.incarnation);
     let committed = record.and_then(|record| record.runs.get(&end.task)).is_some_and(|entry| entry.run == end.run);
-    let is_held = matches!(decision, EndDecision::Later(_));
     log::info!(
         "event=run_ended job={} task={} run={} worker={} number={} outcome={listed:?} recorded={:?} \
-         committed={committed} held={is_held} sequence={}",
+         committed={committed} sequence={}",
         end.task.job,
         end.task,
         end.run,
