Predict a job's critical path again when one of its tasks is done

Cause: other lanes count the waves that remain of a step, which change with each task; the cached path followed only whole steps.

Change: the cache is keyed by the number of tasks done.

Tests of the package as before; parsleywalk-fleet: replicas a_burst_of_large_submissions_is_accepted failed once in a full run at a load average of 22 and passed four times alone.

--- a/crates/parsleywalk-batch/src/job_outlook.rs
+++ b/crates/parsleywalk-batch/src/job_outlook.rs
@@ -20,7 +20,7 @@
     pub(crate) path: Duration,
     /// The duration without the steps that are done.
     pub(crate) remaining: Duration,
-    done_steps: usize,
+    done_tasks: u32,
     predicted_at: MonotonicTime,
 }
 
@@ -31,7 +31,7 @@
         Self {
             path: critical_path(job, &durations, |_| true),
             remaining: critical_path(job, &durations, |step| !step.is_done()),
-            done_steps: done_steps(job),
+            done_tasks: done_tasks(job),
             predicted_at: now,
         }
     }
@@ -44,10 +44,10 @@
 }
 
 impl JobOutlooks {
-    /// Returns the critical path of a job, as predicted less than [`OUTLOOK_INTERVAL`] ago.
+    /// Returns the critical path of a job, as predicted less than [`OUTLOOK_INTERVAL`] ago and since its last task was done.
     pub(crate) fn outlook(&mut self, id: JobId, job: &JobRecord, model: &WorkModel, now: MonotonicTime) -> JobOutlook {
         let outlook = self.outlooks.entry(id, || JobOutlook::new(job, model, now));
-        if now.since(outlook.predicted_at) >= OUTLOOK_INTERVAL || outlook.done_steps != done_steps(job) {
+        if now.since(outlook.predicted_at) >= OUTLOOK_INTERVAL || outlook.done_tasks != done_tasks(job) {
             *outlook = JobOutlook::new(job, model, now);
         }
         *outlook
@@ -59,10 +59,10 @@
     }
 }
 
-/// Returns the number of steps that are done in the first occurrence.
-fn done_steps(job: &JobRecord) -> usize {
+/// Returns the number of tasks that are done in the first occurrence.
+fn done_tasks(job: &JobRecord) -> u32 {
     let Some(occurrence) = job.occurrences.first() else { return 0 };
-    occurrence.steps.iter().filter(|step| step.is_done()).count()
+    occurrence.steps.iter().map(|step| step.done).sum()
 }
 
 /// Returns the duration of the critical path given those of the steps, counting only the steps for which `counts` returns
