--- a/crates/parsleywalk-batch/src/job_outlook.rs
+++ b/crates/parsleywalk-batch/src/job_outlook.rs
@@ -21,7 +21,7 @@
     pub(crate) path: Duration,
     /// The duration without the steps that are done.
     pub(crate) remaining: Duration,
-    done_steps: usize,
+    done_tasks: u32,
     predicted_at: MonotonicTime,
 }
 
@@ -32,7 +32,7 @@
         Self {
             path: critical_path(job, limit, &durations, StepRecord::task_count),
             remaining: critical_path(job, limit, &durations, StepRecord::remaining_count),
-            done_steps: done_steps(job),
+            done_tasks: done_tasks(job),
             predicted_at: now,
         }
     }
@@ -45,8 +45,8 @@
 }
 
 impl JobOutlooks {
-    /// Returns the critical path of a job, as predicted less than [`OUTLOOK_INTERVAL`] ago. `limit` is that of its
-    /// workspace.
+    /// Returns the critical path of a job, as predicted less than [`OUTLOOK_INTERVAL`] ago and since its last task was done.
+    /// `limit` is that of its workspace.
     pub(crate) fn outlook(
         &mut self,
         id: JobId,
@@ -56,7 +56,7 @@
         now: MonotonicTime,
     ) -> JobOutlook {
         let outlook = self.outlooks.entry(id, || JobOutlook::new(job, limit, model, now));
-        if now.since(outlook.predicted_at) >= OUTLOOK_INTERVAL || outlook.done_steps != done_steps(job) {
+        if now.since(outlook.predicted_at) >= OUTLOOK_INTERVAL || outlook.done_tasks != done_tasks(job) {
             *outlook = JobOutlook::new(job, limit, model, now);
         }
         *outlook
@@ -68,10 +68,10 @@
     }
 }
 
-/// Returns the number of steps that are done in the first occurrence.
-fn done_steps(job: &JobRecord) -> usize {
+/// Returns the number of tasks that are done in the first occurrence.
+fn done_tasks(job: &JobRecord) -> u32 {
     let Some(occurrence) = job.occurrences.first() else { return 0 };
-    occurrence.steps.iter().filter(|step| step.is_done()).count()
+    occurrence.steps.iter().map(|step| step.done).sum()
 }
 
 /// Returns the duration of the critical path given those of the steps and the number of tasks that count of each step.
