Teach run_ends delayed commands, late reports and exits

The state machine test applied each command at once and knew no exits, so that it could not find ends that meet other commands.

Change: commands take effect up to 200 ms after they are decided, or are refused; entries that are not committed are lost with the leader. Reports take up to 300 ms and arrive in any order, also after their workers have announced their exit, with or without the incarnation, or started again under the same id. A run ends on a worker that is cut off until it is declared lost. The fleet checks that a report which is newer than all others is not stale while a run that it lists as ended is on record, and that only planned runs start. A stopped member of a gang now ends the others, as any other end of a member does; a gang with a member on a draining worker never ended otherwise.

--- a/crates/parsleywalk-batch/tests/run_ends.rs
+++ b/crates/parsleywalk-batch/tests/run_ends.rs
@@ -1,4 +1,6 @@
 //! Stateful test of run ends against a reference model: jobs of every kind, whose tasks and workers fail in every way.
+//! Commands take effect later than they are decided or are refused, and reports arrive late, also after their workers have
+//! announced their exit or started again.
 //!
 //! The model knows what workers did and what was acknowledged to them, and nothing of how ends are recorded. It says which
 //! states of a job may be shown:
@@ -8,6 +10,7 @@
 //! - A job is failed if one of its tasks, or a gang as a whole, has failed as often as its queue permits. A run of a gang
 //!   fails once, however many members do.
 //! - A job is pending until a task of it has started, and not after an end of a run was acknowledged, whoever leads.
+//! - A task whose end as done was acknowledged is done, or its job is final; the fleet checks this.
 //! - A sound job has a task running within 3 s while healthy workers are free, whatever other jobs do.
 
 mod support;
@@ -23,11 +26,13 @@
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use support::{FakeFleet, STEP_DURATION, step, submission};
 
-const WORKERS: usize = 5;
+const WORKERS: usize = 6;
 /// Callers consider a job stuck that has had nothing running for this long while there is capacity for it.
 const STUCK_AFTER: Duration = Duration::from_secs(3);
 /// Callers consider a long-running task stuck that does not run this long after its last run.
 const LONG_RUNNING_STUCK_AFTER: Duration = Duration::from_secs(9);
+/// The longest time in milliseconds until a report arrives.
+const LONGEST_DELAY_MS: u64 = 300;
 /// The ids of sound jobs start here.
 const FIRST_SOUND_JOB: u64 = 1_000;
 
@@ -95,6 +100,9 @@
     EndRun(usize, RunOutcome),
     /// A worker is cut off, or can be reached again.
     Cut(usize, bool),
+    /// A run, picked by a number, ends on a worker that is cut off until it is declared lost, and some steps more. The
+    /// leader may change meanwhile.
+    EndRunWhileCut(usize, RunOutcome, bool, usize),
     /// A worker crashes and starts again.
     Crash(usize),
     /// A worker fails all that it starts, or works again.
@@ -103,6 +111,15 @@
     Refuse(usize, bool),
     /// The share of responses that are lost, in percent.
     LoseResponses(u64),
+    /// The longest times in milliseconds until commands are applied and until reports arrive, and the share of commands
+    /// that are refused, in percent.
+    Delay(u64, u64, u64),
+    /// A worker is about to exit and takes no new runs.
+    Drain(usize),
+    /// A worker announces its exit, with its incarnation or without it, and exits right after its last report.
+    Depart(usize, bool),
+    /// The worker that has exited starts again under its id.
+    Return(usize),
     ChangeLeader,
     /// The state is taken from a snapshot of it.
     Restore,
@@ -115,6 +132,7 @@
     cut: Option<usize>,
     failing: Option<usize>,
     refusing: Option<usize>,
+    leaving: Option<usize>,
 }
 
 impl ReferenceStateMachine for ModelState {
@@ -156,10 +174,19 @@
             6 => (100..3_000_u64).prop_map(Transition::Advance),
             6 => (any::<usize>(), outcomes).prop_map(|(run, outcome)| Transition::EndRun(run, outcome)),
             1 => (0..WORKERS, any::<bool>()).prop_map(|(worker, cut)| Transition::Cut(worker, cut)),
+            2 => (any::<usize>(), prop::sample::select(vec![RunOutcome::Done, RunOutcome::Done, RunOutcome::Failed]),
+                any::<bool>(), 0..8_usize).prop_map(|(run, outcome, leader_changes, steps)| {
+                Transition::EndRunWhileCut(run, outcome, leader_changes, steps)
+            }),
             1 => (0..WORKERS).prop_map(Transition::Crash),
             1 => (0..WORKERS, any::<bool>()).prop_map(|(worker, fails)| Transition::Fail(worker, fails)),
             1 => (0..WORKERS, any::<bool>()).prop_map(|(worker, refuses)| Transition::Refuse(worker, refuses)),
             1 => prop::sample::select(vec![0, 0, 10, 40]).prop_map(Transition::LoseResponses),
+            1 => prop::sample::select(vec![(0, 0, 0), (150, 0, 0), (200, 100, 5), (50, LONGEST_DELAY_MS, 0)])
+                .prop_map(|(commit, report, refused)| Transition::Delay(commit, report, refused)),
+            1 => (0..WORKERS).prop_map(Transition::Drain),
+            2 => (0..WORKERS, any::<bool>()).prop_map(|(worker, numbered)| Transition::Depart(worker, numbered)),
+            1 => (0..WORKERS).prop_map(Transition::Return),
             1 => Just(Transition::ChangeLeader),
             1 => Just(Transition::Restore),
         ]
@@ -172,18 +199,23 @@
             Transition::Cut(worker, cut) => state.cut = cut.then_some(*worker),
             Transition::Fail(worker, fails) => state.failing = fails.then_some(*worker),
             Transition::Refuse(worker, refuses) => state.refusing = refuses.then_some(*worker),
+            Transition::Drain(worker) | Transition::Depart(worker, _) => state.leaving = Some(*worker),
+            Transition::Return(_) => state.leaving = None,
             _ => {}
         }
         state
     }
 
-    /// At most one worker is cut off, one fails its runs and one refuses them, so that there are healthy ones.
+    /// At most one worker is cut off, one fails its runs, one refuses them and one leaves, so that there are healthy ones.
     fn preconditions(state: &Self, transition: &Transition) -> bool {
         match transition {
             Transition::Submit(job) => state.jobs.iter().all(|known| known.id != job.id),
+            Transition::EndRunWhileCut(..) => state.cut.is_none(),
             Transition::Cut(worker, true) => state.cut.is_none_or(|known| known == *worker),
             Transition::Fail(worker, true) => state.failing.is_none_or(|known| known == *worker),
             Transition::Refuse(worker, true) => state.refusing.is_none_or(|known| known == *worker),
+            Transition::Drain(worker) => state.leaving.is_none_or(|known| known == *worker),
+            Transition::Depart(worker, _) | Transition::Return(worker) => state.leaving == Some(*worker),
             _ => true,
         }
     }
@@ -234,7 +266,8 @@
     fn check_job(&self, job: &ModelJob, status: JobStatus) {
         let id = JobId::new(job.id);
         if self.cancelled.contains(&id) {
-            assert!(status.is_final(), "{job:?} was cancelled and is {status:?}");
+            let is_final = status.is_final() || !self.fleet.transit.is_instant();
+            assert!(is_final, "{job:?} was cancelled and is {status:?}");
             return;
         }
         if job.is_long_running() {
@@ -279,11 +312,32 @@
         assert!(has_started || shown != JobStatus::Running, "{id} is shown as running and has not begun");
     }
 
+    /// Repeats the cancels that have had no effect, as callers do.
+    fn repeat_cancels(&mut self) {
+        for id in self.cancelled.clone() {
+            if self.fleet.status(id).is_some_and(|status| !status.is_final()) {
+                self.fleet.cancel(id);
+            }
+        }
+    }
+
+    /// Starts a worker again that has exited or is about to.
+    fn start_again(&mut self, index: usize) {
+        if self.fleet.workers[index].up {
+            self.fleet.crash(index);
+            self.fleet.workers[index].was_cut = true;
+        } else {
+            self.fleet.workers[index].restart();
+            self.fleet.workers[index].up = true;
+        }
+    }
+
     /// Submits a sound job and checks that it starts in time.
     fn submit_sound_job(&mut self) {
         // The job may be placed on a worker that has just been cut off, until the leader takes it for unresponsive.
-        if self.fleet.workers.iter().any(|worker| worker.partitioned) {
-            self.fleet.run_for(self.fleet.settings.worker_timeout + STEP_DURATION * 2);
+        if self.fleet.workers.iter().any(|worker| worker.partitioned || !worker.up) {
+            let last_report = Duration::from_millis(LONGEST_DELAY_MS) + STEP_DURATION * 2;
+            self.fleet.run_for(self.fleet.settings.worker_timeout + last_report);
         }
         self.sound_jobs += 1;
         let spec =
@@ -300,8 +354,8 @@
         }
     }
 
-    /// Ends a run, picked by a number among those in progress.
-    fn end_run(&mut self, pick: usize, outcome: RunOutcome) {
+    /// Returns a run, picked by a number among those in progress, with the index of its worker.
+    fn pick_run(&self, pick: usize) -> Option<(usize, TaskKey)> {
         let workers = self.fleet.workers.iter().enumerate();
         let runs = workers.flat_map(|(index, worker)| worker.runs.keys().map(move |task| (index, *task)));
         // A member of a gang ends after all of its run have started.
@@ -311,9 +365,7 @@
             !spec.gang || members.filter(|other| other.same_step(task)).count() == spec.count as usize
         };
         let runs: Vec<(usize, TaskKey)> = runs.filter(|(_, task)| is_complete(task)).collect();
-        if let Some((index, task)) = runs.get(pick % runs.len().max(1)) {
-            self.fleet.end_run(*index, *task, outcome);
-        }
+        runs.get(pick % runs.len().max(1)).copied()
     }
 }
 
@@ -341,7 +393,17 @@
                 }
             }
             Transition::Advance(milliseconds) => test.fleet.run_for(Duration::from_millis(milliseconds)),
-            Transition::EndRun(pick, outcome) => test.end_run(pick, outcome),
+            Transition::EndRun(pick, outcome) => {
+                if let Some((index, task)) = test.pick_run(pick) {
+                    test.fleet.end_run(index, task, outcome);
+                }
+            }
+            Transition::EndRunWhileCut(pick, outcome, leader_changes, steps) => {
+                test.leader_changes += usize::from(leader_changes);
+                if let Some(run) = test.pick_run(pick) {
+                    test.fleet.end_run_while_cut(run, outcome, leader_changes, steps);
+                }
+            }
             Transition::Cut(worker, cut) => {
                 for (index, known) in test.fleet.workers.iter_mut().enumerate() {
                     known.partitioned = cut && index == worker;
@@ -363,6 +425,19 @@
                 }
             }
             Transition::LoseResponses(percent) => test.fleet.response_loss_percent = percent,
+            Transition::Delay(commit_ms, report_ms, refused_percent) => {
+                let transit = &mut test.fleet.transit;
+                transit.commit_delay = Duration::from_millis(commit_ms);
+                transit.report_delay = Duration::from_millis(report_ms);
+                transit.refused_percent = refused_percent;
+            }
+            Transition::Drain(worker) => test.fleet.workers[worker].draining = test.fleet.workers[worker].up,
+            Transition::Depart(worker, is_numbered) => {
+                if test.fleet.workers[worker].up {
+                    test.fleet.depart(worker, is_numbered);
+                }
+            }
+            Transition::Return(worker) => test.start_again(worker),
             Transition::ChangeLeader => {
                 test.leader_changes += 1;
                 test.fleet.change_leader();
@@ -371,6 +446,7 @@
                 test.fleet.state = BatchState::decode(&test.fleet.state.encode()).expect("a snapshot");
             }
         }
+        test.repeat_cancels();
         test
     }
 
@@ -385,6 +461,13 @@
     /// Once all faults are over, jobs that can end do, and every long-running task is running or was a moment ago.
     fn teardown(mut test: Self, _: ModelState) {
         test.fleet.response_loss_percent = 0;
+        test.fleet.transit.set_instant();
+        test.repeat_cancels();
+        for index in 0..WORKERS {
+            if !test.fleet.workers[index].up || test.fleet.workers[index].draining {
+                test.start_again(index);
+            }
+        }
         for worker in &mut test.fleet.workers {
             (worker.partitioned, worker.fails_starts, worker.refuses_starts) = (false, false, false);
         }
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -13,7 +13,9 @@
     BatchCommand, BatchState, DispatchSettings, Dispatcher, FencingToken, JobId, JobSpec, JobStatus, JobSubmission,
     RunEnd, RunNumber, RunOutcome, StepSpec, TaskKey,
 };
-use parsleywalk_units::{MemoryBytes, MilliCores, MonotonicTime, ResourceSize, WorkerId, ZoneDirection, ZoneName};
+use parsleywalk_units::{
+    Incarnation, MemoryBytes, MilliCores, MonotonicTime, ResourceSize, WorkerId, ZoneDirection, ZoneName,
+};
 
 use transit::{EntryWaiter, SentReport, Transit};
 pub(crate) use worker::FakeWorker;
@@ -23,6 +25,8 @@
 pub(crate) const STEP_DURATION: Duration = Duration::from_millis(50);
 /// How long the members of a gang wait for the others, in milliseconds.
 const GANG_TIMEOUT_MS: f64 = 3000.0;
+/// How long a worker waits from the response to a report, or its failure, to the next report.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a worker waits for the response to a report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -56,6 +60,10 @@
     pub(crate) settings: DispatchSettings,
     term: u64,
     pub(crate) transit: Transit,
+    /// The incarnation and sequence number of the newest report of each worker that the leader has handled.
+    newest: BTreeMap<WorkerId, (Incarnation, u64)>,
+    /// The runs that scheduling cycles have placed.
+    planned: BTreeSet<(TaskKey, RunNumber, WorkerId)>,
     /// The share of reports that the leader handles in time, in percent. Workers give up on the others after
     /// [`REPORT_TIMEOUT`].
     pub(crate) handled_percent: u64,
@@ -119,6 +127,8 @@
             settings,
             term: 1,
             transit: Transit::default(),
+            newest: BTreeMap::new(),
+            planned: BTreeSet::new(),
             handled_percent: 100,
             response_loss_percent: 0,
             tail_latency_ms: |_| 40,
@@ -170,6 +180,7 @@
             }
         }
         self.term += 1;
+        self.newest.clear();
         self.dispatcher = Dispatcher::new(self.settings.clone(), FencingToken::new(self.term), self.now);
     }
 
@@ -239,6 +250,7 @@
         if !self.transit.is_pending(EntryWaiter::Plan) {
             let unix_ms = self.unix_ms();
             let runs = self.dispatcher.plan(self.now, unix_ms, &self.state);
+            self.planned.extend(runs.iter().map(|placed| (placed.task, placed.run, placed.worker.clone())));
             if !runs.is_empty() {
                 self.propose(vec![BatchCommand::Place { runs }], EntryWaiter::Plan);
             }
@@ -355,10 +367,13 @@
         let response = self.dispatcher.build_response(&self.state, &id, sent.sequence);
         let worker = &mut self.workers[index];
         let waits = worker.up && worker.incarnation == sent.incarnation && now < sent.sent_at + REPORT_TIMEOUT;
-        if !waits || worker.partitioned || self.rng.chance(self.response_loss_percent) {
+        if !waits || worker.partitioned {
+            return;
+        }
+        worker.next_report = worker.next_report.min(now + REPORT_INTERVAL);
+        if self.rng.chance(self.response_loss_percent) {
             return;
         }
-        worker.next_report = worker.next_report.min(now + Duration::from_millis(100));
         let Some(orders) = response.orders else { return };
         if orders.fence < worker.fence {
             return;
@@ -372,8 +387,10 @@
             let long_running = self.state.step_of(&end.task).is_some_and(|(_, step)| step.long_running);
             assert!(is_recorded || long_running, "the end of {} was acknowledged without effect", end.task);
         }
+        let mut broken = Vec::new();
         for (task, run) in orders.stops {
-            if worker.runs.get(&task).is_some_and(|known| known.run == run) {
+            if let Some(known) = worker.runs.get(&task).filter(|known| known.run == run) {
+                broken.extend(known.breaks_gang.then_some((task, run)));
                 worker.end(task, RunOutcome::Stopped);
             }
             worker.last_runs.insert(task, run);
@@ -383,6 +400,9 @@
                 known.rate = rate;
             }
         }
+        for (task, run) in broken {
+            self.break_gang(&task, run, RunOutcome::Stopped);
+        }
         let bytes = orders.starts.iter().map(|order| order.payload.len() + order.saved.len()).sum();
         self.largest_starts = self.largest_starts.max(bytes);
         for order in orders.starts {
@@ -401,6 +421,9 @@
                 assert!(now.since(*since) < Duration::from_secs(2), "{} starts in a zone out of service", order.task);
             }
             assert!(!self.done.contains_key(&order.task), "{} starts after it was done", order.task);
+            // Other placements do not go by the worker's free capacity.
+            let is_planned = self.planned.contains(&(order.task, order.run, worker.id.clone()));
+            assert!(is_planned, "{} starts without having been planned", order.task);
             self.starts += 1;
             self.started.push((order.task, order.run));
             worker.runs.insert(
--- a/crates/parsleywalk-batch/tests/support/transit.rs
+++ b/crates/parsleywalk-batch/tests/support/transit.rs
@@ -3,10 +3,13 @@
 
 use std::time::Duration;
 
-use parsleywalk_batch::{BatchCommand, ReportAction, RunOutcome, WorkerReport};
+use parsleywalk_batch::{BatchCommand, ReportAction, RunEnd, RunOutcome, TaskKey, WorkerReport};
 use parsleywalk_units::MonotonicTime;
 
-use super::{FakeFleet, REPORT_TIMEOUT, TestRng};
+use super::{FakeFleet, REPORT_INTERVAL, REPORT_TIMEOUT, TestRng};
+
+/// The most steps until a worker that is cut off is declared lost.
+const MAX_CUT_STEPS: usize = 200;
 
 /// What waits for a log entry.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -49,9 +52,14 @@
         self.entries.iter().any(|(_, _, known)| *known == waiter)
     }
 
-    /// Returns true if commands are on their way to the state.
-    pub(crate) fn has_entries(&self) -> bool {
-        !self.entries.is_empty()
+    /// Returns true if commands take effect at once.
+    pub(crate) fn is_instant(&self) -> bool {
+        self.entries.is_empty() && self.commit_delay == Duration::ZERO && self.refused_percent == 0
+    }
+
+    /// Ends all delays. What is on its way arrives with the next step.
+    pub(crate) fn set_instant(&mut self) {
+        (self.commit_delay, self.report_delay, self.refused_percent) = (Duration::ZERO, Duration::ZERO, 0);
     }
 
     /// Loses the entries that are not committed when the leader changes: all of them after a random one.
@@ -69,8 +77,10 @@
 impl FakeFleet {
     pub(super) fn propose(&mut self, commands: Vec<BatchCommand>, waiter: EntryWaiter) {
         if self.transit.refused_percent > 0 && self.rng.chance(self.transit.refused_percent) {
-            if waiter == EntryWaiter::Maintenance {
-                self.dispatcher.withdraw_losses();
+            match waiter {
+                EntryWaiter::Maintenance => self.dispatcher.withdraw_losses(),
+                EntryWaiter::Report(sent) => self.workers[sent.worker].next_report = self.now + REPORT_INTERVAL,
+                EntryWaiter::Caller | EntryWaiter::Plan => {}
             }
             return;
         }
@@ -101,7 +111,7 @@
         let tail_latency_ms = self.tail_latency_ms;
         let report = self.workers[index].build_report(self.now, tail_latency_ms);
         // A worker sends the next report after the response to this one, or gives up on it.
-        let wait = if self.transit.is_slow() { REPORT_TIMEOUT } else { Duration::from_millis(100) };
+        let wait = if self.transit.is_slow() { REPORT_TIMEOUT } else { REPORT_INTERVAL };
         self.workers[index].next_report = self.now + wait;
         self.send(index, report);
     }
@@ -131,11 +141,59 @@
     }
 
     fn receive(&mut self, report: &WorkerReport, sent: SentReport) {
-        match self.dispatcher.receive(self.now, &self.state, report) {
-            ReportAction::Stale => {}
+        let action = self.dispatcher.receive(self.now, &self.state, report);
+        match action {
+            ReportAction::Stale => self.check_stale(report),
             ReportAction::Commit(commands) if commands.is_empty() => self.respond(sent),
             ReportAction::Commit(commands) => self.propose(commands, EntryWaiter::Report(sent)),
         }
+        let newest = self.newest.entry(report.worker.clone()).or_default();
+        *newest = (report.incarnation, report.sequence).max(*newest);
+    }
+
+    /// Checks that a stale report lists no end of a run on record, unless its incarnation is over or its worker is being
+    /// declared lost: the worker may not list it again.
+    fn check_stale(&self, report: &WorkerReport) {
+        let newest = self.newest.get(&report.worker);
+        if newest.is_some_and(|newest| *newest >= (report.incarnation, report.sequence)) {
+            return;
+        }
+        let record = self.state.worker(&report.worker).filter(|record| record.incarnation == report.incarnation);
+        let is_on_record = |end: &RunEnd| {
+            record.and_then(|record| record.runs.get(&end.task)).is_some_and(|entry| entry.run == end.run)
+        };
+        let is_lost = self.transit.is_pending(EntryWaiter::Maintenance);
+        assert!(is_lost || !report.ended.iter().any(is_on_record), "ends of {} are stale", report.worker);
+    }
+
+    /// Cuts a worker off, ends a run there, and lets the worker report again some steps after it is declared lost, so that
+    /// the end meets the commands of that time. The leader may change meanwhile.
+    pub(crate) fn end_run_while_cut(
+        &mut self,
+        (index, task): (usize, TaskKey),
+        outcome: RunOutcome,
+        leader_changes: bool,
+        steps: usize,
+    ) {
+        self.workers[index].partitioned = true;
+        self.workers[index].was_cut = true;
+        self.end_run(index, task, outcome);
+        if leader_changes {
+            self.change_leader();
+        }
+        let id = self.workers[index].id.clone();
+        for _ in 0..MAX_CUT_STEPS {
+            let has_run = self.state.worker(&id).is_some_and(|record| record.runs.contains(&task));
+            if !has_run || self.transit.is_pending(EntryWaiter::Maintenance) {
+                break;
+            }
+            self.step();
+        }
+        for _ in 0..steps {
+            self.step();
+        }
+        self.workers[index].partitioned = false;
+        self.workers[index].next_report = self.now;
     }
 
     /// Makes a worker exit: its runs are stopped, and the announcement of its exit overtakes its last report.
