Best-effort jobs with slack give up their headroom while late ones wait

Jobs with ample slack accept only workers that leave 0.12 of headroom. Under overload, late jobs take the workers that leave 0.03 to 0.12, so that late work crowds out work that could be in time.

HeadroomRule removes the requirement for the best-effort steps of a service while late or overdue best-effort steps of it wait. The setting relaxes_headroom switches it off.

--- a/crates/parsleywalk-batch/src/gang_placement.rs
+++ b/crates/parsleywalk-batch/src/gang_placement.rs
@@ -1,7 +1,8 @@
 //! Placement of gangs, whose tasks run only all together.
 
 use crate::candidate::CandidateWorker;
-use crate::placement::{MIN_HEADROOM, best_rack};
+use crate::headroom_rule::MIN_HEADROOM;
+use crate::placement::best_rack;
 use crate::placement_request::{HealthLeniency, PlacementRequest};
 use crate::ranking::WorkerRanking;
 use crate::{Dispatcher, JobRecord, RunPlacement, StepSpec, TaskKey};
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -15,6 +15,7 @@
 mod error;
 mod failure_evidence;
 mod gang_placement;
+mod headroom_rule;
 mod health;
 mod ids;
 mod interference;
--- a/crates/parsleywalk-batch/src/settings.rs
+++ b/crates/parsleywalk-batch/src/settings.rs
@@ -36,6 +36,8 @@
     pub order_expiry: Duration,
     /// Whether the durations of tasks are predicted from measurements, or taken from the callers' estimates.
     pub measured_work: bool,
+    /// Whether best-effort jobs with slack need no more headroom than others while late ones of their service wait.
+    pub relaxes_headroom: bool,
 }
 
 impl Default for DispatchSettings {
@@ -54,6 +56,7 @@
             worker_runs: 10_000,
             order_expiry: Duration::from_millis(1100),
             measured_work: true,
+            relaxes_headroom: true,
         }
     }
 }
