--- a/crates/parsleywalk-batch/tests/run_ends.rs
+++ b/crates/parsleywalk-batch/tests/run_ends.rs
@@ -504,7 +504,7 @@
 
 prop_state_machine! {
     #![proptest_config(ProptestConfig {
-        cases: std::env::var("RUN_END_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(64),
+        cases: std::env::var("RUN_END_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(512),
         max_shrink_iters: 2_000,
         failure_persistence: None,
         rng_seed: proptest::test_runner::RngSeed::Fixed(
