Serve workspaces within twice their part of the capacity by urgency

Demand fluctuates within seconds, so shares now decide only once a workspace has over twice its part of the capacity in use; below that, urgency decides. Long-running tasks that no workspace owns no longer count against the others that nobody owns, which were served last for as long as they ran. A test of workspaces records the runs that it places itself.

--- a/crates/parsleywalk-batch/src/shared_order.rs
+++ b/crates/parsleywalk-batch/src/shared_order.rs
@@ -1,4 +1,8 @@
 //! The order of a scheduling cycle with workspaces.
+//!
+//! Demand fluctuates within seconds, so dividing capacity evenly at each moment would interleave the jobs of all
+//! workspaces and make more of them late. Workspaces that have up to [`BURST_FACTOR`] times their part of the capacity in
+//! use are therefore served by urgency, and only those with more by their shares.
 
 use parsleywalk_shares::{AccountIndex, ResourceLimit, ShareLedger, ShareOrder, ShareTurn};
 use parsleywalk_units::{MonotonicTime, ResourceSize};
@@ -9,9 +13,12 @@
 use crate::step_class::StepClass;
 use crate::step_order::{StepOrder, StepTurn};
 use crate::urgency::JobUrgency;
-use crate::workspace_shares::WorkspaceShares;
+use crate::workspace_shares::{COMMON_ACCOUNT, WorkspaceShares};
 use crate::{BatchState, Dispatcher, JobId, RunNumber, RunPlacement, StepRecord, StepSpec, TaskKey, TaskRecord};
 
+/// A workspace may have this many times its part of the capacity in use before its share decides when it is served.
+const BURST_FACTOR: f64 = 2.0;
+
 /// The steps of a priority that are served before others of it, whatever the shares of their workspaces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum ServiceBand {
@@ -64,6 +71,8 @@
     next_band: usize,
     cycles: Vec<AccountCycle>,
     order: ShareOrder,
+    /// The share up to which accounts are served by urgency.
+    burst_share: f64,
     turn: Option<OpenTurn>,
     /// What the long-running tasks of each account have allocated; computed when a limit first holds back a step.
     long_running: Option<Vec<ResourceSize>>,
@@ -75,7 +84,7 @@
     pub(crate) fn next_turn(&mut self, state: &BatchState) -> Option<StepTurn> {
         self.end_turn();
         loop {
-            let Some(turn) = self.order.next_turn(&self.ledger) else {
+            let Some(turn) = self.urgent_turn().or_else(|| self.order.next_turn(&self.ledger)) else {
                 if self.open_band() {
                     continue;
                 }
@@ -92,6 +101,17 @@
         }
     }
 
+    /// Returns the turn of the account with the most urgent step among those that are served by urgency.
+    fn urgent_turn(&self) -> Option<ShareTurn> {
+        let within = self.order.accounts().iter().filter(|account| self.ledger.share(**account) < self.burst_share);
+        let first_steps = within.filter_map(|account| {
+            let heads = self.cycles[account.0 as usize].heads();
+            heads.map(|(_, row)| (self.rows[row].step, *account)).min()
+        });
+        let (_, account) = first_steps.min()?;
+        Some(ShareTurn { account, share: self.burst_share })
+    }
+
     /// Makes the steps of the next band available, or returns false if there are none.
     fn open_band(&mut self) -> bool {
         let Some(first) = self.rows.get(self.next_band) else { return false };
@@ -197,7 +217,7 @@
         for (spec, step) in specs {
             let records = job.occurrences.iter().filter_map(|occurrence| occurrence.steps.get(usize::from(step)));
             let live = records.map(StepRecord::live_count).sum();
-            let size = &mut sizes[shares.account_of(job.workspace.as_ref()).0 as usize];
+            let Some(size) = sizes.get_mut(shares.account_of(job.workspace.as_ref()).0 as usize) else { continue };
             *size = total_size(&spec.size, live).and_then(|live| size.checked_add(&live)).unwrap_or(*size);
         }
     }
@@ -221,9 +241,13 @@
         let mut ledger = ShareLedger::default();
         ledger.set_total(capacities.fold(ResourceSize::default(), |sum, size| sum.checked_add(&size).unwrap_or(sum)));
         let mut cycles = Vec::new();
+        let unowned_long_running = long_running_sizes(state, shares, 1)[0];
         for (account, weight, limit, allocated) in shares.accounts(state) {
+            // Unowned long-running tasks would hold back all others that nobody owns for as long as they run.
+            let is_common = account == COMMON_ACCOUNT;
+            let charged = if is_common { allocated.saturating_sub(&unowned_long_running) } else { allocated };
             ledger.set_account(account, weight, limit);
-            ledger.charge(account, &allocated);
+            ledger.charge(account, &charged);
             cycles.push(AccountCycle::default());
         }
         for step in ready.iter().filter(|step| step.is_first_of_job) {
@@ -232,12 +256,14 @@
         let mut rows: Vec<OrderRow> = ready.into_iter().map(|step| self.order_row(now, state, step)).collect();
         rows.sort_unstable();
         let (order, turn, long_running) = (ShareOrder::default(), None, None);
+        let burst_share = BURST_FACTOR * ledger.even_share();
         StepOrder::Shared(Box::new(SharedOrder {
             ledger,
             rows,
             next_band: 0,
             cycles,
             order,
+            burst_share,
             turn,
             long_running,
             shares,
--- a/crates/parsleywalk-batch/src/workspace_shares.rs
+++ b/crates/parsleywalk-batch/src/workspace_shares.rs
@@ -13,8 +13,8 @@
 use crate::ready_step::ReadyStep;
 use crate::{BatchState, Dispatcher, JobId, JobRefusal, JobSubmission, SortedMap, Workspace, WorkspaceUsage};
 
-/// The account of the jobs that no configured workspace owns. It has a weight of 1 and no limit.
-const COMMON_ACCOUNT: AccountIndex = AccountIndex(0);
+/// The account of the jobs that no configured workspace owns. It has the largest weight of a workspace and no limit.
+pub(crate) const COMMON_ACCOUNT: AccountIndex = AccountIndex(0);
 
 /// How long the commit of a submission may take; until then, an unknown job may still become active.
 const SUBMISSION_TIMEOUT: Duration = Duration::from_secs(10);
@@ -77,7 +77,8 @@
     ) -> impl Iterator<Item = (AccountIndex, u32, ResourceLimit, ResourceSize)> {
         let of_workspaces = self.accounts.iter().map(|account| state.workspace_allocation(&account.name));
         let unowned = of_workspaces.fold(total_allocation(state), |rest, size| rest.saturating_sub(&size));
-        let common = (COMMON_ACCOUNT, 1, ResourceLimit::default(), unowned);
+        let weight = self.accounts.iter().map(|account| account.weight).max().unwrap_or(1);
+        let common = (COMMON_ACCOUNT, weight, ResourceLimit::default(), unowned);
         let owned = (1u32..).zip(&self.accounts).map(|(index, account)| {
             (AccountIndex(index), account.weight, account.limit, state.workspace_allocation(&account.name))
         });
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -229,6 +229,11 @@
         self.state.apply(&decoded[0]);
     }
 
+    /// Records runs that a leader has placed, so that workers may start them.
+    pub(crate) fn record_planned(&mut self, runs: &[RunPlacement]) {
+        self.planned.extend(runs.iter().map(|placed| (placed.task, placed.run, placed.worker.clone())));
+    }
+
     pub(crate) fn run_for(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
@@ -264,7 +269,7 @@
         if !self.transit.is_pending(EntryWaiter::Plan) {
             let unix_ms = self.unix_ms();
             let runs = self.dispatcher.plan(self.now, unix_ms, &self.state);
-            self.planned.extend(runs.iter().map(|placed| (placed.task, placed.run, placed.worker.clone())));
+            self.record_planned(&runs);
             if !runs.is_empty() {
                 self.propose(vec![BatchCommand::Place { runs }], EntryWaiter::Plan);
             }
--- a/crates/parsleywalk-batch/tests/workspaces.rs
+++ b/crates/parsleywalk-batch/tests/workspaces.rs
@@ -149,6 +149,7 @@
     let allocated = |fleet: &FakeFleet| fleet.state.workspace_allocation(&workspace("alpha")).cores.get();
     let runs = fleet.dispatcher.plan(fleet.now, 0, &fleet.state);
     assert!(!runs.is_empty(), "tasks are placed");
+    fleet.record_planned(&runs);
     assert_eq!(allocated(&fleet), 0, "nothing is committed");
     fleet.change_leader();
     if is_committed {
--- a/crates/parsleywalk-shares/src/ledger.rs
+++ b/crates/parsleywalk-shares/src/ledger.rs
@@ -95,6 +95,16 @@
         self.accounts.get(account.0 as usize).map_or(0.0, |entry| entry.share)
     }
 
+    /// Returns the weighted dominant share that each account with an allocation would have if the capacity in use were
+    /// divided among them by weight.
+    #[must_use]
+    pub fn even_share(&self) -> f64 {
+        let users = || self.accounts.iter().filter(|entry| !entry.allocated.is_zero());
+        let weights: f64 = users().map(|entry| entry.weight).sum();
+        let used = users().fold(ResourceSize::default(), |sum, entry| sum.checked_add(&entry.allocated).unwrap_or(sum));
+        if weights > 0.0 { dominant_share(&used, &self.total) / weights } else { 0.0 }
+    }
+
     /// Returns what is allocated to the account.
     #[must_use]
     pub fn allocated(&self, account: AccountIndex) -> ResourceSize {
--- a/crates/parsleywalk-shares/src/order.rs
+++ b/crates/parsleywalk-shares/src/order.rs
@@ -51,6 +51,12 @@
         lowest.map(|(account, share)| ShareTurn { account, share: second.max(share + MIN_TURN_SHARE) })
     }
 
+    /// Returns the accounts that have waiting work, in the order of their positions.
+    #[must_use]
+    pub fn accounts(&self) -> &[AccountIndex] {
+        &self.accounts
+    }
+
     /// Removes an account that has no more work in this cycle.
     pub fn remove(&mut self, account: AccountIndex) {
         self.accounts.retain(|known| *known != account);
