run_ends: a task that is done has no failed runs

The model expected a job to fail after a failed run of a task was acknowledged. Since the completion of an earlier run is recorded before a newer run's end, a failure may be acknowledged after the task is done, and then costs nothing, as the state has always applied it. Seen with RUN_END_CASES=4000 RUN_END_SEED=13: run 1 done on a worker that was cut off, run 2 failed. The check stays for every task that is not done.

--- a/crates/parsleywalk-batch/tests/run_ends.rs
+++ b/crates/parsleywalk-batch/tests/run_ends.rs
@@ -7,8 +7,8 @@
 //!
 //! - A long-running task is started again however it ends, until its job is cancelled.
 //! - A job is completed if each of its tasks has ended as done. One such end stands for all members of a gang.
-//! - A job is failed if one of its tasks, or a gang as a whole, has failed as often as its queue permits. A run of a gang
-//!   fails once, however many members do.
+//! - A job is failed if one of its tasks, or a gang as a whole, has failed as often as its queue permits
+//!   before it was done. A run of a gang fails once, however many members do.
 //! - A job is pending until a task of it has started, and not after an end of a run was acknowledged, whoever leads.
 //! - A task whose end as done was acknowledged is done, or its job is final; the fleet checks this.
 //! - A sound job has a task running within 3 s while healthy workers are free, whatever other jobs do.
@@ -274,7 +274,10 @@
             assert!(matches!(status, JobStatus::Pending | JobStatus::Running), "{job:?} is {status:?}");
             return;
         }
-        let ends = self.ends(job);
+        let mut ends = self.ends(job);
+        // The completion of an earlier run may be recorded before the end of a newer one, which then costs nothing.
+        let record = self.fleet.state.job(id);
+        ends.acknowledged.retain(|task, _| !record.and_then(|record| record.task(task)).is_some_and(|task| task.done));
         let limit = usize::from(job.attempt_limit);
         let reaches = |failed: &BTreeMap<TaskKey, BTreeSet<RunNumber>>, limit: usize| {
             failed.values().any(|runs| runs.len() >= limit)
