Test: the random faults of guarantees with delayed commands

guarantees_hold_under_random_faults runs each seed twice, with commands that are applied at once and up to 200 ms after they are decided. A zone counts as out of service from the time at which the order is applied, since one that is lost with its leader is not acknowledged, and from the first of repeated orders.

--- a/crates/parsleywalk-batch/tests/guarantees.rs
+++ b/crates/parsleywalk-batch/tests/guarantees.rs
@@ -17,11 +17,15 @@
 
 /// Guards against concurrent runs of a task, starts of completed tasks, starts in zones out of service and
 /// overcommitted workers when lost responses, partitions, restarts, leader changes, failing or hung workers and zone
-/// changes coincide. Once the faults have ended, every job must end.
+/// changes coincide, with commands that take effect at once or later. Once the faults have ended, every job must end.
 #[rstest]
-fn guarantees_hold_under_random_faults(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+fn guarantees_hold_under_random_faults(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+    #[values(0, 200)] commit_delay_ms: u64,
+) {
     let mut fleet = FakeFleet::new(9, seed);
     fleet.response_loss_percent = 10;
+    fleet.transit.commit_delay = Duration::from_millis(commit_delay_ms);
     let mut jobs = Vec::new();
     for number in 0..FAULT_STEPS {
         let index = usize::try_from(fleet.rng.next_below(9)).expect("small");
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -165,10 +165,6 @@
 
     pub(crate) fn set_zone(&mut self, zone: &str, direction: ZoneDirection) {
         let zone: ZoneName = zone.parse().expect("a zone");
-        match direction {
-            ZoneDirection::Out => self.out_since.insert(zone.clone(), self.now),
-            ZoneDirection::In => self.out_since.remove(&zone),
-        };
         self.propose(vec![BatchCommand::SetZone { zone, direction }], EntryWaiter::Caller);
     }
 
@@ -208,6 +204,14 @@
                 }
             }
         }
+        // An order that is lost on its way is not acknowledged.
+        match command {
+            BatchCommand::SetZone { zone, direction: ZoneDirection::Out } => {
+                self.out_since.entry(zone.clone()).or_insert(self.now);
+            }
+            BatchCommand::SetZone { zone, direction: ZoneDirection::In } => drop(self.out_since.remove(zone)),
+            _ => {}
+        }
         self.commands += 1;
         // Commands must survive the encoding used in the log.
         let bytes = parsleywalk_batch::encode_commands(std::slice::from_ref(command));
