--- a/crates/parsleywalk-batch/src/headroom_rule.rs
+++ b/crates/parsleywalk-batch/src/headroom_rule.rs
@@ -25,10 +25,10 @@
 }
 
 impl<'a> HeadroomRule<'a> {
-    /// Returns the rule for a cycle with the given waiting steps.
-    pub(crate) fn of(state: &'a BatchState, ready: &[ReadyStep]) -> Self {
+    /// Returns the rule for a cycle in which the given steps wait for capacity.
+    pub(crate) fn of<'r>(state: &'a BatchState, waiting: impl Iterator<Item = &'r ReadyStep>) -> Self {
         let mut rule = Self::default();
-        for step in ready.iter().filter(|step| !matches!(step.urgency, JobUrgency::OnTime(_))) {
+        for step in waiting.filter(|step| !matches!(step.urgency, JobUrgency::OnTime(_))) {
             let Some(job) = state.job(step.job).filter(|job| is_best_effort(job, step)) else { continue };
             let service = &job.submission.service;
             if let Err(index) = rule.backlogged.binary_search(&service) {
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -85,7 +85,10 @@
         self.workspace_shares.refresh(now, state);
         let mut ready = self.ready_steps(now, unix_ms, state);
         if self.settings.relaxes_headroom {
-            HeadroomRule::of(state, &ready).relax(state, &mut ready);
+            let shares = &self.workspace_shares;
+            // Work that waits for the limit of its workspace takes no capacity from others.
+            let waits = ready.iter().filter(|step| !shares.is_held(step));
+            HeadroomRule::of(state, waits).relax(state, &mut ready);
         }
         self.track_waiting(now, state, &ready);
         self.sort_ready_steps(now, &mut ready);
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -13,7 +13,7 @@
 
 use parsleywalk_batch::{
     BatchCommand, BatchState, DispatchSettings, Dispatcher, FencingToken, JobId, JobSpec, JobStatus, JobSubmission,
-    RunEnd, RunNumber, RunOutcome, StepSpec, TaskKey,
+    RunEnd, RunNumber, RunOutcome, RunPlacement, StepSpec, TaskKey,
 };
 use parsleywalk_units::{
     Incarnation, MemoryBytes, MilliCores, MonotonicTime, ResourceSize, WorkerId, WorkspaceName, ZoneDirection, ZoneName,
