--- a/crates/parsleywalk-batch/src/gang_placement.rs
+++ b/crates/parsleywalk-batch/src/gang_placement.rs
@@ -1,8 +1,7 @@
 //! Placement of gangs, whose tasks run only all together.
 
 use crate::candidate::CandidateWorker;
-use crate::headroom_rule::MIN_HEADROOM;
-use crate::placement::best_rack;
+use crate::placement::{MIN_HEADROOM, best_rack};
 use crate::placement_request::{HealthLeniency, PlacementRequest};
 use crate::ranking::WorkerRanking;
 use crate::{Dispatcher, JobRecord, RunPlacement, StepSpec, TaskKey};
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -45,6 +45,7 @@
 mod step_class;
 mod step_history;
 mod step_order;
+mod task_shape;
 mod unordered_runs;
 mod urgency;
 #[cfg(test)]
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -3,7 +3,7 @@
 use std::borrow::Cow;
 use std::time::Duration;
 
-use parsleywalk_units::{MilliCores, MonotonicTime, ResourceSize, ServiceName, WorkerId};
+use parsleywalk_units::{MilliCores, MonotonicTime, WorkerId};
 
 use crate::candidate::CandidateWorker;
 use crate::dispatcher::ratio;
@@ -14,6 +14,7 @@
 use crate::ready_step::ReadyStep;
 use crate::step_class::StepClass;
 use crate::step_order::StepTurn;
+use crate::task_shape::TaskShape;
 use crate::urgency::{JobUrgency, has_ample_slack};
 use crate::worker_rank::WorkerRank;
 use crate::worker_view::{LongRunningTasks, WorkerView};
@@ -37,46 +38,16 @@
 const MAX_JOB_AGE: Duration = Duration::from_mins(1);
 /// The period that the measurements in a report cover.
 const REPORT_WINDOW: Duration = Duration::from_millis(600);
+/// The headroom that must remain for latency-critical tasks when a best-effort task is placed.
+pub(crate) const MIN_HEADROOM: f32 = 0.03;
+/// The headroom that must remain when the best-effort task's job has slack: about as much as the own load of a
+/// latency-critical task grows in the second or two that a best-effort task runs.
+pub(crate) const SLACK_HEADROOM: f32 = 0.12;
 /// Workers with more headroom than this are ranked as equal.
 const SAFE_HEADROOM: f32 = 0.25;
 /// The number of interference levels per unit of load.
 const INTERFERENCE_LEVELS: f32 = 25.0;
 
-/// The properties that decide whether a task can be placed. Where one task cannot be placed, an equal or larger one of
-/// the same image cannot either.
-#[derive(Debug, Clone, Copy)]
-struct TaskShape<'a> {
-    service: &'a ServiceName,
-    image: &'a str,
-    best_effort: bool,
-    size: ResourceSize,
-    /// Whether only size and image restrict where the task can run.
-    is_unconstrained: bool,
-    /// Whether the task accepts only workers with much headroom; see [`HeadroomRule`].
-    needs_slack_headroom: bool,
-}
-
-impl<'a> TaskShape<'a> {
-    fn of(submission: &'a JobSubmission, spec: &'a StepSpec, needs_slack_headroom: bool) -> Self {
-        let is_unconstrained = !spec.gang && spec.required_label.is_none() && spec.per_worker_limit.is_none();
-        let StepSpec { image, best_effort, size, .. } = spec;
-        Self {
-            service: &submission.service,
-            image,
-            best_effort: *best_effort,
-            size: *size,
-            is_unconstrained,
-            needs_slack_headroom,
-        }
-    }
-
-    /// Returns true if the task cannot be placed where `known` cannot.
-    fn is_at_least_as_hard_as(&self, known: &Self) -> bool {
-        let same_kind = (self.service, self.best_effort, self.image) == (known.service, known.best_effort, known.image);
-        same_kind && known.size.fits_within(&self.size) && self.needs_slack_headroom >= known.needs_slack_headroom
-    }
-}
-
 impl Dispatcher {
     /// Runs a scheduling cycle: chooses workers for waiting tasks. `unix_ms` is the wall-clock time that decides which
     /// occurrences are due.
@@ -112,7 +83,7 @@
             let Some(job) = state.job(step.job) else { continue };
             let Some(spec) = job.step_spec(step.step) else { continue };
             let starved = turn.first_index == 0 && self.is_starved(now, job, spec, &step);
-            let shape = TaskShape::of(&job.submission, spec, step.needs_slack_headroom);
+            let shape = TaskShape::of(&job.submission, spec, step.has_slack);
             if !starved && unplaceable.iter().any(|known| shape.is_at_least_as_hard_as(known)) {
                 continue;
             }
@@ -163,7 +134,7 @@
                         && !self.is_delayed(now, job, id, (occurrence, step), entry)
                     {
                         let is_first_of_job = evaluated.is_none();
-                        let (urgency, needs_slack_headroom) = *evaluated.get_or_insert_with(|| {
+                        let (urgency, has_slack) = *evaluated.get_or_insert_with(|| {
                             let outlook = self.outlooks.outlook(id, job, limit, &self.work_model, now);
                             (JobUrgency::of(job, &outlook, since, now), has_ample_slack(job, &outlook, since, now))
                         });
@@ -175,7 +146,7 @@
                             job: id,
                             occurrence,
                             step,
-                            needs_slack_headroom,
+                            has_slack,
                             account,
                             class,
                             is_first_of_job,
@@ -317,7 +288,8 @@
             return;
         }
         let rack = spec.rack_local.then(|| best_rack(job, spec, record.waiting, candidates)).flatten();
-        let request = self.placement_request(&job.submission, spec, first, rack.as_deref(), ready.min_headroom());
+        let min_headroom = if ready.has_slack { SLACK_HEADROOM } else { MIN_HEADROOM };
+        let request = self.placement_request(&job.submission, spec, first, rack.as_deref(), min_headroom);
         let mut ranking = WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, None, candidate));
         let mut is_first = true;
         let end = placements.len().saturating_add(turn.max_tasks).min(MAX_PLACEMENTS_PER_CYCLE);
--- a/crates/parsleywalk-batch/src/ready_step.rs
+++ b/crates/parsleywalk-batch/src/ready_step.rs
@@ -15,9 +15,8 @@
     pub(crate) job: JobId,
     pub(crate) occurrence: u32,
     pub(crate) step: u16,
-    /// Whether best-effort tasks of the step accept only workers with much headroom: the job has ample slack, and its
-    /// service has no late best-effort work.
-    pub(crate) needs_slack_headroom: bool,
+    /// Whether the job has ample slack that its best-effort tasks use to wait for a worker with more headroom.
+    pub(crate) has_slack: bool,
     pub(crate) account: AccountIndex,
     pub(crate) class: StepClass,
     /// Whether no earlier step of the job is ready.
