Refuse short jobs that an overloaded service cannot serve

Under overload all jobs are accepted, and those that come too late to be of use have waited for nothing and delay others.

OverloadGate refuses a short job when it is submitted if late jobs of its service and kind have waited for a second, no worker takes a task of it now, and it would end beyond refusal_multiple (2.0) times its objective. The end is predicted from the work ahead of it (WorkBacklog, by workspace and place in the order) and from DrainRate: the share of the cores in service that is delivered, its peak of the last ten seconds or the work that completes, whichever is highest. A new leader refuses nothing for 2 s and until it has measured the rate for 3 s.

A new leader does not know what earlier ones have refused. It answers a submission received before its term with NotReady (503) instead of Overtaken (504), as no copy of it is stored, and remembers the answer as a refusal. This now holds for short jobs too.

Two tests of workspaces submit far more than the workers get through and insist on acceptance: the gate refused their jobs. They switch it off, as they are about what happens to accepted jobs.

--- a/crates/parsleywalk-batch/src/account_cycle.rs
+++ b/crates/parsleywalk-batch/src/account_cycle.rs
@@ -43,7 +43,8 @@
         open.filter_map(|class| self.queues[class as usize].clone().next().map(|row| (class, row)))
     }
 
-    const fn is_held(&self, class: StepClass) -> bool {
+    /// Returns true if steps of the class get nothing more in the cycle.
+    pub(crate) const fn is_held(&self, class: StepClass) -> bool {
         self.held[class as usize]
     }
 
--- a/crates/parsleywalk-batch/src/admission.rs
+++ b/crates/parsleywalk-batch/src/admission.rs
@@ -1,4 +1,4 @@
-//! Admission control for long-running jobs.
+//! Admission control for long-running jobs. Short jobs are refused by [`crate::overload`].
 //!
 //! Long-running tasks never end by themselves, so each one accepted beyond the capacity of its service takes cores
 //! permanently, until short jobs of the same priority find none and all miss their objectives. A long-running job is
@@ -7,8 +7,9 @@
 
 use std::time::Duration;
 
-use parsleywalk_units::{MonotonicTime, ServiceName};
+use parsleywalk_units::{MonotonicTime, ServiceName, WorkspaceName};
 
+use crate::work_kind::WorkKind;
 use crate::work_model::WorkModel;
 use crate::{BatchState, Dispatcher, JobSubmission, SortedMap, StepSpec};
 
@@ -82,12 +83,24 @@
 impl Dispatcher {
     /// Returns true if [`Dispatcher::admit`] may refuse such a job.
     #[must_use]
-    pub fn may_refuse(submission: &JobSubmission) -> bool {
-        long_running_millicores(submission) > 0
+    pub fn may_refuse(&self, submission: &JobSubmission) -> bool {
+        let is_short = WorkKind::of_job(&submission.spec).is_some();
+        long_running_millicores(submission) > 0 || (is_short && self.refuses_short_jobs())
     }
 
     /// Returns a refusal if the job must not be accepted; otherwise adds the job to the short-task demand.
     pub fn admit(&mut self, now: MonotonicTime, state: &BatchState, submission: &JobSubmission) -> Option<JobRefusal> {
+        self.decide_admission(now, state, submission, None)
+    }
+
+    /// Decides as [`Dispatcher::admit`] does on a job that a workspace may own.
+    pub(crate) fn decide_admission(
+        &mut self,
+        now: MonotonicTime,
+        state: &BatchState,
+        submission: &JobSubmission,
+        workspace: Option<&WorkspaceName>,
+    ) -> Option<JobRefusal> {
         let requested = long_running_millicores(submission);
         if requested > 0 && now.since(self.leader_since) >= LEADER_WARM_UP {
             let service = &submission.service;
@@ -98,8 +111,11 @@
                 return Some(JobRefusal { retry_after: LONG_RUNNING_RETRY_AFTER, reason });
             }
         }
-        self.short_demand.add(now, submission, &self.work_model);
-        None
+        let refusal = self.refuse_overload(now, state, submission, workspace);
+        if refusal.is_none() {
+            self.short_demand.add(now, submission, &self.work_model);
+        }
+        refusal
     }
 
     /// Returns the millicores of a service that long-running tasks neither use nor wait for.
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -11,6 +11,7 @@
 use crate::interference::{BestEffortLoad, ImageIndex, InterferenceModel};
 use crate::job_failures::FailingJobs;
 use crate::job_outlook::JobOutlooks;
+use crate::overload::OverloadGate;
 use crate::restart_delays::RestartDelays;
 use crate::settlement::GangRuns;
 use crate::unordered_runs::UnorderedRuns;
@@ -90,6 +91,7 @@
     pub(crate) restart_delays: RestartDelays,
     pub(crate) failing_jobs: FailingJobs,
     pub(crate) workspace_shares: WorkspaceShares,
+    pub(crate) overload: OverloadGate,
     /// The outcomes listed since [`Dispatcher::take_listed_outcomes`] was last called.
     pub(crate) listed_outcomes: Vec<RunOutcome>,
     /// When the compatibility of images was last looked at, and its version then.
@@ -126,6 +128,7 @@
             restart_delays: RestartDelays::default(),
             failing_jobs: FailingJobs::default(),
             workspace_shares: WorkspaceShares::default(),
+            overload: OverloadGate::default(),
             listed_outcomes: Vec::new(),
             compatibility_checked_at: MonotonicTime::ZERO,
             compatibility_version: 0,
--- a/crates/parsleywalk-batch/src/ids.rs
+++ b/crates/parsleywalk-batch/src/ids.rs
@@ -32,6 +32,13 @@
     pub const fn new(number: u64) -> Self {
         Self(number)
     }
+
+    /// Returns a number below 1000 that is spread evenly over ids, also over consecutive ones.
+    pub(crate) const fn spread_permille(self) -> u32 {
+        // The upper bits of the product with 2^64 divided by the golden ratio.
+        let hash = self.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+        ((hash * 1000) >> 32) as u32
+    }
 }
 
 impl Display for JobId {
--- a/crates/parsleywalk-batch/src/job_outlook.rs
+++ b/crates/parsleywalk-batch/src/job_outlook.rs
@@ -8,34 +8,60 @@
 use parsleywalk_shares::ResourceLimit;
 use parsleywalk_units::{MonotonicTime, ResourceSize};
 
+use crate::job_work::JobWork;
 use crate::work_model::WorkModel;
-use crate::{BatchState, JobId, JobRecord, SortedMap, StepRecord, StepSpec};
+use crate::{BatchState, JobId, JobRecord, JobSubmission, SortedMap, StepRecord, StepSpec};
 
 /// The age at which a job's critical path is predicted again.
 const OUTLOOK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The predicted critical path of a job.
+/// The predicted critical path and work of a job.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct JobOutlook {
     /// The duration of the critical path.
     pub(crate) path: Duration,
     /// The duration without the steps that are done.
     pub(crate) remaining: Duration,
+    /// The work that is not done.
+    pub(crate) work: JobWork,
     done_steps: usize,
     predicted_at: MonotonicTime,
 }
 
 impl JobOutlook {
     fn new(job: &JobRecord, limit: Option<&ResourceLimit>, model: &WorkModel, now: MonotonicTime) -> Self {
-        let durations = (0u16..).zip(&job.submission.spec.steps).map(|(step, _)| model.predict(&job.submission, step));
-        let durations: Vec<Duration> = durations.collect();
+        let durations = predicted_durations(&job.submission, model);
+        let records = job.occurrences.first().map_or(&[] as &[StepRecord], |occurrence| &occurrence.steps);
+        let specs = &job.submission.spec.steps;
+        let mut work = JobWork::default();
+        for ((spec, record), duration) in specs.iter().zip(records).zip(&durations) {
+            work.add(spec, *duration, record.waiting, record.live_count());
+        }
         Self {
-            path: critical_path(job, limit, &durations, StepRecord::task_count),
-            remaining: critical_path(job, limit, &durations, StepRecord::remaining_count),
+            path: critical_path(specs, limit, &durations, records.iter().map(StepRecord::task_count)),
+            remaining: critical_path(specs, limit, &durations, records.iter().map(StepRecord::remaining_count)),
+            work,
             done_steps: done_steps(job),
             predicted_at: now,
         }
     }
+
+    /// Returns the outlook of a job that has not been accepted.
+    pub(crate) fn of_submission(
+        submission: &JobSubmission,
+        limit: Option<&ResourceLimit>,
+        model: &WorkModel,
+        now: MonotonicTime,
+    ) -> Self {
+        let durations = predicted_durations(submission, model);
+        let specs = &submission.spec.steps;
+        let mut work = JobWork::default();
+        for (spec, duration) in specs.iter().zip(&durations) {
+            work.add(spec, *duration, spec.count, 0);
+        }
+        let path = critical_path(specs, limit, &durations, specs.iter().map(|spec| spec.count));
+        Self { path, remaining: path, work, done_steps: 0, predicted_at: now }
+    }
 }
 
 /// The critical paths that have been predicted.
@@ -74,19 +100,23 @@
     occurrence.steps.iter().filter(|step| step.is_done()).count()
 }
 
+/// Returns the predicted durations of the tasks of each step.
+fn predicted_durations(submission: &JobSubmission, model: &WorkModel) -> Vec<Duration> {
+    (0u16..).zip(&submission.spec.steps).map(|(step, _)| model.predict(submission, step)).collect()
+}
+
 /// Returns the duration of the critical path given those of the steps and the number of tasks that count of each step.
 /// More tasks than the limit of the job's workspace permits at a time run in several waves.
 fn critical_path(
-    job: &JobRecord,
+    specs: &[StepSpec],
     limit: Option<&ResourceLimit>,
     durations: &[Duration],
-    tasks: impl Fn(&StepRecord) -> u32,
+    tasks: impl Iterator<Item = u32>,
 ) -> Duration {
-    let Some(occurrence) = job.occurrences.first() else { return Duration::ZERO };
     let mut ends: Vec<Duration> = Vec::with_capacity(durations.len());
-    for ((spec, record), duration) in job.submission.spec.steps.iter().zip(&occurrence.steps).zip(durations) {
+    for ((spec, tasks), duration) in specs.iter().zip(tasks).zip(durations) {
         let start = spec.depends_on.iter().filter_map(|earlier| ends.get(usize::from(*earlier))).max();
-        let duration = *duration * wave_count(spec, limit, tasks(record));
+        let duration = *duration * wave_count(spec, limit, tasks);
         ends.push(start.copied().unwrap_or_default() + duration);
     }
     ends.into_iter().max().unwrap_or_default()
--- a/crates/parsleywalk-batch/src/outcomes.rs
+++ b/crates/parsleywalk-batch/src/outcomes.rs
@@ -8,6 +8,8 @@
 use log::info;
 use parsleywalk_units::{MonotonicTime, WorkerId};
 
+use crate::job_work::task_work;
+use crate::work_kind::WorkKind;
 use crate::{BatchState, Dispatcher, JobFailures, JobId, RunEnd, RunNumber, RunOutcome, StepSpec, TaskKey};
 
 /// A run that failed, hung or was refused, or a long-running one that ended as done.
@@ -41,10 +43,14 @@
             if end.outcome != RunOutcome::Refused {
                 self.idle_since.remove(&end.task.job);
             }
-            let Some((_, spec)) = state.step_of(&end.task) else { continue };
+            let Some((job, spec)) = state.step_of(&end.task) else { continue };
             if end.outcome == RunOutcome::Done {
                 view.health.record_success();
                 self.evidence.record_success(&end.task, worker);
+                if let Some(kind) = WorkKind::of_step(spec) {
+                    let work = task_work(spec, self.work_model.predict(&job.submission, end.task.step));
+                    self.overload.record_completed(&job.submission.service, kind, work);
+                }
             }
             let failed = FailedRun { task: end.task, run: end.run, worker, outcome: end.outcome, life: *life };
             match end.outcome {
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -9,6 +9,7 @@
 use crate::dispatcher::ratio;
 use crate::headroom_rule::HeadroomRule;
 use crate::interference::{ImageIndex, InterferenceModel};
+use crate::overload_feed::CycleRecord;
 use crate::placement_request::{HealthLeniency, PlacementRequest};
 use crate::ranking::WorkerRanking;
 use crate::ready_step::ReadyStep;
@@ -60,8 +61,10 @@
         }
         self.track_waiting(now, state, &ready);
         self.sort_ready_steps(now, &mut ready);
+        let mut cycle = CycleRecord::new(state, &ready);
         if ready.is_empty() {
             self.workspace_shares.end_cycle(now, state, Vec::new());
+            self.record_cycle(now, state, cycle, &[]);
             return Vec::new();
         }
         for step in &ready {
@@ -104,6 +107,7 @@
             }
             if placements.len() == before && shape.is_unconstrained {
                 unplaceable.push(shape);
+                cycle.unplaced.extend((!step.has_slack).then_some((step.job, step.step)));
             }
         }
         let cycles = order.into_cycles();
@@ -111,6 +115,7 @@
         self.gang_runs.record_placed(state, &placements);
         self.begun_jobs.record_placed(state, &placements);
         self.unordered_runs.record_placed(&placements);
+        self.record_cycle(now, state, cycle, &placements);
         placements
     }
 
@@ -162,13 +167,7 @@
     fn candidates<'a>(&'a self, now: MonotonicTime, state: &'a BatchState) -> Vec<CandidateWorker<'a>> {
         let mut candidates = Vec::with_capacity(self.workers.len());
         for (id, view, record) in with_records(self.workers.iter(), state) {
-            let unresponsive = now.since(view.reported_at) >= self.settings.worker_timeout;
-            if unresponsive
-                || view.loss_pending
-                || view.draining
-                || view.departed
-                || state.is_out_of_service(&view.zone)
-            {
+            if !self.is_usable(now, state, view) {
                 continue;
             }
             let is_on_probation = view.health.is_on_probation(&self.evidence);
@@ -220,6 +219,13 @@
         candidates
     }
 
+    /// Returns true if the worker responds and is to remain in service.
+    pub(crate) fn is_usable(&self, now: MonotonicTime, state: &BatchState, view: &WorkerView) -> bool {
+        let is_unresponsive = now.since(view.reported_at) >= self.settings.worker_timeout;
+        let is_leaving = view.loss_pending || view.draining || view.departed || state.is_out_of_service(&view.zone);
+        !is_unresponsive && !is_leaving
+    }
+
     /// Recomputes the placed long-running tasks of each worker whose runs have changed.
     fn refresh_long_running(&mut self, now: MonotonicTime, state: &BatchState) {
         if now.since(self.compatibility_checked_at) >= COMPATIBILITY_INTERVAL {
@@ -517,7 +523,7 @@
 
 /// Joins views of workers, in the order of their ids, with the workers' records. Searching for each record instead
 /// would compare ids a dozen times for each worker in every cycle.
-fn with_records<'s, 'v, V>(
+pub(crate) fn with_records<'s, 'v, V>(
     views: impl Iterator<Item = (&'v WorkerId, V)>,
     state: &'s BatchState,
 ) -> impl Iterator<Item = (&'v WorkerId, V, Option<&'s WorkerRecord>)> {
--- a/crates/parsleywalk-batch/src/settings.rs
+++ b/crates/parsleywalk-batch/src/settings.rs
@@ -38,6 +38,8 @@
     pub measured_work: bool,
     /// Whether best-effort jobs with slack need no more headroom than others while late ones of their service wait.
     pub relaxes_headroom: bool,
+    /// Under overload, a short job is refused if it would end beyond this many times its objective. Infinity refuses none.
+    pub refusal_multiple: f32,
 }
 
 impl Default for DispatchSettings {
@@ -57,6 +59,7 @@
             order_expiry: Duration::from_millis(1100),
             measured_work: true,
             relaxes_headroom: true,
+            refusal_multiple: 2.0,
         }
     }
 }
--- a/crates/parsleywalk-batch/src/sorted_map.rs
+++ b/crates/parsleywalk-batch/src/sorted_map.rs
@@ -30,6 +30,12 @@
         self.rows.binary_search_by(|(key, _)| compare(key)).ok().map(|index| &self.rows[index].1)
     }
 
+    /// Returns a mutable reference to the value of the key for which `compare` returns equal.
+    pub(crate) fn find_mut(&mut self, compare: impl Fn(&K) -> std::cmp::Ordering) -> Option<&mut V> {
+        let found = self.rows.binary_search_by(|(key, _)| compare(key)).ok();
+        found.map(|index| &mut self.rows[index].1)
+    }
+
     /// Returns a mutable reference to the value of a key.
     pub fn get_mut(&mut self, key: &K) -> Option<&mut V> {
         self.index_of(key).ok().map(|index| &mut self.rows[index].1)
--- a/crates/parsleywalk-batch/src/urgency.rs
+++ b/crates/parsleywalk-batch/src/urgency.rs
@@ -12,8 +12,8 @@
 
 use parsleywalk_units::MonotonicTime;
 
-use crate::JobRecord;
 use crate::job_outlook::JobOutlook;
+use crate::{JobRecord, JobSubmission};
 
 /// A job later than this many times its objective is no longer useful to its caller.
 const USEFUL_LATENESS_FACTOR: u32 = 3;
@@ -74,6 +74,11 @@
 
 /// Returns the latency objective of the job, counted from its acceptance.
 fn objective(job: &JobRecord, outlook: &JobOutlook) -> Duration {
-    let stretch = job.submission.stretch.clamp(1.0, MAX_STRETCH);
-    outlook.path.mul_f32(stretch) + job.submission.latency_objective.min(MAX_LATENCY_OBJECTIVE)
+    submission_objective(&job.submission, outlook)
+}
+
+/// Returns the latency objective of a submitted job.
+pub(crate) fn submission_objective(submission: &JobSubmission, outlook: &JobOutlook) -> Duration {
+    let stretch = submission.stretch.clamp(1.0, MAX_STRETCH);
+    outlook.path.mul_f32(stretch) + submission.latency_objective.min(MAX_LATENCY_OBJECTIVE)
 }
--- a/crates/parsleywalk-batch/src/workspace_shares.rs
+++ b/crates/parsleywalk-batch/src/workspace_shares.rs
@@ -11,6 +11,7 @@
 
 use crate::account_cycle::AccountCycle;
 use crate::ready_step::ReadyStep;
+use crate::step_class::StepClass;
 use crate::{BatchState, Dispatcher, JobId, JobRefusal, JobSubmission, SortedMap, Workspace, WorkspaceUsage};
 
 /// The account of the jobs that no configured workspace owns. It has a weight of 1 and no limit.
@@ -94,6 +95,11 @@
         self.account(step.account).is_some_and(|account| account.cycle.was_held(step.class, step.job))
     }
 
+    /// Returns true if the limit of an account held back steps of a class in the last cycle.
+    pub(crate) fn is_class_held(&self, account: AccountIndex, class: StepClass) -> bool {
+        self.account(account).is_some_and(|account| account.cycle.is_held(class))
+    }
+
     /// Returns true if the job was submitted beyond the rate of its workspace.
     pub(crate) fn is_over_rate(&self, job: JobId) -> bool {
         self.over_rate.contains(&job)
@@ -177,7 +183,7 @@
         submission: &JobSubmission,
         workspace: &WorkspaceName,
     ) -> Option<JobRefusal> {
-        let refusal = self.admit(now, state, submission);
+        let refusal = self.decide_admission(now, state, submission, Some(workspace));
         if refusal.is_none() {
             self.workspace_shares.refresh(now, state);
             self.workspace_shares.count_submission(now, workspace, submission.job);
--- a/crates/parsleywalk-batch/tests/measured_work.rs
+++ b/crates/parsleywalk-batch/tests/measured_work.rs
@@ -6,7 +6,7 @@
 
 use parsleywalk_batch::{JobId, JobStatus, StepSpec};
 use rstest::rstest;
-use support::plays::{LOAD, Load, Outcome, play_seeds};
+use support::plays::{LOAD, Load, Outcome, Played, play_seeds};
 use support::{FakeFleet, step, submission};
 
 /// Guards against decisions that rely on wrong estimates, as measured on more best-effort jobs than the workers can run in
@@ -23,8 +23,8 @@
     #[case] max_percent: usize,
     #[case] max_never_percent: usize,
 ) {
-    let [_, without] = play_seeds(&Load { settings: |settings| settings.measured_work = false, ..load });
-    let [short, with] = play_seeds(&load);
+    let without = play_seeds(&Load { settings: |settings| settings.measured_work = false, ..load }).best_effort;
+    let Played { short, best_effort: with, .. } = play_seeds(&load);
     println!("without {without:?}\nwith {with:?}\nshort {short:?}");
     assert!(short.in_time * 100 >= 95 * (short.in_time + short.late + short.never), "{short:?}");
     assert!(with.in_time * 100 >= without.in_time * min_percent, "{with:?} instead of {without:?}");
--- a/crates/parsleywalk-batch/tests/overload.rs
+++ b/crates/parsleywalk-batch/tests/overload.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use support::plays::{LOAD, Load, play_seeds, tail_latency_ms};
+use support::plays::{LOAD, Load, Outcome, Played, play_seeds, tail_latency_ms};
 
 /// The load with workers that have the headroom for three best-effort tasks, of which two leave less than jobs with slack
 /// want.
@@ -28,10 +28,33 @@
     #[case] load: Load,
     #[case] min_percent: usize,
 ) {
-    let [_, without] = play_seeds(&Load { settings: |settings| settings.relaxes_headroom = false, ..load });
-    let [short, with] = play_seeds(&load);
+    let without = play_seeds(&Load { settings: |settings| settings.relaxes_headroom = false, ..load }).best_effort;
+    let Played { short, best_effort: with, .. } = play_seeds(&load);
     println!("without {without:?}\nwith {with:?}\nshort {short:?}");
     assert!(with.in_time * 100 >= without.in_time * min_percent, "{with:?} instead of {without:?}");
     assert!(with.late + with.never <= without.late + without.never, "{with:?} instead of {without:?}");
     assert!(short.in_time * 100 >= 95 * (short.in_time + short.late + short.never), "{short:?}");
 }
+
+/// The load with about 1.4 times as much best-effort work as the workers get through, and jobs that may be refused.
+const OVERLOAD: Load = Load { error: 0.9, returns: Some(0), best_effort_factor: |_| 0.96, ..LOAD };
+
+/// Guards against refusing jobs that would have been in time, and against accepting those that nobody will wait for: the
+/// jobs in time must not become fewer than `min_percent` of those without the gate, and the jobs late or never served must
+/// not be more than `max_percent`.
+#[rstest]
+#[case::steady(OVERLOAD, 99, 100)]
+fn refused_jobs_would_not_have_been_in_time(
+    #[case] load: Load,
+    #[case] min_percent: usize,
+    #[case] max_percent: usize,
+) {
+    let without = play_seeds(&Load { returns: None, ..load });
+    let with = play_seeds(&load);
+    println!("without {without:?}\nwith {with:?}");
+    let (before, after) = (without.best_effort, with.best_effort);
+    assert!(after.in_time * 100 >= before.in_time * min_percent, "{after:?} instead of {before:?}");
+    let unserved = |outcome: Outcome| outcome.late + outcome.never;
+    assert!(unserved(after) * 100 <= unserved(before) * max_percent, "{after:?} instead of {before:?}");
+    assert!(with.short.in_time * 100 >= without.short.in_time * 99, "{:?}", with.short);
+}
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 
 use parsleywalk_batch::{
-    BatchCommand, BatchState, DispatchSettings, Dispatcher, FencingToken, JobId, JobSpec, JobStatus, JobSubmission,
-    RunEnd, RunNumber, RunOutcome, StepSpec, TaskKey,
+    BatchCommand, BatchState, DispatchSettings, Dispatcher, FencingToken, JobId, JobRefusal, JobSpec, JobStatus,
+    JobSubmission, RunEnd, RunNumber, RunOutcome, StepSpec, TaskKey,
 };
 use parsleywalk_units::{
     MemoryBytes, MilliCores, MonotonicTime, ResourceSize, WorkerId, WorkspaceName, ZoneDirection, ZoneName,
@@ -142,6 +142,14 @@
         }
     }
 
+    /// Creates a fleet whose leader refuses no short jobs, for tests that submit more than the workers get through.
+    pub(crate) fn without_refusals(workers: usize, seed: u64) -> Self {
+        let mut fleet = Self::new(workers, seed);
+        fleet.settings.refusal_multiple = f32::INFINITY;
+        fleet.change_leader();
+        fleet
+    }
+
     pub(crate) fn submit(&mut self, mut submission: JobSubmission) -> JobId {
         let job = submission.job;
         submission.accepted_unix_ms = self.unix_ms();
@@ -161,8 +169,17 @@
 
     /// Submits a job through admission control, which may refuse it.
     pub(crate) fn try_submit(&mut self, submission: JobSubmission) -> Option<JobId> {
+        let job = submission.job;
+        self.offer(submission).is_none().then_some(job)
+    }
+
+    /// Submits a job unless admission control refuses it.
+    pub(crate) fn offer(&mut self, submission: JobSubmission) -> Option<JobRefusal> {
         let refusal = self.dispatcher.admit(self.now, &self.state, &submission);
-        if refusal.is_some() { None } else { Some(self.submit(submission)) }
+        if refusal.is_none() {
+            self.submit(submission);
+        }
+        refusal
     }
 
     pub(crate) fn cancel(&mut self, job: JobId) {
--- a/crates/parsleywalk-batch/tests/support/plays.rs
+++ b/crates/parsleywalk-batch/tests/support/plays.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use parsleywalk_batch::{DispatchSettings, JobId, JobSubmission, StepSpec};
-use parsleywalk_units::MonotonicTime;
+use parsleywalk_units::{MonotonicTime, ZoneDirection};
 
 use super::{FakeFleet, STEP_DURATION, TestRng, size, step, submission};
 
@@ -11,6 +11,8 @@
 const WORKERS: usize = 16;
 /// How long jobs arrive.
 const ARRIVALS: Duration = Duration::from_mins(1);
+/// How long a play continues after them.
+const DRAIN_TIME: Duration = Duration::from_secs(40);
 /// A job later than this many times its objective is worth nothing.
 const LATENESS_LIMIT: u32 = 3;
 
@@ -50,6 +52,8 @@
     tail_latency_ms: |share| tail_latency_ms(0.3 + share),
     serving_per_worker: None,
     best_effort_factor: |_| 1.0,
+    returns: None,
+    zone_out: None,
 };
 
 /// A play of the load.
@@ -69,6 +73,10 @@
     pub(crate) serving_per_worker: Option<u32>,
     /// The factor of the arrivals of best-effort jobs, by the time since the first.
     pub(crate) best_effort_factor: fn(Duration) -> f64,
+    /// How often a refused caller returns; none is refused without this.
+    pub(crate) returns: Option<u32>,
+    /// When a third of the workers are taken out of service.
+    pub(crate) zone_out: Option<Duration>,
 }
 
 /// The numbers of jobs by what they are worth to their callers.
@@ -77,11 +85,96 @@
     pub(crate) in_time: usize,
     pub(crate) late: usize,
     pub(crate) never: usize,
+    pub(crate) refused: usize,
 }
 
 impl Outcome {
     fn plus(self, other: Self) -> Self {
-        Self { in_time: self.in_time + other.in_time, late: self.late + other.late, never: self.never + other.never }
+        Self {
+            in_time: self.in_time + other.in_time,
+            late: self.late + other.late,
+            never: self.never + other.never,
+            refused: self.refused + other.refused,
+        }
+    }
+
+    pub(crate) fn total(&self) -> usize {
+        self.in_time + self.late + self.never + self.refused
+    }
+}
+
+/// A job with a caller that waits for it, or that returns after having been refused.
+#[derive(Debug)]
+struct PlayedJob {
+    kind: usize,
+    submission: JobSubmission,
+    /// The objective, which follows from the true durations.
+    objective: Duration,
+    returns: u32,
+    /// When the job was accepted, or when the caller returns.
+    at: MonotonicTime,
+    is_accepted: bool,
+}
+
+impl PlayedJob {
+    /// Submits the job.
+    fn offer(&mut self, fleet: &mut FakeFleet, load: &Load) {
+        self.at = fleet.now;
+        let Some(returns) = load.returns else {
+            self.is_accepted = true;
+            fleet.submit(self.submission.clone());
+            return;
+        };
+        match fleet.offer(self.submission.clone()) {
+            None => self.is_accepted = true,
+            Some(refusal) if self.returns < returns => {
+                self.returns += 1;
+                self.at = fleet.now + refusal.retry_after;
+            }
+            Some(_) => self.at = MonotonicTime::NEVER,
+        }
+    }
+
+    fn outcome(&self, fleet: &FakeFleet) -> Outcome {
+        let one = Outcome::default();
+        if !self.is_accepted {
+            return Outcome { refused: 1, ..one };
+        }
+        match fleet.ended_at.get(&self.submission.job).map(|ended| ended.since(self.at)) {
+            Some(latency) if latency <= self.objective => Outcome { in_time: 1, ..one },
+            Some(latency) if latency <= self.objective * LATENESS_LIMIT => Outcome { late: 1, ..one },
+            _ => Outcome { never: 1, ..one },
+        }
+    }
+
+    fn work(&self, fleet: &FakeFleet) -> f64 {
+        let steps = (0u16..).zip(&self.submission.spec.steps);
+        steps.map(|(step, spec)| f64::from(spec.count) * fleet.true_ms[&(self.submission.job, step)]).sum()
+    }
+}
+
+/// What has come of a play.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub(crate) struct Played {
+    pub(crate) short: Outcome,
+    pub(crate) best_effort: Outcome,
+    /// The largest tenth of the best-effort jobs.
+    pub(crate) large: Outcome,
+    /// The number of runs started.
+    pub(crate) starts: u64,
+    /// The number of refusals that free workers disproved.
+    pub(crate) disproved: u64,
+}
+
+impl Played {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            short: self.short.plus(other.short),
+            best_effort: self.best_effort.plus(other.best_effort),
+            large: self.large.plus(other.large),
+            starts: self.starts + other.starts,
+            disproved: self.disproved + other.disproved,
+        }
     }
 }
 
@@ -99,35 +192,37 @@
     (0..12).map(|_| uniform(rng)).sum::<f64>() - 6.0
 }
 
-/// Submits a job and returns its objective, which follows from the true durations.
-fn submit(fleet: &mut FakeFleet, rng: &mut TestRng, id: u64, kind: &JobKind, error: f64) -> (JobId, Duration) {
+/// Returns a job of a kind.
+fn random_job(fleet: &mut FakeFleet, rng: &mut TestRng, id: u64, kind: usize, error: f64) -> PlayedJob {
+    let JobKind { steps, tasks, cores, duration_ms, best_effort, .. } = KINDS[kind];
     let mut path_ms = 0.0;
-    let steps = 1 + rng.next_below(kind.steps);
+    let steps = 1 + rng.next_below(steps);
     let mut specs = Vec::new();
     for number in 0..u16::try_from(steps).expect("small") {
-        let true_ms = (kind.duration_ms.ln() + SPREAD * normal(rng)).exp();
+        let true_ms = (duration_ms.ln() + SPREAD * normal(rng)).exp();
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a few seconds")]
         let estimate_ms = (true_ms * (error * normal(rng)).exp()) as u64;
-        let tasks = kind.tasks / 2 + u32::try_from(rng.next_below(u64::from(kind.tasks))).expect("small");
+        let tasks = tasks / 2 + u32::try_from(rng.next_below(u64::from(tasks))).expect("small");
         fleet.true_ms.insert((JobId::new(id), number), true_ms);
         path_ms += true_ms;
         specs.push(StepSpec {
             depends_on: number.checked_sub(1).into_iter().collect(),
-            best_effort: kind.best_effort,
-            checkpointable: kind.best_effort,
+            best_effort,
+            checkpointable: best_effort,
             image: "image".to_owned(),
-            ..step(tasks, kind.cores, estimate_ms)
+            ..step(tasks, cores, estimate_ms)
         });
     }
-    let priority = if kind.best_effort { 2 } else { 0 };
-    let (stretch, objective) = if kind.best_effort { (2.0, 1000.0) } else { (1.5, 1200.0) };
+    let priority = if best_effort { 2 } else { 0 };
+    let (stretch, objective) = if best_effort { (2.0, 1000.0) } else { (1.5, 1200.0) };
     let latency_objective = Duration::from_secs_f64(objective / 1000.0);
-    let job = fleet.submit(JobSubmission { stretch, latency_objective, ..submission(id, priority, specs) });
-    (job, Duration::from_secs_f64((path_ms * f64::from(stretch) + objective) / 1000.0))
+    let submission = JobSubmission { stretch, latency_objective, ..submission(id, priority, specs) };
+    let objective = Duration::from_secs_f64((path_ms * f64::from(stretch) + objective) / 1000.0);
+    PlayedJob { kind, submission, objective, returns: 0, at: fleet.now, is_accepted: false }
 }
 
-/// Plays a load and returns the outcome of its short and its best-effort jobs.
-fn play(load: &Load) -> [Outcome; 2] {
+/// Returns a fleet that serves the long-running jobs of a load.
+fn start_fleet(load: &Load) -> FakeFleet {
     let mut fleet = FakeFleet::new(WORKERS, load.seed);
     (load.settings)(&mut fleet.settings);
     fleet.change_leader();
@@ -143,42 +238,53 @@
         fleet.submit(submission(1_000_000 + id, 0, vec![serving.clone()]));
     }
     fleet.run_for(Duration::from_secs(1));
+    fleet
+}
+
+/// Plays a load.
+fn play(load: &Load) -> Played {
+    let mut fleet = start_fleet(load);
     let mut rng = TestRng::new(load.seed);
     let start = fleet.now;
     let mut due = [0.0; 2];
-    let mut jobs: Vec<(usize, JobId, MonotonicTime, Duration)> = Vec::new();
-    while fleet.now.since(start) < ARRIVALS {
-        for (kind, due) in due.iter_mut().enumerate() {
-            let factor = if KINDS[kind].best_effort { (load.best_effort_factor)(fleet.now.since(start)) } else { 1.0 };
+    let mut jobs: Vec<PlayedJob> = Vec::new();
+    while fleet.now.since(start) < ARRIVALS + DRAIN_TIME {
+        let now = fleet.now;
+        let time = now.since(start);
+        for job in jobs.iter_mut().filter(|job| !job.is_accepted && job.at <= now) {
+            job.offer(&mut fleet, load);
+        }
+        for (kind, due) in due.iter_mut().enumerate().filter(|_| time < ARRIVALS) {
+            let factor = if KINDS[kind].best_effort { (load.best_effort_factor)(time) } else { 1.0 };
             *due += KINDS[kind].per_second * factor * STEP_DURATION.as_secs_f64();
             while *due >= 1.0 {
                 *due -= 1.0;
                 let id = 1 + u64::try_from(jobs.len()).expect("small");
-                let (job, objective) = submit(&mut fleet, &mut rng, id, &KINDS[kind], load.error);
-                jobs.push((kind, job, fleet.now, objective));
+                let mut job = random_job(&mut fleet, &mut rng, id, kind, load.error);
+                job.offer(&mut fleet, load);
+                jobs.push(job);
             }
         }
-        if load.leader_change.is_some_and(|at| fleet.now.since(start) == at) {
+        if load.leader_change == Some(time) {
             fleet.change_leader();
         }
-        fleet.step();
-    }
-    fleet.run_for(Duration::from_secs(40));
-    let mut outcomes = [Outcome::default(); 2];
-    for (kind, job, accepted, objective) in jobs {
-        let latency = fleet.ended_at.get(&job).map(|ended| ended.since(accepted));
-        let outcome = &mut outcomes[kind];
-        match latency {
-            Some(latency) if latency <= objective => outcome.in_time += 1,
-            Some(latency) if latency <= objective * LATENESS_LIMIT => outcome.late += 1,
-            _ => outcome.never += 1,
+        if load.zone_out == Some(time) {
+            fleet.set_zone("zone-a", ZoneDirection::Out);
         }
+        fleet.step();
     }
-    outcomes
+    let mut played = Played { starts: fleet.starts, ..Played::default() };
+    let mut best_effort: Vec<&PlayedJob> = jobs.iter().filter(|job| KINDS[job.kind].best_effort).collect();
+    best_effort.sort_by(|left, right| right.work(&fleet).total_cmp(&left.work(&fleet)));
+    let sum = |jobs: &[&PlayedJob]| jobs.iter().fold(Outcome::default(), |sum, job| sum.plus(job.outcome(&fleet)));
+    played.best_effort = sum(&best_effort);
+    played.large = sum(&best_effort[..best_effort.len() / 10]);
+    played.short = sum(&jobs.iter().filter(|job| !KINDS[job.kind].best_effort).collect::<Vec<_>>());
+    played
 }
 
 /// Returns the sums of the outcomes of several seeds.
-pub(crate) fn play_seeds(load: &Load) -> [Outcome; 2] {
-    let outcomes = (1..=SEEDS).map(|seed| play(&Load { seed, ..*load }));
-    outcomes.fold([Outcome::default(); 2], |sums, outcome| [0, 1].map(|kind| sums[kind].plus(outcome[kind])))
+pub(crate) fn play_seeds(load: &Load) -> Played {
+    let plays = (1..=SEEDS).map(|seed| play(&Load { seed, ..*load }));
+    plays.fold(Played::default(), Played::plus)
 }
--- a/crates/parsleywalk-batch/tests/workspace_limits.rs
+++ b/crates/parsleywalk-batch/tests/workspace_limits.rs
@@ -60,7 +60,7 @@
 /// changes of the limits, and against work that never ends because of a limit that has been lifted.
 #[rstest]
 fn no_start_exceeds_a_limit(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
-    let mut fleet = FakeFleet::new(9, seed);
+    let mut fleet = FakeFleet::without_refusals(9, seed);
     fleet.response_loss_percent = 5;
     let mut oracle = LimitOracle::default();
     oracle.configure(&mut fleet);
@@ -259,7 +259,7 @@
 /// every core that becomes free: it must run again within 6 s, as its workspace only gets back what it had.
 #[test]
 fn a_lost_long_running_task_is_placed_before_workspaces_with_lower_shares() {
-    let mut fleet = FakeFleet::new(3, 1);
+    let mut fleet = FakeFleet::without_refusals(3, 1);
     share(&mut fleet, &[("alpha", 1, "-/-/-"), ("beta", 100, "-/-/-")]);
     for id in 1..=2 {
         fleet.submit_owned(submission(id, 1, vec![long_running(1, 24)]), &workspace("alpha"));
--- a/crates/parsleywalk-fleet/src/core/requests.rs
+++ b/crates/parsleywalk-fleet/src/core/requests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use log::info;
-use parsleywalk_batch::{BatchCommand, Dispatcher, JobRefusal, QueueConfiguration, WorkspaceConfiguration};
+use parsleywalk_batch::{BatchCommand, JobRefusal, QueueConfiguration, WorkspaceConfiguration};
 use parsleywalk_peer::{CallWindow, DaemonRelease};
 use parsleywalk_units::{MonotonicTime, VmNumber, ZoneDirection};
 
@@ -16,6 +16,8 @@
 
 /// The maximum number of tombstones; one takes less than 1 KB.
 const MAX_TOMBSTONES: usize = 20_000;
+/// The delay after which a submission that an earlier leader may have refused can be sent again.
+const NEW_LEADER_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The delay after which a cancel of an unknown job may be repeated when there are too many of them.
 const TOMBSTONE_RETRY_AFTER: Duration = Duration::from_secs(5);
 
@@ -194,10 +196,14 @@
         let refusal = match &prior {
             PriorDecision::Accepted => None,
             PriorDecision::Refused(refusal) => Some(refusal.clone()),
-            PriorDecision::Unknown if Dispatcher::may_refuse(&submission) => {
+            PriorDecision::Unknown if leader_state.dispatcher.may_refuse(&submission) => {
                 info!("event=call_overtaken request=submit job={job} expired=false");
                 self.metrics.call_overtaken();
-                return sender.send(LeaderReply::Overtaken);
+                // No copy has been stored, or the job would be known. The caller can send it again; copies from before this
+                // reply must not be stored after it.
+                let refusal = JobRefusal { retry_after: NEW_LEADER_RETRY_AFTER, reason: "the leader has changed" };
+                history.record_refused(now, job, refusal);
+                return sender.send(LeaderReply::NotReady);
             }
             PriorDecision::Unknown | PriorDecision::None => {
                 let dispatcher = &mut leader_state.dispatcher;
@@ -215,7 +221,8 @@
         let (queue, steps) = (&submission.queue, submission.spec.steps.len());
         if let Some(JobRefusal { retry_after, reason }) = refusal {
             self.metrics.refused(reason);
-            info!("event=job_refused job={job} queue={queue} reason={reason:?}");
+            let retry_ms = retry_after.as_millis();
+            info!("event=job_refused job={job} queue={queue} reason={reason:?} retry_after_ms={retry_ms}");
             return sender.send(LeaderReply::Refused { retry_after, reason: reason.to_owned() });
         }
         if prior != PriorDecision::Accepted {
--- a/crates/parsleywalk-fleet/src/submission_history.rs
+++ b/crates/parsleywalk-fleet/src/submission_history.rs
@@ -13,6 +13,8 @@
 const REFUSAL_RETENTION: Duration = Duration::from_mins(1);
 /// The maximum number of refusals that are remembered.
 const MAX_REFUSALS: usize = 4096;
+/// One part in this many of the time that is remembered is forgotten when there are too many refusals.
+const FORGOTTEN_SHARE: u32 = 8;
 
 /// The earlier decision about a submission.
 #[derive(Debug, PartialEq, Eq)]
@@ -70,8 +72,9 @@
     pub(crate) fn record_refused(&mut self, now: MonotonicTime, job: JobId, refusal: JobRefusal) {
         self.refused.insert(job, RefusedJob { at: now, refusal });
         if self.refused.len() > MAX_REFUSALS {
-            let oldest = self.refused.iter().map(|(_, refused)| refused.at).min();
-            self.forget_until(oldest.unwrap_or(now));
+            // A part at a time, since finding the oldest ones takes a walk over all.
+            let oldest = self.refused.iter().map(|(_, refused)| refused.at).min().unwrap_or(now);
+            self.forget_until(oldest + now.since(oldest) / FORGOTTEN_SHARE);
         }
     }
 
--- a/crates/parsleywalk-fleet/tests/late_calls.rs
+++ b/crates/parsleywalk-fleet/tests/late_calls.rs
@@ -123,6 +123,26 @@
     fleet.stop();
 }
 
+/// Guards against a submission that was received before the leader's term began and is stored although an earlier leader
+/// may have refused a copy of it. The caller can send it again.
+#[test]
+fn a_submission_received_before_the_change_of_leader_is_sent_again() {
+    let fleet = LinkedFleet::start(40);
+    let [leader, follower, other] = fleet.roles();
+    fleet.set_cut(leader, follower, true);
+    fleet.set_cut(leader, other, true);
+    let held = fleet.replica(follower).begin_call(submit(), Duration::from_secs(8));
+    let outcome = held.recv_timeout(WAIT_TIMEOUT).expect("an outcome");
+    assert!(matches!(outcome, Ok(LeaderReply::NotReady) | Err(_)), "{outcome:?}");
+    let read = || fleet.replica(follower).call(queue(JOB_PATH, QueueAction::Read));
+    fleet.replica(follower).wait_for(&queue(JOB_PATH, QueueAction::Read), |reply| *reply == LeaderReply::NoJob);
+    fleet.replica(follower).wait_for(&submit(), |reply| *reply == LeaderReply::Done);
+    assert!(matches!(read(), Ok(LeaderReply::Status(_))));
+    fleet.set_cut(leader, follower, false);
+    fleet.set_cut(leader, other, false);
+    fleet.stop();
+}
+
 /// Guards against a submission that an entry has passed on during a partition and that runs when the partition heals,
 /// after its cancel was answered by way of another daemon. The submission arrives after its caller has given up, or
 /// while it still waits.
