Count disproved refusals, and test refusals under load

Nothing showed whether a refusal was right. parsleywalk_refusals_disproved counts refusals after which, before the caller was to return, the service had free capacity for the job's first step for a second.

A job beyond the rate of its workspace is now predicted to end after all others of its priority, as it is served. Before, a workspace that submitted three times its rate was refused nothing.

--- a/crates/parsleywalk-batch/src/candidate.rs
+++ b/crates/parsleywalk-batch/src/candidate.rs
@@ -52,6 +52,34 @@
         fits && self.is_admitted(request.leniency) && self.fits_ignoring_cores(submission, spec, &task)
     }
 
+    /// Returns how many tasks of the requested step the worker could take now.
+    pub(crate) fn free_tasks(&self, request: &PlacementRequest<'_>) -> u32 {
+        let spec = request.spec;
+        if !self.fits(request) {
+            return 0;
+        }
+        let cores = if spec.best_effort { self.free_best_effort } else { self.free.cores };
+        let by_cores = cores.get() / spec.size.cores.get().max(1);
+        let by_memory = self.free.memory.get() / spec.size.memory.get().max(1);
+        let by_limit = spec.per_worker_limit.unwrap_or(u32::MAX);
+        let count = by_cores.min(u32::try_from(by_memory).unwrap_or(u32::MAX)).min(by_limit);
+        if spec.best_effort { count.min(self.tasks_within_headroom(request)) } else { count }
+    }
+
+    /// Returns how many of the requested best-effort tasks leave enough headroom together.
+    fn tasks_within_headroom(&self, request: &PlacementRequest<'_>) -> u32 {
+        let share = ratio(request.spec.size.cores.get(), self.view.capacity.cores.get().max(1));
+        let counts = self.critical_loads.iter().map(|critical| {
+            let coefficient = request.coefficients.get(critical.image.position()).copied();
+            let load = coefficient.unwrap_or(INITIAL_COEFFICIENT) * share;
+            let room = (critical.headroom() - request.min_headroom).max(0.0);
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+            let count = (room / load.max(f32::MIN_POSITIVE)) as u32;
+            count
+        });
+        counts.min().unwrap_or(u32::MAX)
+    }
+
     /// Returns true if the task fits when neither its cores nor the worker's probation count.
     pub(crate) fn fits_ignoring_cores(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
         let fits = ResourceSize { cores: MilliCores::default(), ..spec.size }.fits_within(&self.free);
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -12,6 +12,7 @@
 use crate::job_failures::FailingJobs;
 use crate::job_outlook::JobOutlooks;
 use crate::overload::OverloadGate;
+use crate::refusal_audit::RefusalAudit;
 use crate::restart_delays::RestartDelays;
 use crate::settlement::GangRuns;
 use crate::unordered_runs::UnorderedRuns;
@@ -92,6 +93,7 @@
     pub(crate) failing_jobs: FailingJobs,
     pub(crate) workspace_shares: WorkspaceShares,
     pub(crate) overload: OverloadGate,
+    pub(crate) refusal_audit: RefusalAudit,
     /// The outcomes listed since [`Dispatcher::take_listed_outcomes`] was last called.
     pub(crate) listed_outcomes: Vec<RunOutcome>,
     /// When the compatibility of images was last looked at, and its version then.
@@ -129,6 +131,7 @@
             failing_jobs: FailingJobs::default(),
             workspace_shares: WorkspaceShares::default(),
             overload: OverloadGate::default(),
+            refusal_audit: RefusalAudit::default(),
             listed_outcomes: Vec::new(),
             compatibility_checked_at: MonotonicTime::ZERO,
             compatibility_version: 0,
--- a/crates/parsleywalk-batch/src/drain_rate.rs
+++ b/crates/parsleywalk-batch/src/drain_rate.rs
@@ -88,3 +88,7 @@
 const fn position(slot: u64) -> usize {
     (slot % PEAK_SLOTS as u64) as usize
 }
+
+#[cfg(test)]
+#[path = "drain_rate_tests.rs"]
+mod tests;
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -36,6 +36,7 @@
 mod queues;
 mod ranking;
 mod ready_step;
+mod refusal_audit;
 mod report;
 mod restart_delays;
 mod run_progress;
--- a/crates/parsleywalk-batch/src/overload.rs
+++ b/crates/parsleywalk-batch/src/overload.rs
@@ -40,6 +40,8 @@
     pub(crate) kind: WorkKind,
     pub(crate) account: AccountIndex,
     pub(crate) priority: u8,
+    /// Whether the job is beyond the rate of its workspace, so that it comes after all others of its priority.
+    pub(crate) is_over_rate: bool,
     /// The predicted duration of the critical path.
     pub(crate) path: Duration,
     pub(crate) objective: Duration,
@@ -181,6 +183,10 @@
         let drain = class.drain.cores(now)?;
         let service_time = path.as_secs_f64().max(work / backlog.room(account, drain));
         let end = |urgency| service_time + backlog.seconds_before(&BacklogPlace { account, priority, urgency }, drain);
+        if request.is_over_rate {
+            let last = end(JobUrgency::Overdue);
+            return Some(EndForecast { as_urgent: last, as_late: last, drain });
+        }
         let as_urgent = end(JobUrgency::OnTime(objective));
         Some(EndForecast { as_urgent, as_late: end(JobUrgency::Late(path)), drain })
     }
--- a/crates/parsleywalk-batch/src/overload_feed.rs
+++ b/crates/parsleywalk-batch/src/overload_feed.rs
@@ -6,9 +6,10 @@
 
 use crate::account_cycle::total_size;
 use crate::admission::{JobRefusal, LEADER_WARM_UP};
+use crate::candidate::CandidateWorker;
 use crate::job_outlook::JobOutlook;
 use crate::overload::GateRequest;
-use crate::placement::with_records;
+use crate::placement::{MIN_HEADROOM, with_records};
 use crate::ready_step::ReadyStep;
 use crate::step_class::StepClass;
 use crate::task_shape::TaskShape;
@@ -16,10 +17,13 @@
 use crate::work_backlog::{AccountTerms, BacklogRow};
 use crate::work_kind::{WORK_KINDS, WorkKind};
 use crate::worker_view::WorkerView;
-use crate::{BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunPlacement, SortedMap, StepRecord};
+use crate::{BatchState, Dispatcher, JobId, JobRecord, JobSubmission, RunPlacement, SortedMap, StepRecord, TaskKey};
 
 /// The period that the measured processor time of a run covers.
 const CORES_WINDOW: Duration = Duration::from_millis(600);
+/// The number of steps without a worker that submissions are compared with. Those of other images do not count, so that a
+/// job of a rare image may be accepted under overload.
+const MAX_UNPLACED: usize = 64;
 /// The reason of a refusal.
 const OVERLOAD_REASON: &str = "the service has more short work than it can serve in time";
 
@@ -30,6 +34,8 @@
     late: Vec<LateStep<'a>>,
     /// The jobs and steps that no worker could take, however little headroom they leave.
     pub(crate) unplaced: Vec<(JobId, u16)>,
+    /// Whether there is free capacity for the refused jobs, if they have been looked at.
+    pub(crate) free_refusals: Vec<bool>,
 }
 
 /// A late or overdue step with waiting tasks.
@@ -54,12 +60,12 @@
         let late = ready.iter().filter(|step| !matches!(step.urgency, JobUrgency::OnTime(_)));
         let late = late.filter_map(|step| {
             let key = (step.job, step.occurrence, step.step);
-            let first = crate::TaskKey { job: key.0, occurrence: key.1, step: key.2, index: 0 };
+            let first = TaskKey { job: key.0, occurrence: key.1, step: key.2, index: 0 };
             let job = state.job(step.job)?;
             let (spec, waiting) = (job.step_spec(step.step)?, job.step(&first)?.waiting);
             Some(LateStep { service: &job.submission.service, kind: WorkKind::of_step(spec)?, key, waiting })
         });
-        Self { late: late.collect(), unplaced: Vec::new() }
+        Self { late: late.collect(), ..Self::default() }
     }
 
     /// Returns the services and kinds with late steps of which tasks still wait, in order.
@@ -95,6 +101,8 @@
         }
         self.overload.record_late(now, &cycle.waiting_classes(placements));
         self.overload.unplaced = cycle.unplaced;
+        self.overload.unplaced.truncate(MAX_UNPLACED);
+        self.refusal_audit.record_free(now, &cycle.free_refusals);
         if self.overload.is_refresh_due(now) {
             self.sample_drains(now, state);
             self.refresh_backlogs(now, state);
@@ -149,6 +157,11 @@
         Some(BacklogRow { account, priority: job.submission.priority, urgency, work, running })
     }
 
+    /// Returns the number of refusals that free workers have disproved since the last call.
+    pub fn take_disproved_refusals(&mut self) -> u64 {
+        self.refusal_audit.take_disproved()
+    }
+
     /// Refuses a job whose service is overloaded, or records that it is accepted.
     pub(crate) fn refuse_overload(
         &mut self,
@@ -168,6 +181,7 @@
             kind,
             account,
             priority: submission.priority,
+            is_over_rate: self.workspace_shares.exceeds_rate(now, account),
             path: outlook.path,
             objective: submission_objective(submission, &outlook),
             work: outlook.work.remaining(kind),
@@ -180,8 +194,10 @@
         });
         let Some((forecast, retry_after)) = refusal else {
             self.overload.record_accepted(now, &request);
+            self.refusal_audit.remove(submission.job);
             return None;
         };
+        self.refusal_audit.record(now, submission, workspace, retry_after);
         log::info!(
             "event=overload_refusal job={} service={} kind={kind:?} end_s={:.1} objective_s={:.1} work_core_s={:.1} \
              drain_cores={:.1} retry_after_ms={}",
@@ -216,6 +232,29 @@
         is_unplaced || self.workspace_shares.is_class_held(request.account, StepClass::of(first))
     }
 
+    /// Returns whether there is free capacity for the refused jobs, or nothing if they need not be looked at.
+    pub(crate) fn free_refusals(
+        &self,
+        now: MonotonicTime,
+        state: &BatchState,
+        candidates: &[CandidateWorker<'_>],
+    ) -> Vec<bool> {
+        if !self.refusal_audit.is_due(now) {
+            return Vec::new();
+        }
+        self.refusal_audit.find_free(|refusal| {
+            let Some(spec) = refusal.submission.spec.steps.first() else { return 0 };
+            let task = TaskKey { job: refusal.submission.job, occurrence: 0, step: 0, index: 0 };
+            let request = self.placement_request(&refusal.submission, spec, task, None, MIN_HEADROOM);
+            let free = candidates.iter().map(|candidate| candidate.free_tasks(&request)).fold(0, u32::saturating_add);
+            let account = self.workspace_shares.account_of(refusal.workspace.as_ref());
+            let permitted = refusal.workspace.as_ref().zip(self.workspace_shares.limit(account));
+            let permitted = permitted
+                .map(|(workspace, limit)| limit.permitted_count(&state.workspace_allocation(workspace), &spec.size));
+            permitted.map_or(free, |permitted| permitted.min(free))
+        })
+    }
+
     /// Returns what decides how much of the cores each account gets for work of a kind.
     fn account_terms(&self, state: &BatchState, kind: WorkKind) -> Vec<AccountTerms> {
         let accounts = self.workspace_shares.accounts(state);
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -64,6 +64,9 @@
         let mut cycle = CycleRecord::new(state, &ready);
         if ready.is_empty() {
             self.workspace_shares.end_cycle(now, state, Vec::new());
+            if self.refusal_audit.is_due(now) {
+                cycle.free_refusals = self.free_refusals(now, state, &self.candidates(now, state));
+            }
             self.record_cycle(now, state, cycle, &[]);
             return Vec::new();
         }
@@ -111,6 +114,7 @@
             }
         }
         let cycles = order.into_cycles();
+        cycle.free_refusals = self.free_refusals(now, state, &candidates);
         self.workspace_shares.end_cycle(now, state, cycles);
         self.gang_runs.record_placed(state, &placements);
         self.begun_jobs.record_placed(state, &placements);
--- a/crates/parsleywalk-batch/src/work_backlog.rs
+++ b/crates/parsleywalk-batch/src/work_backlog.rs
@@ -135,3 +135,7 @@
     }
     seconds
 }
+
+#[cfg(test)]
+#[path = "work_backlog_tests.rs"]
+mod tests;
--- a/crates/parsleywalk-batch/src/workspace_shares.rs
+++ b/crates/parsleywalk-batch/src/workspace_shares.rs
@@ -100,6 +100,13 @@
         self.account(account).is_some_and(|account| account.cycle.is_held(class))
     }
 
+    /// Returns true if a job that is submitted now is beyond the rate of its workspace.
+    pub(crate) fn exceeds_rate(&self, now: MonotonicTime, account: AccountIndex) -> bool {
+        let Some(account) = self.account(account) else { return false };
+        let mut allowance = account.allowance;
+        !allowance.try_take(now, rate(account.weight))
+    }
+
     /// Returns true if the job was submitted beyond the rate of its workspace.
     pub(crate) fn is_over_rate(&self, job: JobId) -> bool {
         self.over_rate.contains(&job)
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -159,14 +159,27 @@
     }
 
     /// Submits a job of a workspace, which counts against its rate.
-    pub(crate) fn submit_owned(&mut self, mut submission: JobSubmission, workspace: &WorkspaceName) -> JobId {
-        let (job, workspace) = (submission.job, workspace.clone());
-        submission.accepted_unix_ms = self.unix_ms();
-        assert_eq!(self.dispatcher.admit_owned(self.now, &self.state, &submission, &workspace), None);
-        self.apply(&BatchCommand::SubmitOwned { submission: Box::new(submission), workspace });
+    pub(crate) fn submit_owned(&mut self, submission: JobSubmission, workspace: &WorkspaceName) -> JobId {
+        let job = submission.job;
+        assert_eq!(self.offer_owned(submission, workspace), None);
         job
     }
 
+    /// Submits a job of a workspace unless admission control refuses it.
+    pub(crate) fn offer_owned(
+        &mut self,
+        mut submission: JobSubmission,
+        workspace: &WorkspaceName,
+    ) -> Option<JobRefusal> {
+        submission.accepted_unix_ms = self.unix_ms();
+        let refusal = self.dispatcher.admit_owned(self.now, &self.state, &submission, workspace);
+        if refusal.is_none() {
+            let (submission, workspace) = (Box::new(submission), workspace.clone());
+            self.apply(&BatchCommand::SubmitOwned { submission, workspace });
+        }
+        refusal
+    }
+
     /// Submits a job through admission control, which may refuse it.
     pub(crate) fn try_submit(&mut self, submission: JobSubmission) -> Option<JobId> {
         let job = submission.job;
--- a/crates/parsleywalk-batch/tests/support/plays.rs
+++ b/crates/parsleywalk-batch/tests/support/plays.rs
@@ -13,6 +13,8 @@
 const ARRIVALS: Duration = Duration::from_mins(1);
 /// How long a play continues after them.
 const DRAIN_TIME: Duration = Duration::from_secs(40);
+/// How long a new leader refuses nothing.
+const WARM_UP: Duration = Duration::from_secs(2);
 /// A job later than this many times its objective is worth nothing.
 const LATENESS_LIMIT: u32 = 3;
 
@@ -118,14 +120,17 @@
 
 impl PlayedJob {
     /// Submits the job.
-    fn offer(&mut self, fleet: &mut FakeFleet, load: &Load) {
+    fn offer(&mut self, fleet: &mut FakeFleet, load: &Load, start: MonotonicTime) {
         self.at = fleet.now;
         let Some(returns) = load.returns else {
             self.is_accepted = true;
             fleet.submit(self.submission.clone());
             return;
         };
-        match fleet.offer(self.submission.clone()) {
+        let refusal = fleet.offer(self.submission.clone());
+        let is_warm = load.leader_change.is_none_or(|at| !(at..at + WARM_UP).contains(&fleet.now.since(start)));
+        assert!(refusal.is_none() || is_warm, "a new leader refuses a job");
+        match refusal {
             None => self.is_accepted = true,
             Some(refusal) if self.returns < returns => {
                 self.returns += 1;
@@ -246,13 +251,13 @@
     let mut fleet = start_fleet(load);
     let mut rng = TestRng::new(load.seed);
     let start = fleet.now;
-    let mut due = [0.0; 2];
+    let (mut due, mut disproved) = ([0.0; 2], 0);
     let mut jobs: Vec<PlayedJob> = Vec::new();
     while fleet.now.since(start) < ARRIVALS + DRAIN_TIME {
         let now = fleet.now;
         let time = now.since(start);
         for job in jobs.iter_mut().filter(|job| !job.is_accepted && job.at <= now) {
-            job.offer(&mut fleet, load);
+            job.offer(&mut fleet, load, start);
         }
         for (kind, due) in due.iter_mut().enumerate().filter(|_| time < ARRIVALS) {
             let factor = if KINDS[kind].best_effort { (load.best_effort_factor)(time) } else { 1.0 };
@@ -261,7 +266,7 @@
                 *due -= 1.0;
                 let id = 1 + u64::try_from(jobs.len()).expect("small");
                 let mut job = random_job(&mut fleet, &mut rng, id, kind, load.error);
-                job.offer(&mut fleet, load);
+                job.offer(&mut fleet, load, start);
                 jobs.push(job);
             }
         }
@@ -272,8 +277,9 @@
             fleet.set_zone("zone-a", ZoneDirection::Out);
         }
         fleet.step();
+        disproved += fleet.dispatcher.take_disproved_refusals();
     }
-    let mut played = Played { starts: fleet.starts, ..Played::default() };
+    let mut played = Played { starts: fleet.starts, disproved, ..Played::default() };
     let mut best_effort: Vec<&PlayedJob> = jobs.iter().filter(|job| KINDS[job.kind].best_effort).collect();
     best_effort.sort_by(|left, right| right.work(&fleet).total_cmp(&left.work(&fleet)));
     let sum = |jobs: &[&PlayedJob]| jobs.iter().fold(Outcome::default(), |sum, job| sum.plus(job.outcome(&fleet)));
--- a/crates/parsleywalk-batch/tests/workspace_load.rs
+++ b/crates/parsleywalk-batch/tests/workspace_load.rs
@@ -25,8 +25,8 @@
 
 /// Runs the load with a limit of the flooding workspace, or without workspaces, and returns how long the jobs of each workspace but the flooding one wait for their first run on
 /// average, the longest first, in seconds, and the most cores that the flooding one has.
-fn run(flooding_limit: Option<&'static str>) -> (Vec<f64>, u32) {
-    let mut fleet = FakeFleet::new(6, 1);
+fn run(flooding_limit: Option<&'static str>, refuses: bool) -> (Vec<f64>, u32) {
+    let mut fleet = if refuses { FakeFleet::new(6, 1) } else { FakeFleet::without_refusals(6, 1) };
     let names: Vec<String> = (0..WORKSPACES).map(|index| format!("workspace-{index:02}")).collect();
     if let Some(flooding_limit) = flooding_limit {
         let mut rows = Vec::new();
@@ -48,10 +48,13 @@
             id += 1;
             let submission = submission(id, 1, vec![step(tasks, 2, milliseconds)]);
             let name = workspace(&names[usize::try_from(owner).expect("small")]);
-            let job = match flooding_limit {
-                Some(_) => fleet.submit_owned(submission, &name),
-                None => fleet.submit(submission),
-            };
+            let job = submission.job;
+            if flooding_limit.is_none() {
+                fleet.submit(submission);
+            } else if fleet.offer_owned(submission, &name).is_some() {
+                assert!(refuses && owner == FLOODING, "{name} is refused a job");
+                return;
+            }
             submitted.insert(job, (owner, fleet.now));
         };
         if fleet.rng.chance(95) {
@@ -83,14 +86,15 @@
 
 /// Guards against a workspace that floods the queue and keeps the others waiting: the worst tenth of the others must wait
 /// less than half a second, by the limit of the flooding workspace or by the shares alone. Without workspaces, they wait
-/// for more than ten times as long.
+/// for more than ten times as long. Only the flooding one may be refused jobs.
 #[rstest]
-#[case::limited("48c/-/-", 48)]
-#[case::by_shares("-/-/-", 192)]
-fn a_flooding_workspace_keeps_no_other_waiting(#[case] limit: &'static str, #[case] cores: u32) {
+#[case::limited("48c/-/-", 48, false)]
+#[case::by_shares("-/-/-", 192, false)]
+#[case::refused("-/-/-", 192, true)]
+fn a_flooding_workspace_keeps_no_other_waiting(#[case] limit: &'static str, #[case] cores: u32, #[case] refuses: bool) {
     let worst_tenth = |means: &[f64]| f64::midpoint(means[0], means[1]);
-    let (before, _) = run(None);
-    let (after, most) = run(Some(limit));
+    let (before, _) = run(None, false);
+    let (after, most) = run(Some(limit), refuses);
     println!("waits without workspaces: {before:.2?}\nwaits with workspaces: {after:.2?}, flooding: {most} cores");
     assert!(most <= cores, "the flooding workspace has {most} cores");
     assert!(worst_tenth(&after) < 0.5, "the worst tenth waits for {:.2} s", worst_tenth(&after));
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -247,6 +247,7 @@
         let start = Instant::now();
         let runs = leader_state.dispatcher.plan(now, crate::clock::unix_ms(), &self.state);
         leader_state.pacer.record(now, start.elapsed());
+        self.metrics.refusals_disproved(leader_state.dispatcher.take_disproved_refusals());
         if runs.is_empty() {
             return;
         }
--- a/crates/parsleywalk-fleet/src/metrics.rs
+++ b/crates/parsleywalk-fleet/src/metrics.rs
@@ -19,6 +19,7 @@
     elections_won: Counter<u64>,
     jobs: Counter<u64>,
     refusals: Counter<u64>,
+    refusals_disproved: Counter<u64>,
     orders: Counter<u64>,
     runs_ended: Counter<u64>,
     leases: Counter<u64>,
@@ -49,6 +50,10 @@
             elections_won: registry.counter("parsleywalk_elections_won", "Times that this replica became leader"),
             jobs: registry.counter("parsleywalk_jobs", "Jobs accepted, and jobs that ended, by event"),
             refusals: registry.counter("parsleywalk_refusals", "Submissions refused, by reason"),
+            refusals_disproved: registry.counter(
+                "parsleywalk_refusals_disproved",
+                "Refusals because of overload after which workers were free before the caller was to return",
+            ),
             orders: registry.counter("parsleywalk_orders", "Orders to workers, by kind"),
             runs_ended: registry
                 .counter("parsleywalk_runs_ended", "Ends of runs, by the outcome that the worker listed"),
@@ -119,6 +124,13 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts refusals that free workers have disproved.
+    pub(crate) fn refusals_disproved(&self, count: u64) {
+        if count > 0 {
+            self.refusals_disproved.add(count, &[]);
+        }
+    }
+
     pub(crate) fn record_response(&self, response: &ReportResponse) {
         let Some(orders) = &response.orders else { return };
         self.leases.add(1, &[KeyValue::new("event", "renewed")]);
