Settings: the factor of a task away from its rack

The platform knows how much longer a task takes away from the rack of its data, and the scheduler has no use for it yet. The dispatcher does not use the settings yet.

--- a/crates/parsleywalk-batch/src/settings.rs
+++ b/crates/parsleywalk-batch/src/settings.rs
@@ -36,6 +36,12 @@
     pub order_expiry: Duration,
     /// Whether the durations of tasks are predicted from measurements, or taken from the callers' estimates.
     pub measured_work: bool,
+    /// How many times as long a task takes away from the rack of its data, or the tasks of a rack-local step on several
+    /// racks. Without it, no task waits for a rack.
+    pub remote_factor: Option<f32>,
+    /// How long a task may wait for a rack while it could run elsewhere. Half a second is left for a placement to take
+    /// effect, so that with 1 s nothing is idle for longer than 1.5 s.
+    pub max_place_wait: Duration,
 }
 
 impl Default for DispatchSettings {
@@ -54,6 +60,8 @@
             worker_runs: 10_000,
             order_expiry: Duration::from_millis(1100),
             measured_work: true,
+            remote_factor: None,
+            max_place_wait: Duration::from_secs(1),
         }
     }
 }
