Let tasks wait for their rack when that ends them sooner

A task away from the rack of its data takes far_x times as long, and today it goes to another rack whenever its own has no free worker at that moment. With DispatchSettings::remote_factor, the leader now forecasts when capacity on the rack becomes free, from the predicted ends of the runs there and the tasks that wait ahead, and lets a task wait while wait and duration there are below the duration elsewhere. Waits are bounded by the operators' bound, the job's slack and its idleness. A rack-local step goes to the rack on which all of its tasks can be soonest, and waits as one; so does a gang. Without the setting nothing changes and nothing is computed. Racks are indexed and forecast once per cycle, and only when a step asks for one; predicted ends are kept until a worker's next report.

--- a/crates/parsleywalk-batch/src/candidate.rs
+++ b/crates/parsleywalk-batch/src/candidate.rs
@@ -83,6 +83,11 @@
         self.placed.len() < self.probation_limit
     }
 
+    /// Returns true if the worker can receive a task of the step once it has room for it.
+    pub(crate) fn may_get_later(&self, request: &PlacementRequest<'_>) -> bool {
+        self.admits_on_probation() && self.allows(request.submission, request.spec, &request.task)
+    }
+
     /// Returns true if every placement constraint other than resource size and probation admits the task.
     fn allows(&self, submission: &JobSubmission, spec: &StepSpec, task: &TaskKey) -> bool {
         // The limit is checked last, because it counts runs.
--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -11,6 +11,7 @@
 use crate::interference::{BestEffortLoad, ImageIndex, InterferenceModel};
 use crate::job_failures::FailingJobs;
 use crate::job_outlook::JobOutlooks;
+use crate::place_waits::PlaceWaits;
 use crate::restart_delays::RestartDelays;
 use crate::settlement::GangRuns;
 use crate::unordered_runs::UnorderedRuns;
@@ -90,6 +91,7 @@
     pub(crate) restart_delays: RestartDelays,
     pub(crate) failing_jobs: FailingJobs,
     pub(crate) workspace_shares: WorkspaceShares,
+    pub(crate) place_waits: PlaceWaits,
     /// The outcomes listed since [`Dispatcher::take_listed_outcomes`] was last called.
     pub(crate) listed_outcomes: Vec<RunOutcome>,
     /// When the compatibility of images was last looked at, and its version then.
@@ -126,6 +128,7 @@
             restart_delays: RestartDelays::default(),
             failing_jobs: FailingJobs::default(),
             workspace_shares: WorkspaceShares::default(),
+            place_waits: PlaceWaits::default(),
             listed_outcomes: Vec::new(),
             compatibility_checked_at: MonotonicTime::ZERO,
             compatibility_version: 0,
@@ -308,6 +311,7 @@
             self.pruned_at = now;
             self.work_model.prune(state);
             self.outlooks.prune(state);
+            self.place_waits.prune(|worker| self.workers.contains(worker));
         }
         self.accepted_times.retain(|job, _| state.job(*job).is_some_and(|job| !job.status.is_final()));
         commands
--- a/crates/parsleywalk-batch/src/job_outlook.rs
+++ b/crates/parsleywalk-batch/src/job_outlook.rs
@@ -62,6 +62,11 @@
         *outlook
     }
 
+    /// Returns the critical path of a job as last predicted.
+    pub(crate) fn get(&self, id: JobId) -> Option<&JobOutlook> {
+        self.outlooks.get(&id)
+    }
+
     /// Forgets the jobs that are final.
     pub(crate) fn prune(&mut self, state: &BatchState) {
         self.outlooks.retain(|job, _| state.is_active(*job));
--- a/crates/parsleywalk-batch/src/outcomes.rs
+++ b/crates/parsleywalk-batch/src/outcomes.rs
@@ -8,7 +8,9 @@
 use log::info;
 use parsleywalk_units::{MonotonicTime, WorkerId};
 
-use crate::{BatchState, Dispatcher, JobFailures, JobId, RunEnd, RunNumber, RunOutcome, StepSpec, TaskKey};
+use crate::{
+    BatchState, Dispatcher, JobFailures, JobId, PlaceWaitResults, RunEnd, RunNumber, RunOutcome, StepSpec, TaskKey,
+};
 
 /// A run that failed, hung or was refused, or a long-running one that ended as done.
 struct FailedRun<'a> {
@@ -110,6 +112,11 @@
         std::mem::take(&mut self.listed_outcomes)
     }
 
+    /// Returns how the waits of tasks for racks have ended since the last call.
+    pub fn take_place_wait_results(&mut self) -> PlaceWaitResults {
+        std::mem::take(&mut self.place_waits.results)
+    }
+
     /// Returns the active jobs of which this leader has heard of failed runs, that of the newest failure first.
     #[must_use]
     pub fn failing_jobs(&self) -> Vec<(JobId, JobFailures)> {
--- /dev/null
+++ b/crates/parsleywalk-batch/src/place_wait.rs
@@ -0,0 +1,142 @@
+//! Whether the tasks of a step wait for a rack.
+//!
+//! A task away from the rack of its data, and a rack-local step on several racks, takes `remote_factor` times as long. A
+//! task waits while the expected wait for capacity on the rack and the time there are below the time elsewhere. Waits are
+//! bounded, because the forecast may be wrong; see `docs/design/place-wait.md`.
+
+use std::time::Duration;
+
+use crate::rack_forecast::RackForecast;
+use crate::rack_room::{RackRoom, TaskNeed};
+
+/// How long a job with nothing running may be idle before a wait ends. Callers must not see it idle for longer than 1.5 s,
+/// and a placement takes up to 0.3 s until the task runs.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(1200);
+/// How much of the slack is left when a wait ends, because a placement takes time.
+const SLACK_MARGIN: Duration = Duration::from_millis(200);
+/// The most tasks of a step that are looked at in a cycle. If all of them may wait, so may the others.
+const MAX_TASK_LOOKS: u32 = 400;
+
+/// How it is decided whether to wait for a rack. All but the default serve comparison with it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum PlaceWaitPolicy {
+    /// Wait for the operators' bound, whatever is expected (delay scheduling).
+    Fixed,
+    /// Wait for as long as the job would still be in time elsewhere.
+    Slack,
+    /// Wait while the expected wait is shorter than what it gains.
+    #[default]
+    Gain,
+}
+
+/// What the decision for the tasks of a step depends on, besides the forecast of the rack.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct PlaceWait {
+    pub(crate) policy: PlaceWaitPolicy,
+    /// The predicted duration of a task on the rack.
+    pub(crate) duration: Duration,
+    pub(crate) remote_factor: f32,
+    /// How much later a task may start on the rack so that its job is in time; `None` if the job has no deadline.
+    pub(crate) slack: Option<Duration>,
+    /// For how long the job has had nothing running; `None` if it has.
+    pub(crate) idle: Option<Duration>,
+    /// The operators' bound.
+    pub(crate) max_wait: Duration,
+    /// What is left of the time stated when the wait began; `None` if it has not begun.
+    pub(crate) stated: Option<Duration>,
+}
+
+/// The decision for the tasks of a step that find no free worker on their rack.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PlaceDecision {
+    /// All tasks go elsewhere.
+    Elsewhere,
+    /// Some tasks wait, and the others go elsewhere.
+    Wait {
+        /// The number of tasks that wait.
+        tasks: u32,
+        /// The longest wait from now.
+        longest: Duration,
+        /// The expected wait of the last of the tasks.
+        expected: Duration,
+        /// How much sooner than elsewhere the last of the tasks is expected to end.
+        gain: Duration,
+    },
+}
+
+impl PlaceWait {
+    /// Returns how much longer a task takes elsewhere.
+    pub(crate) fn detour(&self) -> Duration {
+        let factor = (self.remote_factor - 1.0).max(0.0);
+        Duration::try_from_secs_f32(self.duration.as_secs_f32() * factor).unwrap_or(Duration::MAX)
+    }
+
+    /// Returns the longest wait from now.
+    pub(crate) fn longest(&self) -> Duration {
+        let by_idleness = self.idle.map_or(Duration::MAX, |idle| MAX_IDLE_TIME.saturating_sub(idle));
+        let stated = self.stated.unwrap_or_else(|| self.max_wait.min(self.slack_bound()));
+        stated.min(by_idleness)
+    }
+
+    /// Returns how long a wait may be by the job's slack. A job that can be in time elsewhere must still be so after the
+    /// wait. One that cannot may use all its slack, and a late job is not made late by waiting.
+    fn slack_bound(&self) -> Duration {
+        let Some(slack) = self.slack else { return Duration::MAX };
+        match (slack.checked_sub(self.detour()), slack.is_zero()) {
+            (Some(elsewhere), false) => elsewhere.saturating_sub(SLACK_MARGIN),
+            (None, false) => slack,
+            (_, true) if self.policy == PlaceWaitPolicy::Slack => Duration::ZERO,
+            (_, true) => Duration::MAX,
+        }
+    }
+
+    /// Decides for a number of tasks that find no free worker on the rack, and reserves capacity there for those that
+    /// wait. The tasks of a group wait all or not at all.
+    pub(crate) fn decide(
+        &self,
+        tasks: u32,
+        is_group: bool,
+        need: &TaskNeed,
+        free: &[Option<RackRoom>],
+        forecast: &mut RackForecast,
+    ) -> PlaceDecision {
+        let longest = self.longest();
+        if longest.is_zero() || tasks == 0 {
+            return PlaceDecision::Elsewhere;
+        }
+        let is_blind = self.policy != PlaceWaitPolicy::Gain;
+        if is_blind {
+            return PlaceDecision::Wait { tasks, longest, expected: Duration::ZERO, gain: self.detour() };
+        }
+        let useful = longest.min(self.detour());
+        let before = is_group.then(|| forecast.clone());
+        let (waiting, expected) = self.waits(tasks, need, free, forecast, useful);
+        if let Some(before) = before.filter(|_| waiting < tasks) {
+            *forecast = before;
+            return PlaceDecision::Elsewhere;
+        }
+        if waiting == 0 {
+            return PlaceDecision::Elsewhere;
+        }
+        PlaceDecision::Wait { tasks: waiting, longest, expected, gain: self.detour().saturating_sub(expected) }
+    }
+
+    /// Reserves capacity for tasks as long as it is expected within `longest`. Returns the number of tasks and the wait of
+    /// the last one.
+    pub(crate) fn waits(
+        &self,
+        tasks: u32,
+        need: &TaskNeed,
+        free: &[Option<RackRoom>],
+        forecast: &mut RackForecast,
+        longest: Duration,
+    ) -> (u32, Duration) {
+        let looks = tasks.min(MAX_TASK_LOOKS);
+        let (mut waiting, mut last) = (0, Duration::ZERO);
+        while waiting < looks {
+            let Some(wait) = forecast.reserve(need, self.duration, free, longest) else { return (waiting, last) };
+            (waiting, last) = (waiting + 1, wait);
+        }
+        (tasks, last)
+    }
+}
--- /dev/null
+++ b/crates/parsleywalk-batch/src/place_waits.rs
@@ -0,0 +1,97 @@
+//! The steps that wait for a rack.
+
+use std::time::Duration;
+
+use parsleywalk_units::{MonotonicTime, WorkerId};
+
+use crate::worker_ends::WorkerEnds;
+use crate::{BatchState, SortedMap, StepRecord, TaskKey};
+
+/// A step that waits or has waited for a rack, or a rack-local step that has chosen its rack.
+#[derive(Debug)]
+pub(crate) struct StepWait {
+    pub(crate) rack: String,
+    /// Until when the step may wait, as stated when it began to wait.
+    pub(crate) until: Option<MonotonicTime>,
+    /// The number of tasks that waited in the last cycle.
+    pub(crate) tasks: u32,
+    /// Whether the step is rack-local, so that its later tasks go to the same rack.
+    pub(crate) is_rack_local: bool,
+}
+
+/// How many tasks that waited for a rack were placed there.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlaceWaitResults {
+    /// The tasks that were placed on the rack.
+    pub won: u64,
+    /// The tasks that waited no longer.
+    pub lost: u64,
+}
+
+/// The steps that wait for a rack, and what is known of the racks. A new leader knows of none.
+#[derive(Debug, Default)]
+pub(crate) struct PlaceWaits {
+    /// By the first task of the step.
+    pub(crate) steps: SortedMap<TaskKey, StepWait>,
+    pub(crate) ends: SortedMap<WorkerId, WorkerEnds>,
+    /// The results since they were last taken.
+    pub(crate) results: PlaceWaitResults,
+}
+
+impl PlaceWaits {
+    /// Returns what is left of the time that the step stated when it began to wait.
+    pub(crate) fn stated(&self, now: MonotonicTime, first: &TaskKey) -> Option<Duration> {
+        Some(self.steps.get(first)?.until?.since(now))
+    }
+
+    /// Counts the tasks of a waiting step that have been placed on the rack, and those that wait no longer.
+    pub(crate) fn count(&mut self, first: &TaskKey, placed: u32, waiting: u32) {
+        let Some(wait) = self.steps.get_mut(first) else { return };
+        let won = wait.tasks.min(placed);
+        self.results.won += u64::from(won);
+        self.results.lost += u64::from((wait.tasks - won).saturating_sub(waiting));
+        wait.tasks = waiting;
+    }
+
+    /// Records the rack of a rack-local step.
+    pub(crate) fn choose(&mut self, first: &TaskKey, rack: &str) {
+        self.step_mut(first, rack).is_rack_local = true;
+    }
+
+    /// Records that tasks of a step wait. Returns true if that is a new decision.
+    pub(crate) fn record(&mut self, first: &TaskKey, rack: &str, until: MonotonicTime, tasks: u32) -> bool {
+        let wait = self.step_mut(first, rack);
+        wait.tasks = tasks;
+        let is_new = wait.until.is_none();
+        wait.until.get_or_insert(until);
+        is_new
+    }
+
+    fn step_mut(&mut self, first: &TaskKey, rack: &str) -> &mut StepWait {
+        let new = || StepWait { rack: rack.to_owned(), until: None, tasks: 0, is_rack_local: false };
+        let wait = self.steps.entry(*first, new);
+        if wait.rack != rack {
+            rack.clone_into(&mut wait.rack);
+        }
+        wait
+    }
+
+    /// Ends the waits of steps without waiting tasks. The rack of a rack-local step is known until the step is done.
+    pub(crate) fn begin_cycle(&mut self, state: &BatchState) {
+        let record_of = |first: &TaskKey| state.job(first.job).filter(|_| state.is_active(first.job))?.step(first);
+        for (first, wait) in self.steps.iter_mut() {
+            if record_of(first).is_none_or(|record| record.waiting == 0) {
+                (wait.until, wait.tasks) = (None, 0);
+            }
+        }
+        self.steps.retain(|first, wait| {
+            let is_needed = |record: &StepRecord| record.waiting > 0 || wait.is_rack_local && !record.is_done();
+            record_of(first).is_some_and(is_needed)
+        });
+    }
+
+    /// Forgets workers that are not known any more.
+    pub(crate) fn prune(&mut self, is_known: impl Fn(&WorkerId) -> bool) {
+        self.ends.retain(|worker, _| is_known(worker));
+    }
+}
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -3,22 +3,23 @@
 use std::borrow::Cow;
 use std::time::Duration;
 
-use parsleywalk_units::{MilliCores, MonotonicTime, ResourceSize, ServiceName, WorkerId};
+use parsleywalk_units::{MilliCores, MonotonicTime, WorkerId};
 
 use crate::candidate::CandidateWorker;
 use crate::dispatcher::ratio;
 use crate::interference::{ImageIndex, InterferenceModel};
 use crate::placement_request::{HealthLeniency, PlacementRequest};
+use crate::rack_cycle::RackCycle;
+use crate::rack_placement::{PlacedStep, best_rack};
 use crate::ranking::WorkerRanking;
 use crate::ready_step::ReadyStep;
 use crate::step_class::StepClass;
 use crate::step_order::StepTurn;
+use crate::task_shape::TaskShape;
 use crate::urgency::{JobUrgency, has_ample_slack};
 use crate::worker_rank::WorkerRank;
 use crate::worker_view::{LongRunningTasks, WorkerView};
-use crate::{
-    BatchState, Dispatcher, JobRecord, JobSubmission, RunPlacement, SortedMap, StepSpec, TaskKey, WorkerRecord,
-};
+use crate::{BatchState, Dispatcher, JobRecord, JobSubmission, RunPlacement, StepSpec, TaskKey, WorkerRecord};
 
 /// The maximum number of placements in one scheduling cycle, which keeps a cycle well below the leader's heartbeat
 /// interval.
@@ -46,47 +47,13 @@
 /// The number of interference levels per unit of load.
 const INTERFERENCE_LEVELS: f32 = 25.0;
 
-/// The properties that decide whether a task can be placed. Where one task cannot be placed, an equal or larger one of
-/// the same image cannot either.
-#[derive(Debug, Clone, Copy)]
-struct TaskShape<'a> {
-    service: &'a ServiceName,
-    image: &'a str,
-    best_effort: bool,
-    size: ResourceSize,
-    /// Whether only size and image restrict where the task can run.
-    is_unconstrained: bool,
-    /// Whether the task accepts only workers with [`SLACK_HEADROOM`].
-    has_slack: bool,
-}
-
-impl<'a> TaskShape<'a> {
-    fn of(submission: &'a JobSubmission, spec: &'a StepSpec, has_slack: bool) -> Self {
-        let is_unconstrained = !spec.gang && spec.required_label.is_none() && spec.per_worker_limit.is_none();
-        let StepSpec { image, best_effort, size, .. } = spec;
-        Self {
-            service: &submission.service,
-            image,
-            best_effort: *best_effort,
-            size: *size,
-            is_unconstrained,
-            has_slack,
-        }
-    }
-
-    /// Returns true if the task cannot be placed where `known` cannot.
-    fn is_at_least_as_hard_as(&self, known: &Self) -> bool {
-        let same_kind = (self.service, self.best_effort, self.image) == (known.service, known.best_effort, known.image);
-        same_kind && known.size.fits_within(&self.size) && self.has_slack >= known.has_slack
-    }
-}
-
 impl Dispatcher {
     /// Runs a scheduling cycle: chooses workers for waiting tasks. `unix_ms` is the wall-clock time that decides which
     /// occurrences are due.
     #[must_use]
     pub fn plan(&mut self, now: MonotonicTime, unix_ms: u64, state: &BatchState) -> Vec<RunPlacement> {
         self.workspace_shares.refresh(now, state);
+        self.place_waits.begin_cycle(state);
         let mut ready = self.ready_steps(now, unix_ms, state);
         self.track_waiting(now, state, &ready);
         self.sort_ready_steps(now, &mut ready);
@@ -100,6 +67,7 @@
             }
         }
         self.refresh_long_running(now, state);
+        let mut racks = self.begin_rack_cycle(now);
         let mut candidates = self.candidates(now, state);
         let mut placements = Vec::new();
         let mut unplaceable: Vec<TaskShape> = Vec::new();
@@ -118,7 +86,7 @@
                 continue;
             }
             let before = placements.len();
-            self.place_step(now, state, turn, starved, &mut candidates, &mut placements);
+            let step_waits = self.place_step(now, state, turn, starved, &mut racks, &mut candidates, &mut placements);
             order.record_placed(&placements[before..]);
             let first = TaskKey { job: step.job, occurrence: step.occurrence, step: step.step, index: 0 };
             if spec.long_running
@@ -132,11 +100,12 @@
                     reserved += 1;
                 }
             }
-            if placements.len() == before && shape.is_unconstrained {
+            if placements.len() == before && shape.is_unconstrained && !step_waits {
                 unplaceable.push(shape);
             }
         }
         let cycles = order.into_cycles();
+        self.place_waits = racks.waits;
         self.workspace_shares.end_cycle(now, state, cycles);
         self.gang_runs.record_placed(state, &placements);
         self.begun_jobs.record_placed(state, &placements);
@@ -294,35 +263,46 @@
     }
 
     /// Places the waiting tasks of a step until one finds no worker or the limit of the turn or the cycle is reached.
-    fn place_step(
+    /// Returns true if the others wait for their rack.
+    #[allow(clippy::too_many_arguments, reason = "the state of the cycle")]
+    fn place_step<'a>(
         &self,
         now: MonotonicTime,
         state: &BatchState,
         turn: StepTurn,
         starved: bool,
-        candidates: &mut [CandidateWorker<'_>],
+        racks: &mut RackCycle<'a>,
+        candidates: &mut [CandidateWorker<'a>],
         placements: &mut Vec<RunPlacement>,
-    ) {
+    ) -> bool {
         let ready = turn.step;
-        let Some(job) = state.job(ready.job) else { return };
-        let Some(spec) = job.step_spec(ready.step) else { return };
+        let Some(job) = state.job(ready.job) else { return false };
+        let Some(spec) = job.step_spec(ready.step) else { return false };
         let first = TaskKey { job: ready.job, occurrence: ready.occurrence, step: ready.step, index: 0 };
-        let Some(record) = job.step(&first) else { return };
+        let Some(record) = job.step(&first) else { return false };
+        let min_headroom = if ready.has_slack && !spec.gang { SLACK_HEADROOM } else { MIN_HEADROOM };
+        let step = PlacedStep { now, state, turn, starved, job, spec, record, first, min_headroom };
         if spec.gang {
+            if self.place_gang_on_rack(&step, racks, candidates, placements) {
+                return true;
+            }
             let before = placements.len();
-            self.place_gang(job, spec, first, HealthLeniency::None, candidates, placements);
+            self.place_gang_anywhere(&step, HealthLeniency::None, candidates, placements);
             if starved && placements.len() == before && candidates.iter().any(CandidateWorker::is_on_probation) {
                 let leniency = leniency_of_starved(&job.submission, spec, candidates);
-                self.place_gang(job, spec, first, leniency, candidates, placements);
+                self.place_gang_anywhere(&step, leniency, candidates, placements);
             }
-            return;
+            return false;
+        }
+        let turn = self.place_on_rack(&step, racks, candidates, placements);
+        if turn.max_tasks == 0 {
+            return true;
         }
         let rack = spec.rack_local.then(|| best_rack(job, spec, record.waiting, candidates)).flatten();
-        let min_headroom = if ready.has_slack { SLACK_HEADROOM } else { MIN_HEADROOM };
         let request = self.placement_request(&job.submission, spec, first, rack.as_deref(), min_headroom);
         let mut ranking = WorkerRanking::new(candidates, |candidate| self.rank_worker(&request, None, candidate));
         let mut is_first = true;
-        let end = placements.len().saturating_add(turn.max_tasks).min(MAX_PLACEMENTS_PER_CYCLE);
+        let end = last_placement(placements, &turn);
         for (index, task) in (0u32..).zip(&record.tasks).skip(turn.first_index as usize) {
             let key = TaskKey { index, ..first };
             if task.done || task.live > 0 || self.restart_delays.is_delayed(now, &key) {
@@ -339,19 +319,31 @@
                 };
             }
             is_first = false;
-            let Some(worker_index) = worker_index else { return };
-            let candidate = &mut candidates[worker_index];
-            placements.push(candidate.assign(spec, key, task.last_run.next()));
-            if spec.best_effort {
-                self.add_interference(candidate, request.image, spec.size.cores);
-            } else if spec.is_latency_critical() {
-                candidate.add_image(request.image);
-            }
-            ranking.update(worker_index, self.rank_worker(&request, None, candidate));
+            let Some(worker_index) = worker_index else { return false };
+            placements.push(candidates[worker_index].assign(spec, key, task.last_run.next()));
+            self.record_assigned(&request, worker_index, &mut ranking, candidates);
             if placements.len() >= end {
-                return;
+                return false;
             }
         }
+        false
+    }
+
+    /// Updates what the rank of a worker depends on after a task has been assigned to it, and ranks it again.
+    pub(crate) fn record_assigned(
+        &self,
+        request: &PlacementRequest<'_>,
+        worker_index: usize,
+        ranking: &mut WorkerRanking,
+        candidates: &mut [CandidateWorker<'_>],
+    ) {
+        let candidate = &mut candidates[worker_index];
+        if request.spec.best_effort {
+            self.add_interference(candidate, request.image, request.spec.size.cores);
+        } else if request.spec.is_latency_critical() {
+            candidate.add_image(request.image);
+        }
+        ranking.update(worker_index, self.rank_worker(request, None, candidate));
     }
 
     pub(crate) fn placement_request<'a>(
@@ -375,6 +367,7 @@
             coefficients: self.coefficients_of(spec),
             min_headroom,
             leniency: HealthLeniency::None,
+            is_rack_only: false,
         }
     }
 
@@ -453,10 +446,14 @@
             return None;
         }
         let rack = rack.or(spec.preferred_rack.as_deref());
+        let off_rack = rack.is_some() && candidate.view.rack.as_deref() != rack;
+        if request.is_rack_only && (off_rack || candidate.is_slow) {
+            return None;
+        }
         let base = WorkerRank {
             over_probation: !candidate.admits_on_probation(),
             is_slow: candidate.is_slow,
-            off_rack: rack.is_some() && candidate.view.rack.as_deref() != rack,
+            off_rack,
             avoided: avoided == Some(candidate.id),
             failures: candidate.view.health.failures(),
             compatibility: 0,
@@ -576,19 +573,7 @@
     now.saturating_sub(age.min(MAX_JOB_AGE))
 }
 
-/// Returns the rack that can hold the most of the step's waiting tasks.
-pub(crate) fn best_rack(
-    job: &JobRecord,
-    spec: &StepSpec,
-    waiting: u32,
-    candidates: &[CandidateWorker<'_>],
-) -> Option<String> {
-    let mut free_slots: SortedMap<&str, u32> = SortedMap::default();
-    let usable = candidates.iter().filter(|candidate| candidate.admits_on_probation());
-    for candidate in usable.filter(|candidate| candidate.view.service == job.submission.service) {
-        let Some(rack) = candidate.view.rack.as_deref() else { continue };
-        let slots = candidate.free_best_effort.get() / spec.size.cores.get().max(1);
-        *free_slots.entry(rack, || 0) += slots;
-    }
-    free_slots.iter().max_by_key(|(_, slots)| (**slots).min(waiting)).map(|(rack, _)| (*rack).to_owned())
+/// Returns the number of placements at which the turn or the cycle ends.
+pub(crate) fn last_placement(placements: &[RunPlacement], turn: &StepTurn) -> usize {
+    placements.len().saturating_add(turn.max_tasks).min(MAX_PLACEMENTS_PER_CYCLE)
 }
--- a/crates/parsleywalk-batch/src/placement_request.rs
+++ b/crates/parsleywalk-batch/src/placement_request.rs
@@ -32,4 +32,6 @@
     /// The headroom that a best-effort task must leave to latency-critical ones.
     pub(crate) min_headroom: f32,
     pub(crate) leniency: HealthLeniency,
+    /// Whether only workers of the rack qualify that are not slow.
+    pub(crate) is_rack_only: bool,
 }
--- a/crates/parsleywalk-batch/src/ranking.rs
+++ b/crates/parsleywalk-batch/src/ranking.rs
@@ -25,6 +25,16 @@
         Self { heap: ranked.collect() }
     }
 
+    /// Ranks some workers for which `rank` returns a value.
+    pub(crate) fn of(
+        workers: &[usize],
+        candidates: &[CandidateWorker<'_>],
+        rank: impl Fn(&CandidateWorker<'_>) -> Option<WorkerRank>,
+    ) -> Self {
+        let ranked = workers.iter().filter_map(|index| Some(Reverse((rank(&candidates[*index])?, *index))));
+        Self { heap: ranked.collect() }
+    }
+
     /// Returns the index of the best worker. An entry whose worker has changed since it was ranked is discarded,
     /// because [`WorkerRanking::update`] has added its successor.
     pub(crate) fn best(
--- a/crates/parsleywalk-batch/src/run_progress.rs
+++ b/crates/parsleywalk-batch/src/run_progress.rs
@@ -97,6 +97,16 @@
         Self { first_percent: percent, last_percent: percent, speed: 1.0, ..Self::default() }
     }
 
+    /// Returns the percentage when the run was first listed.
+    pub(crate) fn first_percent(&self) -> u8 {
+        self.first_percent
+    }
+
+    /// Returns the newest speed as a share of full speed.
+    pub(crate) fn speed(&self) -> f64 {
+        self.speed
+    }
+
     /// Sets the speed of a best-effort run: the cores in use, where the worker measures them, or else the rate last
     /// ordered.
     pub(crate) fn set_speed(&mut self, figure: u32, cores: u32, rate: u8) {
--- a/crates/parsleywalk-batch/src/settings.rs
+++ b/crates/parsleywalk-batch/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::PlaceWaitPolicy;
+
 /// Settings of leases, placement and pacing.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DispatchSettings {
@@ -42,6 +44,8 @@
     /// How long a task may wait for a rack while it could run elsewhere. Half a second is left for a placement to take
     /// effect, so that with 1 s nothing is idle for longer than 1.5 s.
     pub max_place_wait: Duration,
+    /// How it is decided whether a task waits for a rack.
+    pub place_wait_policy: PlaceWaitPolicy,
 }
 
 impl Default for DispatchSettings {
@@ -62,6 +66,7 @@
             measured_work: true,
             remote_factor: None,
             max_place_wait: Duration::from_secs(1),
+            place_wait_policy: PlaceWaitPolicy::default(),
         }
     }
 }
@@ -75,7 +80,7 @@
     }
 
     /// Returns the time between two reports of a worker, given the number of workers.
-    fn report_period(&self, workers: usize) -> Duration {
+    pub(crate) fn report_period(&self, workers: usize) -> Duration {
         let workers = u32::try_from(workers).unwrap_or(u32::MAX);
         let fair = Duration::from_secs(1).saturating_mul(workers) / self.reports_per_second.max(1);
         fair.clamp(self.report_interval, self.worker_timeout / 2)
--- a/crates/parsleywalk-batch/src/urgency.rs
+++ b/crates/parsleywalk-batch/src/urgency.rs
@@ -72,6 +72,17 @@
     !total_slack.is_zero() && slack * 100 >= total_slack * AMPLE_SLACK_PERCENT
 }
 
+/// Returns how much later the job's remaining work may start so that it is in time, or `None` for jobs without a deadline.
+pub(crate) fn slack(
+    job: &JobRecord,
+    outlook: &JobOutlook,
+    since: MonotonicTime,
+    now: MonotonicTime,
+) -> Option<Duration> {
+    let has_deadline = job.submission.spec.schedule.is_none();
+    has_deadline.then(|| objective(job, outlook).saturating_sub(now.since(since) + outlook.remaining))
+}
+
 /// Returns the latency objective of the job, counted from its acceptance.
 fn objective(job: &JobRecord, outlook: &JobOutlook) -> Duration {
     let stretch = job.submission.stretch.clamp(1.0, MAX_STRETCH);
--- a/crates/parsleywalk-batch/src/work_feed.rs
+++ b/crates/parsleywalk-batch/src/work_feed.rs
@@ -22,6 +22,8 @@
 const MIN_REFERENCE_POINTS: f64 = 20.0;
 /// The progress of a run from which its own pace is known, in percentage points.
 const MIN_OWN_POINTS: f64 = 5.0;
+/// The lowest speed by which the end of a run is predicted. A throttled run may get faster at any time.
+const MIN_RUN_SPEED: f64 = 0.05;
 
 impl WorkerView {
     /// Returns the time between the newest report and the next one, on the worker's clock. It is unknown if the clock does
@@ -165,6 +167,17 @@
         self.task_duration(predicted) * u32::from(100 - self.percent.min(100)) / 100
     }
 
+    /// Returns the time until the run ends as of the newest report, which arrived at `reported_at`. Runs whose work is not
+    /// measured go by the time that their progress has taken.
+    pub(crate) fn remaining_time(&self, predicted: Duration, reported_at: MonotonicTime) -> Duration {
+        let gained = self.percent.saturating_sub(self.progress.first_percent());
+        if self.progress.total.points < MIN_OWN_POINTS && f64::from(gained) >= MIN_OWN_POINTS {
+            let listed = reported_at.since(self.first_seen);
+            return listed * u32::from(100 - self.percent.min(100)) / u32::from(gained);
+        }
+        self.remaining_duration(predicted).div_f64(self.progress.speed().max(MIN_RUN_SPEED))
+    }
+
     /// Returns how long the task takes on its worker, given the prediction for sound workers.
     pub(crate) fn task_duration(&self, predicted: Duration) -> Duration {
         let known = Some(&self.progress.total).filter(|total| total.points >= MIN_OWN_POINTS);
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -85,6 +85,11 @@
     violated_since: BTreeMap<TaskKey, MonotonicTime>,
     /// The durations in milliseconds of the tasks of steps whose estimates are wrong.
     pub(crate) true_ms: BTreeMap<(JobId, u16), f64>,
+    /// How many times as long a run takes away from the rack of its data, or beside runs of its rack-local step on another
+    /// rack.
+    pub(crate) far_x: f64,
+    /// The number of starts of such runs.
+    pub(crate) far_starts: u64,
 }
 
 pub(crate) fn size(cores: u32, gigabytes: u64) -> ResourceSize {
@@ -138,6 +143,8 @@
             longest_violation: Duration::ZERO,
             violated_since: BTreeMap::new(),
             true_ms: BTreeMap::new(),
+            far_x: 1.0,
+            far_starts: 0,
         }
     }
 
@@ -274,7 +281,7 @@
 
     fn advance_worker(&mut self, index: usize) {
         let now = self.now;
-        let tail_latency_ms = self.tail_latency_ms;
+        let (tail_latency_ms, far_x) = (self.tail_latency_ms, self.far_x);
         let worker = &mut self.workers[index];
         if !worker.up {
             return;
@@ -313,7 +320,8 @@
             if run.hung {
                 continue;
             }
-            run.done_ms += step_ms * f64::from(run.rate) / 100.0 * worker.speed;
+            let distance = if run.is_far { far_x } else { 1.0 };
+            run.done_ms += step_ms * f64::from(run.rate) / 100.0 * worker.speed / distance;
             if !run.long_running && run.done_ms >= run.total_ms {
                 ended.push((*task, if worker.fails_runs { RunOutcome::Failed } else { RunOutcome::Done }));
             }
@@ -403,6 +411,7 @@
         for order in orders.starts {
             let Some((job, spec)) = self.state.step_of(&order.task) else { continue };
             assert_eq!(order.payload, job.submission.spec.payload, "the order carries the job's payload");
+            let spec = spec.clone();
             let worker = &mut self.workers[index];
             let already_ended = worker.last_runs.get(&order.task).is_some_and(|last_run| *last_run >= order.run);
             if already_ended || worker.runs.contains_key(&order.task) {
@@ -417,6 +426,8 @@
             }
             assert!(!self.done.contains_key(&order.task), "{} starts after it was done", order.task);
             let true_ms = self.true_ms.get(&(order.task.job, order.task.step)).copied();
+            let is_far = self.is_far(index, &order.task);
+            let worker = &mut self.workers[index];
             self.starts += 1;
             self.started.push((order.task, order.run));
             worker.runs.insert(
@@ -427,6 +438,7 @@
                     age_ms: 0.0,
                     breaks_gang: spec.gang && !order.payload.starts_with("all-fail"),
                     size: spec.size,
+                    is_far,
                     done_ms: order.saved.parse().unwrap_or(0.0),
                     total_ms: true_ms.unwrap_or(spec.estimate.as_secs_f64() * 1000.0),
                     rate: 100,
@@ -440,6 +452,22 @@
         }
     }
 
+    /// Returns true if a new run is away from its rack. The other runs of a rack-local step are then slower as well.
+    fn is_far(&mut self, index: usize, task: &TaskKey) -> bool {
+        let Some((_, spec)) = self.state.step_of(task) else { return false };
+        let rack = self.workers[index].rack.clone();
+        let mut is_far = spec.preferred_rack.as_ref().is_some_and(|preferred| *preferred != rack);
+        if spec.rack_local {
+            let is_other =
+                |worker: &FakeWorker| worker.rack != rack && worker.runs.keys().any(|run| run.same_step(task));
+            is_far |= self.workers.iter().any(is_other);
+            let runs = self.workers.iter_mut().flat_map(|worker| &mut worker.runs);
+            runs.filter(|(run, _)| is_far && run.same_step(task)).for_each(|(_, run)| run.is_far = true);
+        }
+        self.far_starts += u64::from(is_far);
+        is_far
+    }
+
     /// Records the gangs of which all members are present.
     fn record_complete_gangs(&mut self) {
         let mut present: BTreeMap<(TaskKey, RunNumber), u32> = BTreeMap::new();
--- a/crates/parsleywalk-batch/tests/support/worker.rs
+++ b/crates/parsleywalk-batch/tests/support/worker.rs
@@ -45,6 +45,8 @@
     /// Whether its end breaks the run of its gang.
     pub(super) breaks_gang: bool,
     pub(crate) size: ResourceSize,
+    /// Whether it is away from its rack.
+    pub(super) is_far: bool,
     pub(super) done_ms: f64,
     pub(super) total_ms: f64,
     pub(crate) rate: u8,
