--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test uses a part")]
 #![allow(clippy::struct_excessive_bools, reason = "each fault is switched by itself")]
 
+pub(crate) mod racks;
 mod transit;
 mod worker;
 pub(crate) mod workspaces;
