--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -37,6 +37,7 @@
 mod rack_forecast;
 mod rack_index;
 mod rack_placement;
+mod rack_results;
 mod rack_room;
 mod ranking;
 mod ready_step;
--- a/crates/parsleywalk-batch/src/place_wait.rs
+++ b/crates/parsleywalk-batch/src/place_wait.rs
@@ -14,7 +14,10 @@
 const MAX_IDLE_TIME: Duration = Duration::from_millis(1200);
 /// How much of the slack is left when a wait ends, because a placement takes time.
 const SLACK_MARGIN: Duration = Duration::from_millis(200);
-/// The most tasks of a step that are looked at in a cycle. If all of them may wait, so may the others.
+/// The part of the detour that a new wait may take. On a hot rack every won wait is one that another task loses, so that
+/// longer waits only add up: with twice the time elsewhere, jobs then ended later than without waiting.
+const MAX_DETOUR_SHARE: u32 = 2;
+/// The most tasks of a step that a decision looks at. If they may wait, so may the others.
 const MAX_TASK_LOOKS: u32 = 400;
 
 /// How it is decided whether to wait for a rack. All but the default serve comparison with it.
@@ -44,6 +47,8 @@
     pub(crate) max_wait: Duration,
     /// What is left of the time stated when the wait began; `None` if it has not begun.
     pub(crate) stated: Option<Duration>,
+    /// The time that lost waits for the rack have cost for each one that was won.
+    pub(crate) lost_time: Duration,
 }
 
 /// The decision for the tasks of a step that find no free worker on their rack.
@@ -51,10 +56,8 @@
 pub(crate) enum PlaceDecision {
     /// All tasks go elsewhere.
     Elsewhere,
-    /// Some tasks wait, and the others go elsewhere.
+    /// All tasks wait.
     Wait {
-        /// The number of tasks that wait.
-        tasks: u32,
         /// The longest wait from now.
         longest: Duration,
         /// The expected wait of the last of the tasks.
@@ -78,6 +81,16 @@
         stated.min(by_idleness)
     }
 
+    /// Returns the longest expected wait that is worth it. A new wait must also make up for what lost waits for the rack
+    /// have cost for each won one.
+    pub(crate) fn useful(&self) -> Duration {
+        let useful = match self.stated {
+            None => (self.detour() / MAX_DETOUR_SHARE).saturating_sub(self.lost_time),
+            Some(_) => self.detour(),
+        };
+        self.longest().min(useful)
+    }
+
     /// Returns how long a wait may be by the job's slack. A job that can be in time elsewhere must still be so after the
     /// wait. One that cannot may use all its slack, and a late job is not made late by waiting.
     fn slack_bound(&self) -> Duration {
@@ -90,12 +103,11 @@
         }
     }
 
-    /// Decides for a number of tasks that find no free worker on the rack, and reserves capacity there for those that
-    /// wait. The tasks of a group wait all or not at all.
+    /// Decides for a number of tasks that find no free worker on the rack, and reserves capacity there if they wait. They
+    /// wait all or not at all: a step ends with its last task, so that waiting gains nothing once one goes elsewhere.
     pub(crate) fn decide(
         &self,
         tasks: u32,
-        is_group: bool,
         need: &TaskNeed,
         free: &[Option<RackRoom>],
         forecast: &mut RackForecast,
@@ -106,37 +118,31 @@
         }
         let is_blind = self.policy != PlaceWaitPolicy::Gain;
         if is_blind {
-            return PlaceDecision::Wait { tasks, longest, expected: Duration::ZERO, gain: self.detour() };
+            return PlaceDecision::Wait { longest, expected: Duration::ZERO, gain: self.detour() };
         }
-        let useful = longest.min(self.detour());
-        let before = is_group.then(|| forecast.clone());
-        let (waiting, expected) = self.waits(tasks, need, free, forecast, useful);
-        if let Some(before) = before.filter(|_| waiting < tasks) {
+        let useful = self.useful();
+        let before = forecast.clone();
+        let Some(expected) = self.last_wait(tasks, need, free, forecast, useful) else {
             *forecast = before;
             return PlaceDecision::Elsewhere;
-        }
-        if waiting == 0 {
-            return PlaceDecision::Elsewhere;
-        }
-        PlaceDecision::Wait { tasks: waiting, longest, expected, gain: self.detour().saturating_sub(expected) }
+        };
+        PlaceDecision::Wait { longest, expected, gain: self.detour().saturating_sub(expected) }
     }
 
-    /// Reserves capacity for tasks as long as it is expected within `longest`. Returns the number of tasks and the wait of
-    /// the last one.
-    pub(crate) fn waits(
+    /// Reserves capacity for a number of tasks and returns the expected wait of the last one, or `None` if that is longer
+    /// than `longest`.
+    pub(crate) fn last_wait(
         &self,
         tasks: u32,
         need: &TaskNeed,
         free: &[Option<RackRoom>],
         forecast: &mut RackForecast,
         longest: Duration,
-    ) -> (u32, Duration) {
-        let looks = tasks.min(MAX_TASK_LOOKS);
-        let (mut waiting, mut last) = (0, Duration::ZERO);
-        while waiting < looks {
-            let Some(wait) = forecast.reserve(need, self.duration, free, longest) else { return (waiting, last) };
-            (waiting, last) = (waiting + 1, wait);
+    ) -> Option<Duration> {
+        let mut last = Duration::ZERO;
+        for _ in 0..tasks.min(MAX_TASK_LOOKS) {
+            last = forecast.reserve(need, self.duration, free, longest)?;
         }
-        (tasks, last)
+        Some(last)
     }
 }
--- a/crates/parsleywalk-batch/src/place_waits.rs
+++ b/crates/parsleywalk-batch/src/place_waits.rs
@@ -4,6 +4,7 @@
 
 use parsleywalk_units::{MonotonicTime, WorkerId};
 
+use crate::rack_results::RackResults;
 use crate::worker_ends::WorkerEnds;
 use crate::{BatchState, SortedMap, StepRecord, TaskKey};
 
@@ -11,8 +12,8 @@
 #[derive(Debug)]
 pub(crate) struct StepWait {
     pub(crate) rack: String,
-    /// Until when the step may wait, as stated when it began to wait.
-    pub(crate) until: Option<MonotonicTime>,
+    /// Since when the step has waited, and until when it may wait, as stated when it began to.
+    pub(crate) period: Option<(MonotonicTime, MonotonicTime)>,
     /// The number of tasks that waited in the last cycle.
     pub(crate) tasks: u32,
     /// Whether the step is rack-local, so that its later tasks go to the same rack.
@@ -34,6 +35,8 @@
     /// By the first task of the step.
     pub(crate) steps: SortedMap<TaskKey, StepWait>,
     pub(crate) ends: SortedMap<WorkerId, WorkerEnds>,
+    /// What waits have brought, by rack.
+    racks: SortedMap<String, RackResults>,
     /// The results since they were last taken.
     pub(crate) results: PlaceWaitResults,
 }
@@ -41,16 +44,26 @@
 impl PlaceWaits {
     /// Returns what is left of the time that the step stated when it began to wait.
     pub(crate) fn stated(&self, now: MonotonicTime, first: &TaskKey) -> Option<Duration> {
-        Some(self.steps.get(first)?.until?.since(now))
+        let (_, until) = self.steps.get(first)?.period?;
+        Some(until.since(now))
     }
 
     /// Counts the tasks of a waiting step that have been placed on the rack, and those that wait no longer.
-    pub(crate) fn count(&mut self, first: &TaskKey, placed: u32, waiting: u32) {
-        let Some(wait) = self.steps.get_mut(first) else { return };
+    pub(crate) fn count(&mut self, now: MonotonicTime, first: &TaskKey, placed: u32, waiting: u32) {
+        let Some(wait) = self.steps.get_mut(first).filter(|wait| wait.tasks > 0) else { return };
         let won = wait.tasks.min(placed);
+        let lost = (wait.tasks - won).saturating_sub(waiting);
         self.results.won += u64::from(won);
-        self.results.lost += u64::from((wait.tasks - won).saturating_sub(waiting));
+        self.results.lost += u64::from(lost);
         wait.tasks = waiting;
+        let Some((since, _)) = wait.period.filter(|_| waiting == 0) else { return };
+        let lost = (lost > 0).then(|| now.since(since));
+        self.racks.entry(wait.rack.clone(), RackResults::default).add(lost);
+    }
+
+    /// Returns the time that lost waits for a rack have cost for each one that was won.
+    pub(crate) fn cost(&self, rack: &str) -> Duration {
+        self.racks.find(|known| known.as_str().cmp(rack)).copied().unwrap_or_default().cost()
     }
 
     /// Records the rack of a rack-local step.
@@ -59,16 +72,22 @@
     }
 
     /// Records that tasks of a step wait. Returns true if that is a new decision.
-    pub(crate) fn record(&mut self, first: &TaskKey, rack: &str, until: MonotonicTime, tasks: u32) -> bool {
+    pub(crate) fn record(
+        &mut self,
+        first: &TaskKey,
+        rack: &str,
+        period: (MonotonicTime, MonotonicTime),
+        tasks: u32,
+    ) -> bool {
         let wait = self.step_mut(first, rack);
         wait.tasks = tasks;
-        let is_new = wait.until.is_none();
-        wait.until.get_or_insert(until);
+        let is_new = wait.period.is_none();
+        wait.period.get_or_insert(period);
         is_new
     }
 
     fn step_mut(&mut self, first: &TaskKey, rack: &str) -> &mut StepWait {
-        let new = || StepWait { rack: rack.to_owned(), until: None, tasks: 0, is_rack_local: false };
+        let new = || StepWait { rack: rack.to_owned(), period: None, tasks: 0, is_rack_local: false };
         let wait = self.steps.entry(*first, new);
         if wait.rack != rack {
             rack.clone_into(&mut wait.rack);
@@ -81,7 +100,7 @@
         let record_of = |first: &TaskKey| state.job(first.job).filter(|_| state.is_active(first.job))?.step(first);
         for (first, wait) in self.steps.iter_mut() {
             if record_of(first).is_none_or(|record| record.waiting == 0) {
-                (wait.until, wait.tasks) = (None, 0);
+                (wait.period, wait.tasks) = (None, 0);
             }
         }
         self.steps.retain(|first, wait| {
--- a/crates/parsleywalk-batch/src/rack_placement.rs
+++ b/crates/parsleywalk-batch/src/rack_placement.rs
@@ -13,7 +13,9 @@
 use crate::ranking::WorkerRanking;
 use crate::step_order::StepTurn;
 use crate::urgency::slack;
-use crate::{BatchState, Dispatcher, JobRecord, RunPlacement, SortedMap, StepRecord, StepSpec, TaskKey};
+use crate::{
+    BatchState, Dispatcher, JobRecord, RunNumber, RunPlacement, SortedMap, StepRecord, StepSpec, TaskKey, TaskRecord,
+};
 
 /// The number of racks that a rack-local step looks at closely, those with the most capacity first.
 const MAX_RACK_LOOKS: usize = 4;
@@ -45,7 +47,7 @@
     ) -> StepTurn {
         let &PlacedStep { turn, record, spec, ref first, .. } = step;
         let Some(position) = self.rack_of(step, racks, candidates) else {
-            racks.waits.count(first, 0, 0);
+            racks.waits.count(step.now, first, 0, 0);
             return turn;
         };
         let row = &racks.index.rows(candidates)[position];
@@ -61,9 +63,8 @@
         let max_tasks = last_placement(&[], &turn).saturating_sub(placed as usize);
         let untried = record.task_count().saturating_sub(next_index);
         let left = record.waiting.saturating_sub(placed).min(untried).min(u32::try_from(max_tasks).unwrap_or(u32::MAX));
-        let is_group = spec.rack_local;
-        let waiting = self.wait_for_rack(step, racks, (position, rack), (left, is_group), candidates);
-        racks.waits.count(first, placed, waiting);
+        let waiting = self.wait_for_rack(step, racks, (position, rack), left, candidates);
+        racks.waits.count(step.now, first, placed, waiting);
         StepTurn { first_index: next_index, max_tasks: (left - waiting) as usize, ..turn }
     }
 
@@ -78,7 +79,7 @@
         let &PlacedStep { job, spec, record, ref first, .. } = step;
         let has_runs = record.tasks.iter().any(|task| task.live > 0);
         let Some(position) = self.rack_of(step, racks, candidates).filter(|_| !has_runs) else {
-            racks.waits.count(first, 0, 0);
+            racks.waits.count(step.now, first, 0, 0);
             return false;
         };
         let row = &racks.index.rows(candidates)[position];
@@ -89,8 +90,8 @@
         self.place_gang(step, &request, Some(&workers), candidates, placements);
         let placed = u32::try_from(placements.len() - before).unwrap_or(u32::MAX);
         let left = spec.count.saturating_sub(placed);
-        let waiting = self.wait_for_rack(step, racks, (position, rack), (left, true), candidates);
-        racks.waits.count(first, placed, waiting);
+        let waiting = self.wait_for_rack(step, racks, (position, rack), left, candidates);
+        racks.waits.count(step.now, first, placed, waiting);
         waiting == left
     }
 
@@ -125,7 +126,6 @@
         candidates: &[CandidateWorker<'a>],
     ) -> Option<usize> {
         let wait = self.place_wait(step, racks)?;
-        let longest = wait.longest().min(wait.detour());
         let service = &step.job.submission.service;
         let mut largest: Vec<(u64, usize)> = Vec::new();
         for position in 0..racks.index.rows(candidates).len() {
@@ -140,8 +140,10 @@
             let free = self.free_room(step, racks, position, candidates);
             let mut forecast = racks.forecast(self, (step.now, step.state), position, candidates).clone();
             let tasks = step.record.waiting;
-            let (placed, last) = wait.waits(tasks, &need, &free, &mut forecast, longest);
-            if placed == tasks && soonest.is_none_or(|(known, _)| last < known) {
+            let wait = PlaceWait { lost_time: racks.waits.cost(racks.index.rows(candidates)[position].rack), ..wait };
+            let longest = wait.useful();
+            let last = wait.last_wait(tasks, &need, &free, &mut forecast, longest);
+            if let Some(last) = last.filter(|last| soonest.is_none_or(|(known, _)| *last < known)) {
                 soonest = Some((last, position));
             }
         }
@@ -152,21 +154,22 @@
         Some(position)
     }
 
-    /// Decides how many tasks of a step wait for a rack, and records the decision.
+    /// Decides whether the tasks of a step wait for a rack, and records the decision. Returns the number of those that do.
     fn wait_for_rack<'a>(
         &self,
         step: &PlacedStep<'_>,
         racks: &mut RackCycle<'a>,
         (position, rack): (usize, &str),
-        (tasks, is_group): (u32, bool),
+        tasks: u32,
         candidates: &[CandidateWorker<'a>],
     ) -> u32 {
         let Some(wait) = self.place_wait(step, racks).filter(|_| tasks > 0) else { return 0 };
+        let wait = PlaceWait { lost_time: racks.waits.cost(rack), ..wait };
         let free = self.free_room(step, racks, position, candidates);
         let forecast = racks.forecast(self, (step.now, step.state), position, candidates);
-        let decision = wait.decide(tasks, is_group, &TaskNeed::of(step.spec), &free, forecast);
-        let PlaceDecision::Wait { tasks, longest, expected, gain } = decision else { return 0 };
-        if racks.waits.record(&step.first, rack, step.now + longest, tasks) {
+        let decision = wait.decide(tasks, &TaskNeed::of(step.spec), &free, forecast);
+        let PlaceDecision::Wait { longest, expected, gain } = decision else { return 0 };
+        if racks.waits.record(&step.first, rack, (step.now, step.now + longest), tasks) {
             log::info!(
                 "event=place_wait job={} step={} rack={rack} tasks={tasks} expected_wait_ms={} gain_ms={} \
                  longest_wait_ms={}",
@@ -180,12 +183,17 @@
         tasks
     }
 
-    /// Returns what the decision for a step depends on, besides the forecast of its rack.
+    /// Returns what the decision for a step depends on, besides the forecast of its rack, or `None` if it must not wait.
     fn place_wait(&self, step: &PlacedStep<'_>, racks: &RackCycle<'_>) -> Option<PlaceWait> {
-        let &PlacedStep { now, job, ref first, .. } = step;
+        let &PlacedStep { now, job, record, ref first, .. } = step;
         let outlook = self.outlooks.get(first.job)?;
         let since = self.accepted_times.get(&first.job).copied().unwrap_or(now);
         let idle = self.idle_since.get(&first.job).filter(|_| !job.has_live_runs());
+        // A job that has lost its runs had been idle for some time before the leader knew.
+        let is_lost = |task: &TaskRecord| !task.done && task.live == 0 && task.last_run > RunNumber::ZERO;
+        if idle.is_some() && record.tasks.iter().any(is_lost) {
+            return None;
+        }
         Some(PlaceWait {
             policy: self.settings.place_wait_policy,
             duration: self.work_model.predict(&job.submission, first.step),
@@ -194,6 +202,7 @@
             idle: idle.map(|since| now.since(*since)),
             max_wait: self.settings.max_place_wait,
             stated: racks.waits.stated(now, first),
+            lost_time: Duration::ZERO,
         })
     }
 
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -247,6 +247,7 @@
         let start = Instant::now();
         let runs = leader_state.dispatcher.plan(now, crate::clock::unix_ms(), &self.state);
         leader_state.pacer.record(now, start.elapsed());
+        self.metrics.place_waits_ended(leader_state.dispatcher.take_place_wait_results());
         if runs.is_empty() {
             return;
         }
--- a/crates/parsleywalk-fleet/src/metrics.rs
+++ b/crates/parsleywalk-fleet/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use parsleywalk_batch::{BatchState, JobStatus, ReportResponse, RunOutcome, WorkspaceUsage};
+use parsleywalk_batch::{BatchState, JobStatus, PlaceWaitResults, ReportResponse, RunOutcome, WorkspaceUsage};
 use parsleywalk_metrics::{Counter, Gauge, Histogram, KeyValue, MetricRegistry, SeriesGauge};
 use parsleywalk_units::MilliCores;
 
@@ -24,6 +24,7 @@
     leases: Counter<u64>,
     reports_relayed: Counter<u64>,
     calls_overtaken: Counter<u64>,
+    place_waits: Counter<u64>,
     active_jobs: Gauge<u64>,
     oldest_waiting: Gauge<u64>,
     workers: Gauge<u64>,
@@ -59,6 +60,8 @@
                 "parsleywalk_calls_overtaken",
                 "Calls that arrived after their callers had given up or a later order had overtaken them",
             ),
+            place_waits: registry
+                .counter("parsleywalk_place_waits", "Tasks that waited for a rack, by whether they were placed on it"),
             active_jobs: registry.gauge("parsleywalk_active_jobs", "Jobs that are not final, by priority and status"),
             oldest_waiting: registry.gauge(
                 "parsleywalk_oldest_waiting_milliseconds",
@@ -139,6 +142,15 @@
         self.calls_overtaken.add(1, &[]);
     }
 
+    /// Counts the tasks whose waits for a rack have ended.
+    pub(crate) fn place_waits_ended(&self, results: PlaceWaitResults) {
+        for (result, tasks) in [("won", results.won), ("lost", results.lost)] {
+            if tasks > 0 {
+                self.place_waits.add(tasks, &[KeyValue::new("result", result)]);
+            }
+        }
+    }
+
     pub(crate) fn leases_expired(&self, count: usize) {
         self.leases.add(u64::try_from(count).unwrap_or(u64::MAX), &[KeyValue::new("event", "expired")]);
     }
