--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -12,6 +12,7 @@
 use crate::job_failures::FailingJobs;
 use crate::job_outlook::JobOutlooks;
 use crate::overload::OverloadGate;
+use crate::place_waits::PlaceWaits;
 use crate::refusal_audit::RefusalAudit;
 use crate::restart_delays::RestartDelays;
 use crate::settlement::GangRuns;
@@ -94,6 +95,7 @@
     pub(crate) workspace_shares: WorkspaceShares,
     pub(crate) overload: OverloadGate,
     pub(crate) refusal_audit: RefusalAudit,
+    pub(crate) place_waits: PlaceWaits,
     /// The outcomes listed since [`Dispatcher::take_listed_outcomes`] was last called.
     pub(crate) listed_outcomes: Vec<RunOutcome>,
     /// When the compatibility of images was last looked at, and its version then.
@@ -132,6 +134,7 @@
             workspace_shares: WorkspaceShares::default(),
             overload: OverloadGate::default(),
             refusal_audit: RefusalAudit::default(),
+            place_waits: PlaceWaits::default(),
             listed_outcomes: Vec::new(),
             compatibility_checked_at: MonotonicTime::ZERO,
             compatibility_version: 0,
@@ -314,6 +317,7 @@
             self.pruned_at = now;
             self.work_model.prune(state);
             self.outlooks.prune(state);
+            self.place_waits.prune(|worker| self.workers.contains(worker));
         }
         self.accepted_times.retain(|job, _| state.job(*job).is_some_and(|job| !job.status.is_final()));
         commands
--- a/crates/parsleywalk-fleet/src/core.rs
+++ b/crates/parsleywalk-fleet/src/core.rs
@@ -248,6 +248,7 @@
         let runs = leader_state.dispatcher.plan(now, crate::clock::unix_ms(), &self.state);
         leader_state.pacer.record(now, start.elapsed());
         self.metrics.refusals_disproved(leader_state.dispatcher.take_disproved_refusals());
+        self.metrics.place_waits_ended(leader_state.dispatcher.take_place_wait_results());
         if runs.is_empty() {
             return;
         }
