Test when refused callers are asked to return

Nothing checked the bounds and the spread of Retry-After. A table-driven test asserts that jobs that can be in time, or that end within the multiple of their objective, are accepted, and that the returns of 1000 refused callers fill the time evenly, from 1 s to 30 s.

--- a/crates/parsleywalk-batch/src/overload.rs
+++ b/crates/parsleywalk-batch/src/overload.rs
@@ -212,3 +212,7 @@
 pub(crate) fn spread(job: JobId, time: Duration) -> Duration {
     time + time / RETRY_SPREAD * job.spread_permille() / 1000
 }
+
+#[cfg(test)]
+#[path = "overload_tests.rs"]
+mod tests;
