Bound the work of cycles in which many steps wait for racks

A step that waits is looked at in each cycle, so that an overloaded service with hundreds of such steps paid for each of their tasks with a look at every run of the rack. The tasks of a step now reserve capacity in one pass, at most 64 rack-local steps look for a rack in a cycle, and racks that cannot take all of a step are not looked at. A rack-local step that waits without runs moves to another rack if it can be there sooner by 100 ms. Results of racks without workers are forgotten. A turn that ends by a share or by the cycle no longer counts its waiting tasks as lost, and a job counts as idle until a worker lists a run of it.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -311,7 +311,7 @@
             self.pruned_at = now;
             self.work_model.prune(state);
             self.outlooks.prune(state);
-            self.place_waits.prune(|worker| self.workers.contains(worker));
+            self.place_waits.prune(&self.workers);
         }
         self.accepted_times.retain(|job, _| state.job(*job).is_some_and(|job| !job.status.is_final()));
         commands
--- a/crates/parsleywalk-batch/src/gang_placement.rs
+++ b/crates/parsleywalk-batch/src/gang_placement.rs
@@ -17,12 +17,15 @@
         placements: &mut Vec<RunPlacement>,
     ) {
         let &PlacedStep { job, spec, record, first, .. } = step;
+        if record.tasks.iter().any(|task| task.live > 0) {
+            return;
+        }
         let rack = spec.rack_local.then(|| best_rack(job, spec, record.waiting, candidates)).flatten();
         let request = self.placement_request(&job.submission, spec, first, rack.as_deref(), step.min_headroom);
         self.place_gang(step, &PlacementRequest { leniency, ..request }, None, candidates, placements);
     }
 
-    /// Places all tasks of a gang or none, on the given workers or on any.
+    /// Places all tasks of a gang without runs or none, on the given workers or on any.
     pub(crate) fn place_gang(
         &self,
         step: &PlacedStep<'_>,
@@ -32,9 +35,6 @@
         placements: &mut Vec<RunPlacement>,
     ) {
         let &PlacedStep { spec, record, first, .. } = step;
-        if record.tasks.iter().any(|task| task.live > 0) {
-            return;
-        }
         let run = record.tasks.iter().map(|task| task.last_run).max().unwrap_or_default().next();
         let rank = |candidate: &CandidateWorker<'_>| self.rank_worker(request, None, candidate);
         let mut ranking = match workers {
--- a/crates/parsleywalk-batch/src/place_wait.rs
+++ b/crates/parsleywalk-batch/src/place_wait.rs
@@ -120,29 +120,19 @@
         if is_blind {
             return PlaceDecision::Wait { longest, expected: Duration::ZERO, gain: self.detour() };
         }
-        let useful = self.useful();
-        let before = forecast.clone();
-        let Some(expected) = self.last_wait(tasks, need, free, forecast, useful) else {
-            *forecast = before;
-            return PlaceDecision::Elsewhere;
-        };
+        let Some(expected) = self.last_wait(tasks, need, free, forecast) else { return PlaceDecision::Elsewhere };
         PlaceDecision::Wait { longest, expected, gain: self.detour().saturating_sub(expected) }
     }
 
-    /// Reserves capacity for a number of tasks and returns the expected wait of the last one, or `None` if that is longer
-    /// than `longest`.
+    /// Reserves capacity for a number of tasks and returns the expected wait of the last one, or `None` if it is not worth
+    /// it.
     pub(crate) fn last_wait(
         &self,
         tasks: u32,
         need: &TaskNeed,
         free: &[Option<RackRoom>],
         forecast: &mut RackForecast,
-        longest: Duration,
     ) -> Option<Duration> {
-        let mut last = Duration::ZERO;
-        for _ in 0..tasks.min(MAX_TASK_LOOKS) {
-            last = forecast.reserve(need, self.duration, free, longest)?;
-        }
-        Some(last)
+        forecast.reserve(tasks.min(MAX_TASK_LOOKS), (need, self.duration), free, self.useful())
     }
 }
--- a/crates/parsleywalk-batch/src/place_wait_tests.rs
+++ b/crates/parsleywalk-batch/src/place_wait_tests.rs
@@ -89,7 +89,7 @@
 fn a_task_fits_on_one_worker() {
     let longest = Duration::from_secs(1);
     let reserve = |cores, free: [Option<RackRoom>; 2]| {
-        forecast([&[100, 300], &[200]]).reserve(&need(cores), longest, &free, longest).map(|wait| wait.as_millis())
+        forecast([&[100, 300], &[200]]).reserve(1, (&need(cores), longest), &free, longest).map(|wait| wait.as_millis())
     };
     assert_eq!(reserve(2, [Some(room(0)), Some(room(0))]), Some(300));
     assert_eq!(reserve(2, [Some(room(0)), Some(room(1))]), Some(200));
--- a/crates/parsleywalk-batch/src/place_waits.rs
+++ b/crates/parsleywalk-batch/src/place_waits.rs
@@ -1,11 +1,13 @@
 //! The steps that wait for a rack.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use parsleywalk_units::{MonotonicTime, WorkerId};
 
 use crate::rack_results::RackResults;
 use crate::worker_ends::WorkerEnds;
+use crate::worker_view::WorkerView;
 use crate::{BatchState, SortedMap, StepRecord, TaskKey};
 
 /// A step that waits or has waited for a rack, or a rack-local step that has chosen its rack.
@@ -48,6 +50,11 @@
         Some(until.since(now))
     }
 
+    /// Returns the number of tasks of a step that waited in the last cycle.
+    pub(crate) fn tasks(&self, first: &TaskKey) -> u32 {
+        self.steps.get(first).map_or(0, |wait| wait.tasks)
+    }
+
     /// Counts the tasks of a waiting step that have been placed on the rack, and those that wait no longer.
     pub(crate) fn count(&mut self, now: MonotonicTime, first: &TaskKey, placed: u32, waiting: u32) {
         let Some(wait) = self.steps.get_mut(first).filter(|wait| wait.tasks > 0) else { return };
@@ -71,7 +78,7 @@
         self.step_mut(first, rack).is_rack_local = true;
     }
 
-    /// Records that tasks of a step wait. Returns true if that is a new decision.
+    /// Records that tasks of a step wait. Returns true if that is a new decision, by the rack or because none waited.
     pub(crate) fn record(
         &mut self,
         first: &TaskKey,
@@ -79,9 +86,10 @@
         period: (MonotonicTime, MonotonicTime),
         tasks: u32,
     ) -> bool {
+        let is_same_rack = self.steps.get(first).is_some_and(|wait| wait.rack == rack);
         let wait = self.step_mut(first, rack);
         wait.tasks = tasks;
-        let is_new = wait.period.is_none();
+        let is_new = wait.period.is_none() || !is_same_rack;
         wait.period.get_or_insert(period);
         is_new
     }
@@ -109,8 +117,12 @@
         });
     }
 
-    /// Forgets workers that are not known any more.
-    pub(crate) fn prune(&mut self, is_known: impl Fn(&WorkerId) -> bool) {
-        self.ends.retain(|worker, _| is_known(worker));
+    /// Forgets workers that are not known any more, and racks without workers.
+    pub(crate) fn prune(&mut self, workers: &SortedMap<WorkerId, WorkerView>) {
+        self.ends.retain(|worker, _| workers.contains(worker));
+        if !self.racks.is_empty() {
+            let racks: BTreeSet<&str> = workers.iter().filter_map(|(_, view)| view.rack.as_deref()).collect();
+            self.racks.retain(|rack, _| racks.contains(rack.as_str()));
+        }
     }
 }
--- a/crates/parsleywalk-batch/src/placement.rs
+++ b/crates/parsleywalk-batch/src/placement.rs
@@ -23,7 +23,7 @@
 
 /// The maximum number of placements in one scheduling cycle, which keeps a cycle well below the leader's heartbeat
 /// interval.
-const MAX_PLACEMENTS_PER_CYCLE: usize = 400;
+pub(crate) const MAX_PLACEMENTS_PER_CYCLE: usize = 400;
 
 /// The percentage of the cores allocated to long-running tasks that best-effort tasks may use. Long-running tasks are
 /// sized for peak load; if best-effort tasks get more than what is idle, they only run more slowly.
--- a/crates/parsleywalk-batch/src/rack_cycle.rs
+++ b/crates/parsleywalk-batch/src/rack_cycle.rs
@@ -16,10 +16,12 @@
     pub(crate) remote_factor: Option<f32>,
     pub(crate) waits: PlaceWaits,
     pub(crate) index: RackIndex<'a>,
+    /// The number of steps that have looked for a rack.
+    pub(crate) searches: usize,
 }
 
 impl<'a> RackCycle<'a> {
-    /// Returns the rack at a position with its workers, and its forecast.
+    /// Returns the forecast of the rack at a position.
     pub(crate) fn forecast(
         &mut self,
         dispatcher: &Dispatcher,
@@ -36,7 +38,10 @@
             let forecast = RackForecast::new(workers.iter().map(|worker| {
                 let candidate = &candidates[*worker];
                 let Some(record) = candidate.record else { return Vec::new() };
-                let ends = ends.entry(candidate.id.clone(), WorkerEnds::default);
+                if !ends.contains(candidate.id) {
+                    ends.insert(candidate.id.clone(), WorkerEnds::default());
+                }
+                let Some(ends) = ends.get_mut(candidate.id) else { return Vec::new() };
                 ends.refresh(now, state, candidate.view, record, model);
                 ends.releases(now, dispatcher.settings.max_place_wait, report_delay)
             }));
@@ -51,6 +56,11 @@
     pub(crate) fn begin_rack_cycle<'a>(&mut self, now: MonotonicTime) -> RackCycle<'a> {
         let is_known = now.since(self.leader_since) >= crate::admission::LEADER_WARM_UP;
         let remote_factor = self.settings.remote_factor.filter(|factor| is_known && *factor > 1.0);
-        RackCycle { remote_factor, waits: std::mem::take(&mut self.place_waits), index: RackIndex::default() }
+        RackCycle {
+            remote_factor,
+            waits: std::mem::take(&mut self.place_waits),
+            index: RackIndex::default(),
+            searches: 0,
+        }
     }
 }
--- a/crates/parsleywalk-batch/src/rack_forecast.rs
+++ b/crates/parsleywalk-batch/src/rack_forecast.rs
@@ -54,45 +54,44 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RackForecast {
     workers: Vec<WorkerForecast>,
-    /// What tasks needed for which no capacity becomes free. Larger ones need not be looked at.
-    exhausted: Vec<TaskNeed>,
 }
 
 impl RackForecast {
     /// Creates a forecast from the ends of runs by worker, each sorted by time.
     pub(crate) fn new(releases: impl Iterator<Item = Vec<RoomRelease>>) -> Self {
         let worker = |releases| WorkerForecast { reserved: RackRoom::default(), releases };
-        Self { workers: releases.map(worker).collect(), exhausted: Vec::new() }
+        Self { workers: releases.map(worker).collect() }
     }
 
-    /// Reserves the first capacity for a task of a duration, and returns the time until then; `None` if there is none
-    /// within `longest`. `free` is what the workers have now, or `None` for workers that the task must not use.
+    /// Reserves capacity for equal tasks of a duration, and returns the time until the last one can start; `None`, with
+    /// nothing reserved, if that is longer than `longest`. `free` is what the workers have now, or `None` for workers that
+    /// the tasks must not use.
     pub(crate) fn reserve(
         &mut self,
-        need: &TaskNeed,
-        duration: Duration,
+        tasks: u32,
+        (need, duration): (&TaskNeed, Duration),
         free: &[Option<RackRoom>],
         longest: Duration,
     ) -> Option<Duration> {
-        if self.exhausted.iter().any(|known| need.is_at_least(known)) {
-            return None;
-        }
-        let usable = self.workers.iter().zip(free).enumerate();
-        let starts = usable.filter_map(|(index, (worker, free))| {
-            let free = free.as_ref()?;
-            Some((worker.earliest(free, need)?, index, *free))
-        });
-        let Some((after, index, free)) = starts.min_by_key(|(after, index, _)| (*after, *index)) else {
-            if free.iter().all(Option::is_some) {
-                self.exhausted.push(*need);
+        let earliest = |worker: &WorkerForecast, free: &Option<RackRoom>| worker.earliest(free.as_ref()?, need);
+        let mut starts: Vec<Option<Duration>> =
+            self.workers.iter().zip(free).map(|(worker, free)| earliest(worker, free)).collect();
+        let mut before = None;
+        let mut last = Duration::ZERO;
+        for _ in 0..tasks {
+            let next = starts.iter().enumerate().filter_map(|(index, start)| Some(((*start)?, index))).min();
+            let Some((start, index)) = next.filter(|(start, _)| *start <= longest) else {
+                self.workers = before.unwrap_or_else(|| std::mem::take(&mut self.workers));
+                return None;
+            };
+            before.get_or_insert_with(|| self.workers.clone());
+            if let Some(room) = &free[index] {
+                self.workers[index].reserve(room, need, start, start.saturating_add(duration));
             }
-            return None;
-        };
-        if after > longest {
-            return None;
+            starts[index] = earliest(&self.workers[index], &free[index]);
+            last = last.max(start);
         }
-        self.workers[index].reserve(&free, need, after, after.saturating_add(duration));
-        Some(after)
+        Some(last)
     }
 
     /// Returns the cores that become free.
--- a/crates/parsleywalk-batch/src/rack_placement.rs
+++ b/crates/parsleywalk-batch/src/rack_placement.rs
@@ -6,7 +6,7 @@
 
 use crate::candidate::CandidateWorker;
 use crate::place_wait::{PlaceDecision, PlaceWait};
-use crate::placement::last_placement;
+use crate::placement::{MAX_PLACEMENTS_PER_CYCLE, last_placement};
 use crate::placement_request::PlacementRequest;
 use crate::rack_cycle::RackCycle;
 use crate::rack_room::{RackRoom, TaskNeed};
@@ -19,6 +19,10 @@
 
 /// The number of racks that a rack-local step looks at closely, those with the most capacity first.
 const MAX_RACK_LOOKS: usize = 4;
+/// The number of steps that look for a rack in one cycle. Those after them are the least urgent, and go on without one.
+const MAX_RACK_SEARCHES: usize = 64;
+/// A step that waits for a rack chooses another only if that one is sooner by this, about two cycles.
+const MIN_RACK_ADVANTAGE: Duration = Duration::from_millis(100);
 
 /// A step that gets capacity now.
 #[derive(Debug, Clone, Copy)]
@@ -63,6 +67,12 @@
         let max_tasks = last_placement(&[], &turn).saturating_sub(placed as usize);
         let untried = record.task_count().saturating_sub(next_index);
         let left = record.waiting.saturating_sub(placed).min(untried).min(u32::try_from(max_tasks).unwrap_or(u32::MAX));
+        let is_cut = left == 0 || placements.len() >= MAX_PLACEMENTS_PER_CYCLE;
+        if is_cut {
+            // What is left goes on in the next turn or cycle.
+            racks.waits.count(step.now, first, placed, racks.waits.tasks(first).saturating_sub(placed));
+            return StepTurn { max_tasks: 0, ..turn };
+        }
         let waiting = self.wait_for_rack(step, racks, (position, rack), left, candidates);
         racks.waits.count(step.now, first, placed, waiting);
         StepTurn { first_index: next_index, max_tasks: (left - waiting) as usize, ..turn }
@@ -110,28 +120,35 @@
         if !spec.rack_local {
             return None;
         }
-        if let Some(wait) = racks.waits.steps.get(first) {
-            return racks.index.position(candidates, &job.submission.service, &wait.rack);
-        }
+        let known = racks.waits.steps.get(first);
+        let known = known.and_then(|wait| racks.index.position(candidates, &job.submission.service, &wait.rack));
         // The racks of runs that an earlier leader has placed, or that were placed on several racks, are not known.
         let is_unplaced = record.waiting == record.task_count();
-        if is_unplaced { self.soonest_rack(step, racks, candidates) } else { None }
+        if is_unplaced { self.soonest_rack(step, racks, candidates, known) } else { known }
     }
 
-    /// Returns the rack on which all tasks of a step are expected to be soonest, if they may wait for so long.
+    /// Returns the rack on which all tasks of a step are expected to be soonest, if they may wait for so long. `known` is
+    /// the one that they wait for.
     fn soonest_rack<'a>(
         &self,
         step: &PlacedStep<'_>,
         racks: &mut RackCycle<'a>,
         candidates: &[CandidateWorker<'a>],
+        known: Option<usize>,
     ) -> Option<usize> {
+        racks.searches += 1;
+        if racks.searches > MAX_RACK_SEARCHES {
+            return None;
+        }
         let wait = self.place_wait(step, racks)?;
         let service = &step.job.submission.service;
+        let cores = u64::from(step.spec.size.cores.get()).saturating_mul(u64::from(step.record.waiting));
         let mut largest: Vec<(u64, usize)> = Vec::new();
         for position in 0..racks.index.rows(candidates).len() {
             racks.forecast(self, (step.now, step.state), position, candidates);
             let row = &racks.index.rows(candidates)[position];
-            largest.extend((row.service == service).then_some((row.potential_cores, position)));
+            let is_large = known == Some(position) || row.potential_cores >= cores;
+            largest.extend((row.service == service && is_large).then_some((row.potential_cores, position)));
         }
         largest.sort_unstable_by(|left, right| right.cmp(left));
         let need = TaskNeed::of(step.spec);
@@ -141,14 +158,14 @@
             let mut forecast = racks.forecast(self, (step.now, step.state), position, candidates).clone();
             let tasks = step.record.waiting;
             let wait = PlaceWait { lost_time: racks.waits.cost(racks.index.rows(candidates)[position].rack), ..wait };
-            let longest = wait.useful();
-            let last = wait.last_wait(tasks, &need, &free, &mut forecast, longest);
+            let advantage = if known == Some(position) { MIN_RACK_ADVANTAGE } else { Duration::ZERO };
+            let last = wait.last_wait(tasks, &need, &free, &mut forecast);
+            let last = last.map(|last| last.saturating_sub(advantage));
             if let Some(last) = last.filter(|last| soonest.is_none_or(|(known, _)| *last < known)) {
                 soonest = Some((last, position));
             }
         }
         let (_, position) = soonest?;
-        let cores = u64::from(step.spec.size.cores.get()).saturating_mul(u64::from(step.record.waiting));
         let row = &mut racks.index.rows(candidates)[position];
         row.potential_cores = row.potential_cores.saturating_sub(cores);
         Some(position)
@@ -188,7 +205,8 @@
         let &PlacedStep { now, job, record, ref first, .. } = step;
         let outlook = self.outlooks.get(first.job)?;
         let since = self.accepted_times.get(&first.job).copied().unwrap_or(now);
-        let idle = self.idle_since.get(&first.job).filter(|_| !job.has_live_runs());
+        // A placed run does not count until a worker lists it.
+        let idle = self.idle_since.get(&first.job);
         // A job that has lost its runs had been idle for some time before the leader knew.
         let is_lost = |task: &TaskRecord| !task.done && task.live == 0 && task.last_run > RunNumber::ZERO;
         if idle.is_some() && record.tasks.iter().any(is_lost) {
--- a/crates/parsleywalk-batch/src/rack_room.rs
+++ b/crates/parsleywalk-batch/src/rack_room.rs
@@ -54,12 +54,4 @@
     pub(crate) fn of(spec: &StepSpec) -> Self {
         Self { room: RackRoom::of_run(&spec.size, spec.best_effort), best_effort: spec.best_effort }
     }
-
-    /// Returns true if the task needs at least as much as another one of its kind.
-    pub(crate) fn is_at_least(&self, other: &Self) -> bool {
-        let (room, known) = (&self.room, &other.room);
-        self.best_effort == other.best_effort
-            && known.size.fits_within(&room.size)
-            && known.best_effort <= room.best_effort
-    }
 }
