--- a/crates/parsleywalk-batch/src/rack_placement.rs
+++ b/crates/parsleywalk-batch/src/rack_placement.rs
@@ -66,16 +66,16 @@
         }
         let max_tasks = last_placement(&[], &turn).saturating_sub(placed as usize);
         let untried = record.task_count().saturating_sub(next_index);
-        let left = record.waiting.saturating_sub(placed).min(untried).min(u32::try_from(max_tasks).unwrap_or(u32::MAX));
-        let is_cut = left == 0 || placements.len() >= MAX_PLACEMENTS_PER_CYCLE;
-        if is_cut {
+        let left = record.waiting.saturating_sub(placed).min(untried);
+        if left == 0 || max_tasks == 0 || placements.len() >= MAX_PLACEMENTS_PER_CYCLE {
             // What is left goes on in the next turn or cycle.
             racks.waits.count(step.now, first, placed, racks.waits.tasks(first).saturating_sub(placed));
             return StepTurn { max_tasks: 0, ..turn };
         }
         let waiting = self.wait_for_rack(step, racks, (position, rack), left, candidates);
         racks.waits.count(step.now, first, placed, waiting);
-        StepTurn { first_index: next_index, max_tasks: (left - waiting) as usize, ..turn }
+        let max_tasks = if waiting > 0 { 0 } else { max_tasks.min(left as usize) };
+        StepTurn { first_index: next_index, max_tasks, ..turn }
     }
 
     /// Places a gang on a rack, or decides that it waits. Returns false if it may be placed elsewhere.
