--- a/crates/parsleywalk-batch/tests/guarantees.rs
+++ b/crates/parsleywalk-batch/tests/guarantees.rs
@@ -10,7 +10,8 @@
 };
 use parsleywalk_units::{MemoryBytes, MilliCores, ResourceSize, ZoneDirection};
 use rstest::rstest;
-use support::{FakeFleet, RandomSteps, step, submission};
+use support::random_steps::RandomSteps;
+use support::{FakeFleet, step, submission};
 
 /// The number of simulation steps before the faults end.
 const FAULT_STEPS: u32 = 1200;
--- a/crates/parsleywalk-batch/tests/support/mod.rs
+++ b/crates/parsleywalk-batch/tests/support/mod.rs
@@ -3,8 +3,10 @@
 #![allow(dead_code, reason = "each test uses a part")]
 #![allow(clippy::struct_excessive_bools, reason = "each fault is switched by itself")]
 
+mod describe;
 pub(crate) mod plays;
 pub(crate) mod racks;
+pub(crate) mod random_steps;
 mod transit;
 mod worker;
 pub(crate) mod workspaces;
@@ -567,74 +569,3 @@
         }
     }
 }
-
-/// A generator of random job steps.
-pub(crate) struct RandomSteps;
-
-impl RandomSteps {
-    pub(crate) fn random(rng: &mut TestRng) -> Vec<StepSpec> {
-        let steps = 1 + rng.next_below(3);
-        (0..steps)
-            .map(|number| {
-                let number = u16::try_from(number).expect("small");
-                let count = 1 + u32::try_from(rng.next_below(6)).expect("small");
-                let mut spec =
-                    step(count, 1 + u32::try_from(rng.next_below(6)).expect("small"), 200 + rng.next_below(1500));
-                if number > 0 && rng.chance(60) {
-                    spec.depends_on = vec![number - 1];
-                }
-                spec.best_effort = rng.chance(20);
-                spec.gang = !spec.best_effort && rng.chance(10);
-                spec.checkpointable = rng.chance(50);
-                if rng.chance(20) {
-                    spec.per_worker_limit = Some(2);
-                }
-                if rng.chance(20) {
-                    spec.preferred_rack = Some("rack-1".to_owned());
-                }
-                spec
-            })
-            .collect()
-    }
-}
-
-impl FakeFleet {
-    /// Describes the unfinished jobs and the workers for a failed assertion.
-    pub(crate) fn describe_unfinished(&self) -> String {
-        let mut text = String::new();
-        for (id, job) in self.state.active_jobs().take(3) {
-            text.extend([format!("\n{id} {:?} sequence {}", job.status, job.sequence)]);
-            for (number, step) in job.occurrences[0].steps.iter().enumerate() {
-                let spec = &job.submission.spec.steps[number];
-                text.extend([format!(
-                    "\n  step {number}: waiting {} done {} gang {} best-effort {} after {:?} limit {:?} size {} tasks {:?}",
-                    step.waiting,
-                    step.done,
-                    spec.gang,
-                    spec.best_effort,
-                    spec.depends_on,
-                    spec.per_worker_limit,
-                    spec.size,
-                    step.tasks.iter().map(|task| (task.live, task.last_run.get(), task.done)).collect::<Vec<_>>()
-                )]);
-            }
-        }
-        for worker in &self.workers {
-            let record = self.state.worker(&worker.id);
-            text.extend([format!(
-                "\n{} incarnation {} runs {:?} unacknowledged {} record {:?}",
-                worker.id,
-                worker.incarnation,
-                worker.runs.keys().map(ToString::to_string).collect::<Vec<_>>(),
-                worker.ended.len(),
-                record.map(|record| (
-                    record.incarnation,
-                    record.settled,
-                    record.allocated,
-                    record.runs.iter().map(|(task, entry)| format!("{task}/{}", entry.run)).collect::<Vec<_>>()
-                ))
-            )]);
-        }
-        text
-    }
-}
--- a/crates/parsleywalk-batch/tests/workspace_limits.rs
+++ b/crates/parsleywalk-batch/tests/workspace_limits.rs
@@ -9,8 +9,9 @@
 use parsleywalk_batch::{JobId, JobRecord, RunNumber, StepSpec, TaskKey};
 use parsleywalk_units::{ResourceSize, WorkspaceName};
 use rstest::rstest;
+use support::random_steps::RandomSteps;
 use support::workspaces::{share, workspace};
-use support::{FakeFleet, FakeWorker, RandomSteps, STEP_DURATION, TestRng, size, step, submission};
+use support::{FakeFleet, FakeWorker, STEP_DURATION, TestRng, size, step, submission};
 
 const NAMES: [&str; 3] = ["alpha", "beta", "gamma"];
 
