Tighten the tests of waiting for a rack

Trials with faults put in by hand showed that the test of rack-local steps passed when the step took the last rack that it looked at, and that the loads left much room.

--- a/crates/parsleywalk-batch/tests/place_wait.rs
+++ b/crates/parsleywalk-batch/tests/place_wait.rs
@@ -18,11 +18,11 @@
 /// and 105% in the slowest tenth, and no job may be idle for long beside free workers.
 #[rstest]
 #[case::cold_rack(RackLoad::ColdRack, 98)]
-#[case::hot_rack(RackLoad::HotRack, 100)]
-#[case::leaving_rack(RackLoad::LeavingRack, 95)]
-#[case::wrong_estimates(RackLoad::WrongEstimates, 95)]
+#[case::hot_rack(RackLoad::HotRack, 97)]
+#[case::leaving_rack(RackLoad::LeavingRack, 90)]
+#[case::wrong_estimates(RackLoad::WrongEstimates, 90)]
 #[case::one_rack(RackLoad::OneRack, 100)]
-#[case::mixed(RackLoad::Mixed, 95)]
+#[case::mixed(RackLoad::Mixed, 90)]
 fn jobs_end_sooner_with_waiting(#[case] load: RackLoad, #[case] max_percent: u32) {
     let [without, with] = [None, Some(PlaceWaitPolicy::Gain)].map(|policy| play(load, policy, SEEDS));
     let means = (with.mean(), without.mean());
@@ -102,8 +102,8 @@
     fleet.settings.remote_factor = Some(3.0);
     fleet.change_leader();
     fleet.run_for(Duration::from_secs(3));
-    // Rack 0 is half free; rack 1 is full, but sooner free than rack 2.
-    for (number, cores, milliseconds) in [(0, 16, 5000), (1, 32, 1500), (2, 32, 4000)] {
+    // Rack 0 is half free; the others are full, and rack 2 is free sooner.
+    for (number, cores, milliseconds) in [(0, 16, 5000), (1, 32, 1800), (2, 32, 1500)] {
         let spec = StepSpec { preferred_rack: Some(rack(number)), ..step(4, cores, milliseconds) };
         fleet.submit(submission(u64::from(number) + 1, 0, vec![spec]));
     }
@@ -111,7 +111,7 @@
     let job = fleet.submit(submission(9, 0, vec![StepSpec { rack_local: true, ..step(8, 16, 3000) }]));
     fleet.run_for(Duration::from_millis(1200));
     let racks = fleet.workers.iter().map(|worker| worker.runs.keys().filter(|task| task.job == job).count());
-    assert_eq!(racks.collect::<Vec<_>>(), [0, 0, 0, 0, 2, 2, 2, 2, 0, 0, 0, 0]);
+    assert_eq!(racks.collect::<Vec<_>>(), [0, 0, 0, 0, 0, 0, 0, 0, 2, 2, 2, 2]);
 }
 
 /// Guards against waiting steps that cost a look at every worker in each cycle, and against any cost for steps that name no
