Don't hold the response to a draining worker

The worker's run ended while the response to its report was held; it can list the end only afterwards, and it exits when its last run has ended. The response to a draining worker is now sent at once, and a held one when the exit is announced. The test of the held response fails without the change.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -504,9 +504,13 @@
         known.max(self.workers.len()) > self.settings.direct_workers
     }
 
-    /// Returns how long the response to a worker's report may be held until there is work for the worker.
+    /// Returns how long the response to a worker's report may be held until there is work for the worker. A draining worker
+    /// gets none, and may exit as soon as its last run has ended: it can list that end only once it has the response.
     #[must_use]
     pub fn max_hold(&self, state: &BatchState, worker: &WorkerId) -> Duration {
+        if self.workers.get(worker).is_some_and(|view| view.draining) {
+            return Duration::ZERO;
+        }
         if self.is_idle(state, worker) { self.settings.idle_hold } else { self.settings.busy_hold(self.workers.len()) }
     }
 }
--- a/crates/parsleywalk-batch/tests/late_ends.rs
+++ b/crates/parsleywalk-batch/tests/late_ends.rs
@@ -238,3 +238,16 @@
     let job = fleet.state.job(JobId::new(1)).expect("known");
     assert_eq!(tasks.map(|task| job.task(&task).expect("a task").done), [false, true]);
 }
+
+/// Guards against an end that a draining worker can't list before it exits, since the response to its report is held.
+#[test]
+fn the_response_to_a_draining_worker_is_not_held() {
+    let mut fleet = FakeFleet::new(200, 1);
+    fleet.submit(submission(1, 0, vec![step(1, 1, 60_000)]));
+    fleet.run_for(START_TIME);
+    let worker = fleet.workers[0].id.clone();
+    assert!(fleet.dispatcher.max_hold(&fleet.state, &worker) > Duration::ZERO);
+    fleet.workers[0].draining = true;
+    fleet.run_for(START_TIME);
+    assert_eq!(fleet.dispatcher.max_hold(&fleet.state, &worker), Duration::ZERO);
+}
--- a/crates/parsleywalk-fleet/src/core/requests.rs
+++ b/crates/parsleywalk-fleet/src/core/requests.rs
@@ -50,6 +50,10 @@
             LeaderRequest::Report(report) => self.handle_report(now, &report, sender),
             LeaderRequest::Leave { worker, incarnation } => {
                 info!("event=worker_leaving worker={worker} incarnation={incarnation:?}");
+                // Only with this response can the worker send a last report.
+                if let Some(report) = self.held.take(&worker) {
+                    self.respond(now, report);
+                }
                 let Some(leader_state) = &mut self.leader_state else { return };
                 match leader_state.dispatcher.mark_departed(&self.state, &worker, incarnation) {
                     Some(command) => self.propose(vec![command], Waiter::Reply(sender)),
