Don't hold a response once a worker has announced its exit

The answer to a held report at the announcement, which had no test, has one: each of the two cases fails without its part.

--- a/crates/parsleywalk-batch/src/dispatcher.rs
+++ b/crates/parsleywalk-batch/src/dispatcher.rs
@@ -489,6 +489,12 @@
         record.is_some_and(|record| record.runs.iter().any(|(task, entry)| !view.lists(task, entry.run)))
     }
 
+    /// Returns true if the worker has announced its exit.
+    #[must_use]
+    pub fn has_departed(&self, worker: &WorkerId) -> bool {
+        self.workers.get(worker).is_some_and(|view| view.departed)
+    }
+
     /// Returns how often a worker has been ranked for a step since the start, as a measure of the work of placement.
     #[must_use]
     pub fn ranked_workers(&self) -> u64 {
--- a/crates/parsleywalk-batch/src/lib.rs
+++ b/crates/parsleywalk-batch/src/lib.rs
@@ -61,6 +61,8 @@
 mod step_history;
 mod step_order;
 mod task_shape;
+#[cfg(test)]
+mod test_submission;
 mod unordered_runs;
 mod urgency;
 #[cfg(test)]
@@ -77,9 +79,9 @@
 mod worker_speed;
 mod worker_view;
 mod workspace;
+mod workspace_allocations;
 mod workspace_shares;
 mod workspace_summary;
-mod workspace_usage;
 
 pub use admission::JobRefusal;
 pub use command::{BatchCommand, JobSubmission, RunEnd, RunOutcome, RunPlacement, decode_commands, encode_commands};
--- a/crates/parsleywalk-batch/src/overload_feed.rs
+++ b/crates/parsleywalk-batch/src/overload_feed.rs
@@ -119,10 +119,13 @@
             let sample = samples.entry(&view.service, ServiceSample::default);
             sample.in_service += f64::from(view.capacity.cores.get());
             let Some(record) = record.filter(|record| record.incarnation == view.incarnation) else { continue };
-            let lasting = view.long_running.allocated.cores;
+            let long_running = view.long_running.allocated.cores;
             let [allocated, best_effort] = &mut sample.delivered;
-            *allocated += f64::from(record.allocated.cores.saturating_sub(lasting).get());
-            *best_effort += f64::from(record.best_effort_cores.get()) * used_share(now, view);
+            *allocated += f64::from(record.allocated.cores.saturating_sub(long_running).get());
+            let best_effort_cores = record.best_effort_cores.get();
+            if best_effort_cores > 0 {
+                *best_effort += f64::from(best_effort_cores) * used_share(now, view);
+            }
         }
         for (service, sample) in samples.iter() {
             for kind in [WorkKind::Allocated, WorkKind::BestEffort] {
--- a/crates/parsleywalk-batch/src/refusal_audit_tests.rs
+++ b/crates/parsleywalk-batch/src/refusal_audit_tests.rs
@@ -6,22 +6,11 @@
 use rstest::rstest;
 
 use super::{AUDIT_INTERVAL, MAX_REFUSALS, RefusalAudit};
-use crate::{JobId, JobSpec, JobSubmission, StepSpec};
+use crate::StepSpec;
+use crate::test_submission::submission;
 
 fn refuse(audit: &mut RefusalAudit, now: MonotonicTime, job: u64, retry_after: Duration) {
-    let spec = JobSpec { steps: vec![StepSpec { count: 8, ..StepSpec::default() }], ..JobSpec::default() };
-    let submission = JobSubmission {
-        job: JobId::new(job),
-        spec,
-        queue: "queue".to_owned(),
-        service: "service".parse().expect("a name"),
-        priority: 2,
-        attempt_limit: 3,
-        stretch: 2.0,
-        latency_objective: Duration::from_secs(1),
-        advised: false,
-        accepted_unix_ms: 0,
-    };
+    let submission = submission(job, StepSpec { count: 8, ..StepSpec::default() });
     audit.record(now, &submission, None, retry_after);
 }
 
--- a/crates/parsleywalk-batch/src/shared_order.rs
+++ b/crates/parsleywalk-batch/src/shared_order.rs
@@ -166,9 +166,9 @@
         let need = total_size(&spec.size, needed);
         let (shares, accounts) = (self.shares, self.cycles.len());
         let long_running = self.long_running.get_or_insert_with(|| long_running_sizes(state, shares, accounts));
-        let lasting = long_running[account.0 as usize];
+        let long_running = long_running[account.0 as usize];
         let cycle = &mut self.cycles[account.0 as usize];
-        let Some(need) = need.filter(|need| limit.permits(&lasting, need)) else {
+        let Some(need) = need.filter(|need| limit.permits(&long_running, need)) else {
             cycle.skip_oversized(class, job);
             return;
         };
--- a/crates/parsleywalk-batch/src/state.rs
+++ b/crates/parsleywalk-batch/src/state.rs
@@ -7,7 +7,7 @@
 
 use crate::error::{decode_prefix, encode};
 use crate::snapshot_extension::{self, SnapshotExtension};
-use crate::workspace_usage::WorkspaceUsage;
+use crate::workspace_allocations::WorkspaceAllocations;
 use crate::{
     BatchCommand, EndNumber, JobId, JobRecord, JobStatus, JobSubmission, QueueConfiguration, Result, RunEnd, RunNumber,
     RunOutcome, RunPlacement, SortedMap, StepSpec, TaskKey, WorkspaceConfiguration,
@@ -112,7 +112,7 @@
     workspaces: Option<Arc<WorkspaceConfiguration>>,
     /// The resources allocated to the placed runs of each workspace.
     #[serde(skip)]
-    workspace_usage: WorkspaceUsage,
+    workspace_allocations: WorkspaceAllocations,
     /// The jobs that became final since the last call of `take_newly_ended`.
     #[serde(skip)]
     newly_ended: Vec<(JobId, JobStatus)>,
@@ -141,7 +141,7 @@
     /// Returns the resources allocated to the placed runs of a workspace. Best-effort runs count with their cores.
     #[must_use]
     pub fn workspace_allocation(&self, workspace: &WorkspaceName) -> ResourceSize {
-        self.workspace_usage.allocated(workspace)
+        self.workspace_allocations.allocated(workspace)
     }
 
     /// Returns true if operators have taken the zone out of service.
@@ -263,7 +263,7 @@
                 workspace;
         }
         for run in self.workers.iter().flat_map(|(_, worker_record)| worker_record.runs.iter().map(|(_, run)| run)) {
-            self.workspace_usage.charge(run.workspace.as_ref(), &run.size);
+            self.workspace_allocations.charge(run.workspace.as_ref(), &run.size);
         }
         Ok(())
     }
@@ -375,7 +375,7 @@
         entry.live += 1;
         entry.last_run = *run;
         let workspace = record.workspace.clone();
-        self.workspace_usage.charge(workspace.as_ref(), &spec.size);
+        self.workspace_allocations.charge(workspace.as_ref(), &spec.size);
         let entry = PlacedRun { run: *run, size: spec.size, best_effort: spec.best_effort, workspace };
         worker_record.add(*task, entry);
         if record.status == JobStatus::Pending {
@@ -399,7 +399,7 @@
             worker_record.settled = end.number;
             // The end of a run that was already declared lost changes nothing.
             if let Some(entry) = worker_record.remove(&end.task, end.run) {
-                self.workspace_usage.refund(entry.workspace.as_ref(), &entry.size);
+                self.workspace_allocations.refund(entry.workspace.as_ref(), &entry.size);
                 self.end_run(&end.task, end.run, end.outcome, &end.saved);
             }
         }
@@ -416,7 +416,7 @@
         let lost = std::mem::replace(worker_record, next);
         for (task, entry) in lost.runs.iter() {
             let checkpoint = saved.iter().find(|(key, _)| key == task).map_or("", |(_, checkpoint)| checkpoint);
-            self.workspace_usage.refund(entry.workspace.as_ref(), &entry.size);
+            self.workspace_allocations.refund(entry.workspace.as_ref(), &entry.size);
             self.end_run(task, entry.run, RunOutcome::LeaseLapsed, checkpoint);
         }
         BatchReply::Done
@@ -427,7 +427,7 @@
             let worker_record =
                 self.workers.get_mut(worker).filter(|worker_record| worker_record.incarnation == incarnation);
             if let Some(entry) = worker_record.and_then(|worker_record| worker_record.remove(task, *run)) {
-                self.workspace_usage.refund(entry.workspace.as_ref(), &entry.size);
+                self.workspace_allocations.refund(entry.workspace.as_ref(), &entry.size);
                 self.end_run(task, *run, RunOutcome::Refused, "");
             }
         }
--- a/crates/parsleywalk-batch/src/urgency_tests.rs
+++ b/crates/parsleywalk-batch/src/urgency_tests.rs
@@ -8,9 +8,10 @@
 use rstest::rstest;
 
 use crate::job_outlook::JobOutlooks;
+use crate::test_submission::submission;
 use crate::urgency::JobUrgency;
 use crate::work_model::WorkModel;
-use crate::{JobId, JobRecord, JobSpec, JobSubmission, StepSpec};
+use crate::{JobId, JobRecord, JobSubmission, StepSpec};
 
 /// Guards against objectives that a workspace's limit makes impossible: 16 tasks of 1 s, of which the limit permits 4 at a
 /// time, take 4 s, so that the job ends on time within 4 s * 2 + 1 s. Without the waves it would be given up after 9 s.
@@ -27,18 +28,7 @@
 ) {
     let size = "2c/1GB/0a".parse().expect("a size");
     let step = StepSpec { count: 16, size, estimate: Duration::from_secs(1), ..StepSpec::default() };
-    let submission = JobSubmission {
-        job: JobId::new(1),
-        spec: JobSpec { steps: vec![step], ..JobSpec::default() },
-        queue: "queue".to_owned(),
-        service: "service".parse().expect("a name"),
-        priority: 0,
-        attempt_limit: 3,
-        stretch: 2.0,
-        latency_objective: Duration::from_secs(1),
-        advised: false,
-        accepted_unix_ms: 0,
-    };
+    let submission = JobSubmission { priority: 0, ..submission(1, step) };
     let job = JobRecord::new(Arc::new(submission), 1);
     let limit: ResourceLimit = limit.parse().expect("a limit");
     let since = MonotonicTime::from_millis(1);
--- a/crates/parsleywalk-batch/src/work_model_tests.rs
+++ b/crates/parsleywalk-batch/src/work_model_tests.rs
@@ -6,11 +6,12 @@
 use rstest::rstest;
 
 use crate::run_progress::WorkSample;
+use crate::test_submission::submission;
 use crate::work_model::{MAX_HISTORIES, WorkModel};
 use crate::worker_speed::WorkerSpeed;
 use crate::{
-    BatchCommand, BatchState, DispatchSettings, Dispatcher, EndNumber, FencingToken, JobId, JobSpec, JobSubmission,
-    RunEnd, RunNumber, RunOutcome, RunningTask, StepSpec, TaskKey, WorkerReport,
+    BatchCommand, BatchState, DispatchSettings, Dispatcher, EndNumber, FencingToken, JobId, JobSubmission, RunEnd,
+    RunNumber, RunOutcome, RunningTask, StepSpec, TaskKey, WorkerReport,
 };
 
 const ESTIMATE: Duration = Duration::from_secs(2);
@@ -19,21 +20,10 @@
 const CORES: u32 = 4000;
 const UNTIL_END: u64 = 60_000;
 
-fn submission(job: u64, queue: &str, estimate: Duration) -> JobSubmission {
+fn submission_to(queue: &str, job: u64, estimate: Duration) -> JobSubmission {
     let size = ResourceSize { cores: MilliCores::new(CORES), ..ResourceSize::default() };
     let step = StepSpec { count: 4, size, estimate, best_effort: true, ..StepSpec::default() };
-    JobSubmission {
-        job: JobId::new(job),
-        spec: JobSpec { payload: String::new(), steps: vec![step], schedule: None },
-        queue: queue.to_owned(),
-        service: "service".parse().expect("a name"),
-        priority: 2,
-        attempt_limit: 3,
-        stretch: 2.0,
-        latency_objective: Duration::from_secs(1),
-        advised: false,
-        accepted_unix_ms: 0,
-    }
+    JobSubmission { queue: queue.to_owned(), ..submission(job, step) }
 }
 
 fn report(sequence: u64, clock: Duration, percent: u8, figure: u32) -> WorkerReport {
@@ -58,7 +48,7 @@
 fn predict(estimate: Duration, rows: &[(u64, u8, u32)]) -> u128 {
     let start = MonotonicTime::from_millis(10_000);
     let mut dispatcher = Dispatcher::new(DispatchSettings::default(), FencingToken::new(1), start);
-    let submission = submission(1, "queue", estimate);
+    let submission = submission_to("queue", 1, estimate);
     let mut state = BatchState::default();
     state.apply(&BatchCommand::Submit(Box::new(submission.clone())));
     for (sequence, (clock, percent, figure)) in (1..).zip(rows) {
@@ -119,10 +109,10 @@
             let task = TaskKey { job: JobId::new(job), ..TASK };
             model.record_progress(&task, &measured);
             let estimate = Duration::from_millis(estimates_ms[usize::from(job % 2 == 0)]);
-            model.record_end(&submission(job, queue, estimate), &task);
+            model.record_end(&submission_to(queue, job, estimate), &task);
             model.prune(&BatchState::default());
         }
-        model.predict(&submission(1000, queue, ESTIMATE), 0)
+        model.predict(&submission_to(queue, 1000, ESTIMATE), 0)
     };
     let wrong = learn("wrong", [300, 3000]);
     assert!(wrong < Duration::from_millis(1200), "{wrong:?}");
@@ -131,7 +121,7 @@
     }
     assert_eq!(learn("queue-0", [1000, 1000]), learn("queue-1", [1000, 1000]));
     assert_eq!(model.history_count(), MAX_HISTORIES);
-    assert_eq!(model.predict(&submission(1000, "wrong", ESTIMATE), 0), ESTIMATE, "the oldest history is forgotten");
+    assert_eq!(model.predict(&submission_to("wrong", 1000, ESTIMATE), 0), ESTIMATE, "the oldest history is forgotten");
 }
 
 /// Guards against calling a worker slow because of one run that hangs, against never believing one that has recovered, and
--- a/crates/parsleywalk-batch/src/workspace_usage.rs
+++ b/crates/parsleywalk-batch/src/workspace_allocations.rs
@@ -40,12 +40,12 @@
 
 /// The resources allocated to the placed runs of each workspace. Best-effort runs count with their cores.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub(crate) struct WorkspaceUsage {
+pub(crate) struct WorkspaceAllocations {
     /// The workspaces that have placed runs.
     totals: SortedMap<WorkspaceName, SizeTotal>,
 }
 
-impl WorkspaceUsage {
+impl WorkspaceAllocations {
     /// Adds a run that has been placed. A run of a job without a workspace changes nothing.
     pub(crate) fn charge(&mut self, workspace: Option<&WorkspaceName>, size: &ResourceSize) {
         if let Some(workspace) = workspace {
--- a/crates/parsleywalk-batch/src/workspace_shares.rs
+++ b/crates/parsleywalk-batch/src/workspace_shares.rs
@@ -2,11 +2,11 @@
 //!
 //! Limits, weights and allocations are in the replicated state. The leader's own knowledge is which jobs were submitted
 //! beyond their workspace's rate, and which workspaces wait for their limit. A new leader takes every job for within its
-//! rate, gives each workspace its full allowance, and finds those that wait in its first scheduling cycle.
+//! rate, gives each workspace its full bucket, and finds those that wait in its first scheduling cycle.
 
 use std::time::Duration;
 
-use parsleywalk_shares::{AccountIndex, JobRate, RateAllowance, ResourceLimit, dominant_share};
+use parsleywalk_shares::{AccountIndex, JobRate, ResourceLimit, TokenBucket, dominant_share};
 use parsleywalk_units::{ConfigurationVersion, MonotonicTime, ResourceSize, WorkspaceName};
 
 use crate::account_cycle::AccountCycle;
@@ -30,7 +30,7 @@
     name: WorkspaceName,
     weight: u32,
     limit: ResourceLimit,
-    allowance: RateAllowance,
+    bucket: TokenBucket,
     /// The result of the last scheduling cycle.
     cycle: AccountCycle,
     /// When steps last waited for the limit, unless that is long ago.
@@ -104,8 +104,8 @@
     /// Returns true if a job that is submitted now is beyond the rate of its workspace.
     pub(crate) fn exceeds_rate(&self, now: MonotonicTime, account: AccountIndex) -> bool {
         let Some(account) = self.account(account) else { return false };
-        let mut allowance = account.allowance;
-        !allowance.try_take(now, rate(account.weight))
+        let mut bucket = account.bucket;
+        !bucket.try_take(now, rate(account.weight))
     }
 
     /// Returns true if the job was submitted beyond the rate of its workspace.
@@ -132,8 +132,8 @@
             if let Ok(position) = position {
                 return WorkspaceAccount { weight, limit, ..known.remove(position) };
             }
-            let allowance = RateAllowance::new(now, rate(weight));
-            WorkspaceAccount { name, weight, limit, allowance, cycle: AccountCycle::default(), limited_at: None }
+            let bucket = TokenBucket::new(now, rate(weight));
+            WorkspaceAccount { name, weight, limit, bucket, cycle: AccountCycle::default(), limited_at: None }
         });
         self.accounts = accounts.collect();
     }
@@ -142,7 +142,7 @@
     fn count_submission(&mut self, now: MonotonicTime, workspace: &WorkspaceName, job: JobId) {
         let Some(position) = self.position(workspace) else { return };
         let account = &mut self.accounts[position];
-        if !account.allowance.try_take(now, rate(account.weight)) {
+        if !account.bucket.try_take(now, rate(account.weight)) {
             self.over_rate.insert(job, now);
         }
     }
--- a/crates/parsleywalk-batch/tests/workspace_load.rs
+++ b/crates/parsleywalk-batch/tests/workspace_load.rs
@@ -23,8 +23,9 @@
 const LOAD_TIME: Duration = Duration::from_mins(2);
 const TICK: Duration = Duration::from_millis(100);
 
-/// Runs the load with a limit of the flooding workspace, or without workspaces, and returns how long the jobs of each workspace but the flooding one wait for their first run on
-/// average, the longest first, in seconds, and the most cores that the flooding one has.
+/// Runs the load with a limit of the flooding workspace, or without workspaces. Returns how long the jobs of each workspace
+/// but the flooding one wait for their first run on average, the longest first, in seconds, and the most cores that the
+/// flooding one has.
 fn run(flooding_limit: Option<&'static str>, refuses: bool) -> (Vec<f64>, u32) {
     let mut fleet = if refuses { FakeFleet::new(6, 1) } else { FakeFleet::without_refusals(6, 1) };
     let names: Vec<String> = (0..WORKSPACES).map(|index| format!("workspace-{index:02}")).collect();
--- a/crates/parsleywalk-fleet/src/core/reports.rs
+++ b/crates/parsleywalk-fleet/src/core/reports.rs
@@ -99,11 +99,14 @@
         }
     }
 
-    /// Holds a report until there are orders for the worker or its deadline has passed.
+    /// Holds a report until there are orders for the worker or its deadline has passed. A worker that has announced its exit
+    /// gets no orders, and can list its last ends only once it has the response.
     pub(super) fn hold(&mut self, now: MonotonicTime, report: WaitingReport) {
-        let has_orders =
-            |leader_state: &LeaderState| leader_state.dispatcher.has_pending_starts(&self.state, &report.worker);
-        if self.leader_state.as_ref().is_none_or(has_orders) {
+        let is_answered = |leader_state: &LeaderState| {
+            let dispatcher = &leader_state.dispatcher;
+            dispatcher.has_pending_starts(&self.state, &report.worker) || dispatcher.has_departed(&report.worker)
+        };
+        if self.leader_state.as_ref().is_none_or(is_answered) {
             return self.respond(now, report);
         }
         if let Some(replaced) = self.held.insert(report) {
--- a/crates/parsleywalk-fleet/tests/relay.rs
+++ b/crates/parsleywalk-fleet/tests/relay.rs
@@ -3,10 +3,14 @@
 mod support;
 
 use std::net::Ipv4Addr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use parsleywalk_batch::{DispatchSettings, ReportResponse, WorkerReport};
-use parsleywalk_fleet::{CallFailure, FleetSettings, LeaderReply, QueueAction};
+use parsleywalk_batch::{
+    DispatchSettings, EndNumber, JobId, ReportResponse, RunEnd, RunNumber, RunOutcome, TaskKey, WorkerReport,
+};
+use parsleywalk_fleet::{CallFailure, FleetSettings, LeaderReply, LeaderRequest, QueueAction};
+use parsleywalk_units::Incarnation;
+use rstest::rstest;
 use support::test_worker::TestWorker;
 use support::{ReportOutcome, TestDaemon, TestFleet, WAIT_TIMEOUT, configuration, job, queue};
 
@@ -20,9 +24,13 @@
 
 impl RelayFleet {
     fn start(network: u8) -> Self {
+        Self::start_with(network, &DispatchSettings::default())
+    }
+
+    fn start_with(network: u8, dispatch: &DispatchSettings) -> Self {
         let fleet = TestFleet::new(network);
         let start = |number| {
-            let dispatch = DispatchSettings { direct_workers: 0, ..DispatchSettings::default() };
+            let dispatch = DispatchSettings { direct_workers: 0, ..dispatch.clone() };
             let data_folder = Some(fleet.data_folder(number));
             let settings = FleetSettings { data_folder, bootstrap: true, dispatch, ..fleet.settings(number) };
             Some(TestDaemon::start(settings))
@@ -140,3 +148,41 @@
     }
     fleet.stop();
 }
+
+/// Guards against an end that a worker cannot list before it exits, since the response to its report is held: here until
+/// the report fails. The worker announces its exit while the response is held, or while what it has reported is being committed.
+#[rstest]
+#[case::held(24, false)]
+#[case::being_committed(25, true)]
+fn the_response_to_a_worker_that_announces_its_exit_is_not_held(#[case] network: u8, #[case] lists_end: bool) {
+    let dispatch = DispatchSettings {
+        idle_hold: Duration::from_mins(1),
+        reports_per_second: 1,
+        worker_timeout: Duration::from_mins(1),
+        ..DispatchSettings::default()
+    };
+    let fleet = RelayFleet::start_with(network, &dispatch);
+    let leader = fleet.leader_index(0);
+    let mut worker = TestWorker { zone: RelayFleet::zone(leader), sequence: 0 };
+    let report = worker.next();
+    let others = (2..=40).map(|number| {
+        let name = format!("worker-{number}").parse().expect("a name");
+        fleet.replica(leader).report(WorkerReport { worker: name, ..report.clone() })
+    });
+    // Their responses are held, as that to the first report; with so many workers, a busy one's is held as well.
+    let _others: Vec<_> = others.collect();
+    let mut response = fleet.replica(leader).report(report);
+    assert!(response.recv_timeout(Duration::from_millis(300)).is_err(), "it is held");
+    if lists_end {
+        let task = TaskKey { job: JobId::new(1), occurrence: 0, step: 0, index: 0 };
+        let (number, run) = (EndNumber::new(1), RunNumber::new(1));
+        let end = RunEnd { number, task, run, outcome: RunOutcome::Done, saved: String::new() };
+        response = fleet.replica(leader).report(WorkerReport { ended: vec![end], ..worker.next() });
+    }
+    let leave =
+        LeaderRequest::Leave { worker: "worker-1".parse().expect("a name"), incarnation: Some(Incarnation::new(1)) };
+    let left = fleet.replica(leader).begin_call(leave, WAIT_TIMEOUT);
+    response.recv_timeout(WAIT_TIMEOUT).expect("an outcome").expect("a response");
+    assert_eq!(left.recv_timeout(WAIT_TIMEOUT).expect("an outcome"), Ok(LeaderReply::Done));
+    fleet.stop();
+}
--- a/crates/parsleywalk-shares/src/lib.rs
+++ b/crates/parsleywalk-shares/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! An account is whoever resources are charged to: a team of the operators' catalog, or a workspace on the users'
 //! platform. [`ResourceLimit`] bounds what an account may have allocated, and [`ShareLedger`] keeps what it has, with its
-//! weighted dominant share. [`ShareOrder`] decides who gets capacity next, and [`RateAllowance`] who submits faster than
+//! weighted dominant share. [`ShareOrder`] decides who gets capacity next, and [`TokenBucket`] who submits faster than
 //! agreed. Nothing here does I/O or reads a clock.
 //!
 //! Two accounts, of which one has twice the weight and the other a limit, share 32 cores:
@@ -43,4 +43,4 @@
 pub use ledger::{AccountIndex, ShareLedger, dominant_share};
 pub use limit::ResourceLimit;
 pub use order::{ShareOrder, ShareTurn};
-pub use rate::{JobRate, RateAllowance};
+pub use rate::{JobRate, TokenBucket};
--- a/crates/parsleywalk-shares/src/rate.rs
+++ b/crates/parsleywalk-shares/src/rate.rs
@@ -12,13 +12,13 @@
 
 /// The jobs that an account may submit now within its rate: a token bucket. It starts full.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RateAllowance {
+pub struct TokenBucket {
     jobs: f64,
     updated: MonotonicTime,
 }
 
-impl RateAllowance {
-    /// Creates the allowance of an account that has submitted nothing for long.
+impl TokenBucket {
+    /// Creates the bucket of an account that has submitted nothing for long.
     #[must_use]
     pub fn new(now: MonotonicTime, rate: JobRate) -> Self {
         Self { jobs: burst(rate), updated: now }
--- a/crates/parsleywalk-shares/tests/shares.rs
+++ b/crates/parsleywalk-shares/tests/shares.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use parsleywalk_shares::{AccountIndex, JobRate, RateAllowance, ResourceLimit, ShareLedger, ShareOrder};
+use parsleywalk_shares::{AccountIndex, JobRate, ResourceLimit, ShareLedger, ShareOrder, TokenBucket};
 use parsleywalk_units::{MonotonicTime, ResourceSize};
 use rstest::rstest;
 
@@ -81,9 +81,9 @@
 fn a_rate_permits_a_burst_and_then_its_number_per_second() {
     let rate = JobRate::new(2);
     let mut now = MonotonicTime::from_millis(1);
-    let mut allowance = RateAllowance::new(now, rate);
-    let mut taken = |now: MonotonicTime, rate: JobRate| (0..1000).filter(|_| allowance.try_take(now, rate)).count();
-    assert_eq!(taken(now, rate), 10, "a new allowance permits a burst");
+    let mut bucket = TokenBucket::new(now, rate);
+    let mut taken = |now: MonotonicTime, rate: JobRate| (0..1000).filter(|_| bucket.try_take(now, rate)).count();
+    assert_eq!(taken(now, rate), 10, "a new bucket permits a burst");
     now = now + Duration::from_secs(3);
     assert_eq!(taken(now, rate), 6);
     now = now + Duration::from_hours(1);
